--- /dev/null
+++ b/crossmill/__main__.py
@@ -0,0 +1,5 @@
+import sys
+
+from .cli import main
+
+sys.exit(main())
--- /dev/null
+++ b/crossmill/app.py
@@ -0,0 +1,122 @@
+"""Wires the parts of a controller together."""
+
+import logging
+import secrets
+
+import curio
+
+from .cluster.keeper import Keeper
+from .cluster.keys import ROOT
+from .cluster.membership import Membership
+from .cluster.world import World
+from .fleet.cloud import Cloud
+from .fleet.leader import Leader
+from .fleet.outlook import Outlook
+from .jobs.desk import Desk
+from .jobs.rounds import Rounds
+from .net.clock import Clock
+from .net.server import Request, Response, Server
+from .settings import Settings
+from .state.client import StateClient
+from .state.follower import Follower
+from .state.mirror import Mirror
+from .state.writer import Writer
+from .wire import users, workers
+from .wire.checks import Malformed, load_object
+from .workers.reports import Reports
+
+log = logging.getLogger(__name__)
+
+
+class App:
+    def __init__(self, settings: Settings, clock: Clock) -> None:
+        self.settings = settings
+        client = StateClient(settings, clock)
+        mirror = Mirror()
+        self.world = World(mirror, settings)
+        self.follower = Follower(client, mirror, ROOT, settings)
+        self.writer = Writer(client, mirror, clock, settings)
+        self.keeper = Keeper(client, clock, settings)
+        self.membership = Membership(
+            settings, clock, self.keeper, self.world, self.follower, self.writer
+        )
+        self.reports = Reports(settings, clock, self.world, self.membership)
+        self.outlook = Outlook(settings, clock, self.world)
+        self.rounds = Rounds(
+            settings, clock, self.world, self.membership, self.reports, self.writer, self.outlook
+        )
+        self.leader = Leader(
+            settings,
+            clock,
+            self.world,
+            self.membership,
+            self.outlook,
+            Cloud(settings, clock),
+            self.writer,
+            lambda: secrets.token_hex(8),
+        )
+        self.desk = Desk(settings, clock, self.world, self.follower, self.writer, client)
+        self.server = Server(
+            settings.bind, self._handle, settings.server_sockets, 6 * settings.lease_s
+        )
+
+    async def _handle(self, request: Request) -> Response:
+        if request.path == workers.REPORT_PATH:
+            if request.method != "POST":
+                return Response(405)
+            return await self._report(request)
+        if request.path == users.JOBS_PATH or request.path.startswith(users.JOBS_PATH + "/"):
+            return await self.desk.handle(request)
+        if request.path == "/healthz":
+            ready = self.follower.ready.is_set() and bool(self.world.catalog)
+            return Response(200 if ready else 503)
+        return Response(404, users.error_body("no such path"))
+
+    async def _report(self, request: Request) -> Response:
+        try:
+            report = workers.parse_report(load_object(request.body))
+        except Malformed as exc:
+            return Response(400, users.error_body(str(exc)))
+        before = len(self.reports.findings)
+        answer = self.reports.handle(report)
+        if len(self.reports.findings) > before:
+            await self.rounds.wake.set()
+        if answer.status == 200:
+            return Response(200, workers.answer_body(answer.token, list(answer.commands)))
+        return Response(answer.status, workers.redirect_body(answer.redirect))
+
+    async def run(self) -> None:
+        s = self.settings
+        log.info("starting controller=%s zone=%s bind=%s:%d", s.label, s.zone, *_pair(s))
+        for run in (
+            self.server.run,
+            self.keeper.run,
+            self.follower.run,
+            self.follower.run_syncs,
+            self.writer.run,
+            self.membership.run,
+            self.rounds.run,
+            self.leader.run,
+        ):
+            await curio.spawn(_guard, run, daemon=True)
+        await curio.Event().wait()
+
+
+def _pair(s: Settings) -> tuple[str, int]:
+    return s.bind.host, s.bind.port
+
+
+async def _guard(run) -> None:  # type: ignore[no-untyped-def]
+    """A part that fails must not leave a controller half alive: it is logged and begun anew."""
+    while True:
+        try:
+            await run()
+        except curio.CancelledError:
+            raise
+        except Exception:
+            log.exception("part failed part=%s", getattr(run, "__qualname__", run))
+            await curio.sleep(1.0)
+
+
+def serve(settings: Settings) -> None:
+    curio.run(App(settings, Clock()).run)
--- /dev/null
+++ b/crossmill/cli.py
@@ -0,0 +1,81 @@
+"""The command line."""
+
+import argparse
+import logging
+import os
+import sys
+
+from . import __version__
+from .settings import BadSettings, load
+
+LEVELS = {"error": logging.ERROR, "info": logging.INFO, "debug": logging.DEBUG}
+
+
+def _logging() -> str | None:
+    name = os.environ.get("LOG_LEVEL", "info").lower()
+    logging.basicConfig(
+        level=LEVELS.get(name, logging.INFO),
+        format="%(asctime)s %(levelname)s %(name)s %(message)s",
+        stream=sys.stderr,
+    )
+    logging.getLogger("curio").setLevel(logging.ERROR)
+    return None if name in LEVELS else name
+
+
+def _parser() -> argparse.ArgumentParser:
+    parser = argparse.ArgumentParser(
+        prog="crossmill",
+        description="A scheduler for fleets that serve language models.",
+        epilog="LOG_LEVEL (error, info, debug) sets how much is logged to standard error.",
+    )
+    parser.add_argument("--version", action="version", version=f"crossmill {__version__}")
+    verbs = parser.add_subparsers(dest="verb", required=True, metavar="VERB")
+    for name, text in (
+        ("serve", "run a controller until it is killed"),
+        ("check", "check a settings file and say what follows from it"),
+    ):
+        verb = verbs.add_parser(name, help=text, description=text)
+        verb.add_argument("--config", required=True, metavar="FILE", help="settings (TOML)")
+    submit = verbs.add_parser("submit", help="submit a job read as JSON")
+    submit.add_argument("file", help="the job's JSON, or - for standard input")
+    show = verbs.add_parser("show", help="show a job's state")
+    withdraw = verbs.add_parser("withdraw", help="cancel a job")
+    for verb in (show, withdraw):
+        verb.add_argument("job", help="the job's id")
+    for verb in (submit, show, withdraw):
+        verb.add_argument(
+            "--server",
+            metavar="HOST:PORT",
+            default=os.environ.get("CROSSMILL_SERVER", "127.0.0.1:8080"),
+            help="a controller or the load balancer (CROSSMILL_SERVER; default %(default)s)",
+        )
+        verb.add_argument(
+            "--timeout", type=float, default=5.0, metavar="S", help="default %(default)s"
+        )
+    return parser
+
+
+def main(argv: list[str] | None = None) -> int:
+    args = _parser().parse_args(argv)
+    bad_level = _logging()
+    if bad_level is not None:
+        print(f"LOG_LEVEL: {bad_level!r} is none of {', '.join(LEVELS)}", file=sys.stderr)
+        return 2
+    if args.verb in ("serve", "check"):
+        try:
+            settings = load(args.config)
+        except BadSettings as exc:
+            print(f"crossmill: {exc}", file=sys.stderr)
+            return 2
+        if args.verb == "check":
+            print(f"{settings.label}: {settings.nodes} controllers, {len(settings.teams)} teams")
+            for name in ("hold_ttl_s", "renew_s", "worker_end_s", "writes_share", "cloud_pace"):
+                print(f"  {name} = {getattr(settings, name):.3f}")
+            return 0
+        from .app import serve
+
+        serve(settings)
+        return 0
+    from .verbs import run
+
+    return run(args)
--- /dev/null
+++ b/crossmill/cluster/keeper.py
@@ -0,0 +1,67 @@
+"""This controller's lease in the state service, and the authority that follows from it."""
+
+import logging
+
+import curio
+
+from ..net.clock import Clock
+from ..settings import Settings
+from ..state.client import Doubt, NoLease, Refused, StateClient
+
+log = logging.getLogger(__name__)
+
+
+class Keeper:
+    """Authority is counted from when the last renewal that succeeded was *sent*, less drift:
+    the service counts from when it got it, so it never ends the lease before we stop."""
+
+    def __init__(self, client: StateClient, clock: Clock, settings: Settings) -> None:
+        self._client = client
+        self._clock = clock
+        self._ttl_s = settings.hold_ttl_s
+        self._renew_s = settings.renew_s
+        self._span_s = self._ttl_s * (1 - settings.drift)
+        self._until = 0.0
+        self.lease: int | None = None
+        # grows with every new lease: what was decided under an older one is void
+        self.epoch = 0
+        self.changed = curio.Event()
+
+    def authority(self) -> bool:
+        return self.lease is not None and self._clock.now() < self._until
+
+    def holds(self, epoch: int) -> bool | None:
+        """For a write decided under this epoch: yes, not now, never again."""
+        if epoch != self.epoch or self.lease is None:
+            return False
+        return True if self.authority() else None
+
+    async def step(self) -> float:
+        """One renewal or acquisition; the time until the next."""
+        sent = self._clock.now()
+        try:
+            if self.lease is None:
+                lease = await self._client.hold(self._ttl_s)
+                self.lease = lease
+                self.epoch += 1
+                self._until = sent + self._span_s
+                log.info("lease acquired lease=%d epoch=%d", lease, self.epoch)
+                await self.changed.set()
+            else:
+                await self._client.renew(self.lease)
+                self._until = sent + self._span_s
+        except NoLease:
+            log.info("lease lost lease=%s epoch=%d", self.lease, self.epoch)
+            self.lease = None
+            self._until = 0.0
+            self.epoch += 1
+            await self.changed.set()
+            return 0.0
+        except (Refused, Doubt) as exc:
+            log.debug("lease not renewed error=%s", exc)
+            return self._renew_s / 4
+        return max(0.0, self._renew_s - (self._clock.now() - sent))
+
+    async def run(self) -> None:
+        while True:
+            await curio.sleep(await self.step())
--- /dev/null
+++ b/crossmill/cluster/membership.py
@@ -0,0 +1,243 @@
+"""Shards (teams and machines parted among controllers), tokens and the leader's key."""
+
+import logging
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import curio
+
+from ..net.clock import Clock
+from ..settings import Settings
+from ..state.follower import Follower
+from ..state.writer import OK, URGENT, Intent, Writer
+from ..wire.state import Put, Txn
+from . import keys
+from .keeper import Keeper
+from .world import World
+
+log = logging.getLogger(__name__)
+
+
+@dataclass(slots=True)
+class Owned:
+    """A shard this incarnation acts for. `ready` once all earlier owners' writes are known."""
+
+    token: int
+    version: int
+    acquired_at: float
+    epoch: int
+    ready: bool = False
+
+
+class Membership:
+    def __init__(
+        self,
+        settings: Settings,
+        clock: Clock,
+        keeper: Keeper,
+        world: World,
+        follower: Follower,
+        writer: Writer,
+    ) -> None:
+        self._s = settings
+        self._clock = clock
+        self._keeper = keeper
+        self._world = world
+        self._follower = follower
+        self._writer = writer
+        self._labels = settings.labels
+        self._started = clock.now()
+        self._missing: dict[str, float] = {}
+        self._home_since: dict[str, float] = {}
+        self.owned: dict[int, Owned] = {}
+        self._leads: tuple[int, int] | None = None
+        self._raise: set[int] = set()
+        self.on_lost: list[Callable[[int], None]] = []
+
+    # -- what others ask -------------------------------------------------------------
+
+    def acting(self, shard: int) -> Owned | None:
+        """The shard, if this controller may act for it right now."""
+        own = self.owned.get(shard)
+        if own is None or not own.ready or own.epoch != self._keeper.epoch:
+            return None
+        return own if self._keeper.authority() else None
+
+    def holds(self, shard: int, token: int) -> bool | None:
+        own = self.owned.get(shard)
+        if own is None or own.token != token:
+            return False
+        return self._keeper.holds(own.epoch)
+
+    def leading(self) -> int | None:
+        """The version of the leader's key, while it is ours."""
+        if self._leads is None or self._leads[0] != self._keeper.epoch:
+            return None
+        return self._leads[1] if self._keeper.authority() else None
+
+    def raise_token(self, shard: int) -> None:
+        """A worker has seen a higher token than ours: only a fresh one will be obeyed."""
+        self._raise.add(shard)
+
+    def home(self, shard: int) -> str:
+        return self._labels[shard % len(self._labels)]
+
+    # -- the loop --------------------------------------------------------------------
+
+    async def run(self) -> None:
+        await self._follower.ready.wait()
+        while True:
+            if self._keeper.authority():
+                await self.step()
+            await curio.ignore_after(self._s.renew_s / 4, self._keeper.changed.wait)
+            self._keeper.changed.clear()
+
+    def _drop(self, shard: int, why: str) -> None:
+        own = self.owned.pop(shard)
+        log.info("shard lost shard=%d epoch=%d why=%s", shard, own.token, why)
+        for listener in self.on_lost:
+            listener(shard)
+
+    async def step(self) -> None:
+        for shard, own in list(self.owned.items()):
+            known = self._world.shards.get(shard)
+            if own.epoch != self._keeper.epoch:
+                self._drop(shard, "lease ended")
+            elif known is not None and known.version > own.version:
+                self._drop(shard, f"taken by {known.owner}")
+        await self._announce()
+        for shard in range(self._s.nodes):
+            if shard not in self.owned and self._may_take(shard):
+                await self._take(shard)
+        await self._lead()
+        for shard in list(self._raise):
+            self._raise.discard(shard)
+            if shard in self.owned:
+                await self._take(shard)
+        for shard, own in list(self.owned.items()):
+            if not own.ready and await self._follower.sync(self._s.renew_s):
+                own.ready = True
+                log.info("shard ready shard=%d epoch=%d", shard, own.token)
+        await self._hand_back()
+
+    async def _announce(self) -> None:
+        key = keys.node(self._s.label)
+        mine = self._world.nodes.get(self._s.label)
+        lease = self._keeper.lease
+        if lease is None or (mine is not None and mine["lease"] == lease):
+            return
+        # an older incarnation's key is replaced, whatever its lease
+        txn = Txn({}, [Put(key, {"lease": lease}, lease)])
+        await self._commit(txn)
+
+    async def _commit(self, txn: Txn) -> bool:
+        epoch = self._keeper.epoch
+        intent = Intent(txn, URGENT, holds=lambda: self._keeper.holds(epoch))
+        return await self._writer.commit(intent) == OK
+
+    def _rank(self) -> int:
+        """How many live controllers have fewer shards than this one."""
+        load = {label: 0 for label in self._world.nodes}
+        load.setdefault(self._s.label, 0)
+        for shard in self._world.shards.values():
+            if shard.owner in load:
+                load[shard.owner] += 1
+        order = sorted(load, key=lambda label: (load[label], label))
+        return order.index(self._s.label)
+
+    def _patient(self, key: str) -> bool:
+        """Others' keys are taken in turn: the least loaded controller first."""
+        now = self._clock.now()
+        since = self._missing.setdefault(key, now)
+        wait = self._rank() * self._s.hold_ttl_s / 4
+        if not self._world.shards:
+            # nobody has started yet: leave each its own
+            wait += self._s.hold_ttl_s
+        return now - since >= wait
+
+    def _may_take(self, shard: int) -> bool:
+        known = self._world.shards.get(shard)
+        key = keys.shard(shard)
+        if known is not None:
+            self._missing.pop(key, None)
+            # the process of an older incarnation under our label has ended: its place is ours
+            return known.owner == self._s.label
+        home = self.home(shard)
+        if home == self._s.label:
+            return True
+        if home in self._world.nodes and self._world.shards:
+            self._missing.setdefault(key, self._clock.now())
+            return self._clock.now() - self._missing[key] > self._s.hold_ttl_s
+        return self._patient(key)
+
+    async def _take(self, shard: int) -> None:
+        known = self._world.shards.get(shard)
+        counter = self._world.mirror.value(keys.TOKEN) or {"n": 0}
+        token = int(counter["n"]) + 1
+        lease, epoch = self._keeper.lease, self._keeper.epoch
+        key = keys.shard(shard)
+        txn = Txn(
+            {
+                key: known.version if known else 0,
+                keys.TOKEN: self._world.mirror.version(keys.TOKEN),
+            },
+            [
+                Put(key, {"owner": self._s.label, "token": token}, lease),
+                Put(keys.TOKEN, {"n": token}),
+            ],
+        )
+        if not await self._commit(txn):
+            await self._follower.sync(self._s.renew_s)
+            return
+        version = self._world.mirror.version(key)
+        before = self.owned.get(shard)
+        self.owned[shard] = Owned(token, version, self._clock.now(), epoch)
+        if before is not None and before.epoch == epoch:
+            # a raised token of a shard that stayed ours: nobody else wrote in between
+            self.owned[shard].acquired_at = before.acquired_at
+            self.owned[shard].ready = before.ready
+        self._missing.pop(key, None)
+        log.info("shard taken shard=%d epoch=%d", shard, token)
+
+    async def _lead(self) -> None:
+        known = self._world.leader
+        version = self._world.mirror.version(keys.LEADER)
+        if self._leads is not None and self._leads == (self._keeper.epoch, version):
+            return
+        if self._leads is not None:
+            log.info("lead lost")
+            self._leads = None
+        if known is not None and known != self._s.label:
+            self._missing.pop(keys.LEADER, None)
+            return
+        if known is None and not self._patient(keys.LEADER):
+            return
+        txn = Txn(
+            {keys.LEADER: version},
+            [Put(keys.LEADER, {"owner": self._s.label}, self._keeper.lease)],
+        )
+        epoch = self._keeper.epoch
+        if await self._commit(txn):
+            self._leads = (epoch, self._world.mirror.version(keys.LEADER))
+            self._missing.pop(keys.LEADER, None)
+            log.info("lead taken epoch=%d", epoch)
+        else:
+            await self._follower.sync(self._s.renew_s)
+
+    async def _hand_back(self) -> None:
+        """A controller that came back gets its own teams again, once it has stood a while."""
+        now = self._clock.now()
+        for label in self._labels:
+            if label not in self._world.nodes:
+                self._home_since.pop(label, None)
+            else:
+                self._home_since.setdefault(label, now)
+        for shard, own in list(self.owned.items()):
+            home = self.home(shard)
+            since = self._home_since.get(home)
+            if home == self._s.label or since is None:
+                continue
+            if now - since > self._s.lease_s:
+                self._drop(shard, f"handed back to {home}")
+                await self._commit(Txn({keys.shard(shard): own.version}, [], [keys.shard(shard)]))
+                return
--- /dev/null
+++ b/crossmill/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""The fleet: what to rent, adopt, return; the leader's dealings with the cloud."""
--- /dev/null
+++ b/crossmill/fleet/cloud.py
@@ -0,0 +1,72 @@
+"""Typed calls to the cloud, all paced below its rate."""
+
+from dataclasses import asdict
+
+import curio
+import orjson
+
+from ..net.client import Client, Unanswered, Unreached
+from ..net.clock import Clock
+from ..net.pacer import Pacer
+from ..settings import Settings
+from ..wire import cloud as wire
+from ..wire.checks import load_object
+
+
+class CloudTrouble(Exception):
+    """Refused, not reached or not answered; it may be carried out late."""
+
+
+class NoCapacity(Exception):
+    """None of this type, zone and kind is to be had now."""
+
+
+class Cloud:
+    def __init__(self, settings: Settings, clock: Clock) -> None:
+        self._http = Client(settings.cloud, max_sockets=4)
+        self._pacer = Pacer(clock, settings.cloud_pace, settings.cloud_pace)
+        self._timeout_s = max(4.0, 8 / settings.cloud_rps)
+
+    async def _call(self, method: str, path: str, body: bytes = b"") -> tuple[int, bytes]:
+        while not self._pacer.take():
+            await curio.sleep(self._pacer.wait_s())
+        try:
+            status, data = await self._http.request(method, path, body, self._timeout_s)
+        except (Unreached, Unanswered) as exc:
+            raise CloudTrouble(str(exc)) from exc
+        if status == 429:
+            self._pacer.drain()
+        if status != 200 and not (status == 503 and b"no capacity" in data):
+            raise CloudTrouble(f"{method} {path}: {status}")
+        return status, data
+
+    async def catalog(self) -> dict[str, wire.MachineType]:
+        _, data = await self._call("GET", wire.CATALOG_PATH)
+        return wire.parse_catalog(load_object(data))
+
+    async def rent(
+        self, request: str, type_name: str, zone: str, spot: bool, number: int
+    ) -> list[str]:
+        body = wire.rent_body(request, type_name, zone, spot, min(number, wire.MAX_RENT))
+        status, data = await self._call("POST", wire.MACHINES_PATH, body)
+        if status == 503:
+            raise NoCapacity
+        return wire.parse_rented(load_object(data))
+
+    async def release(self, machines: list[str]) -> None:
+        await self._call("POST", wire.RELEASE_PATH, wire.release_body(machines))
+
+    async def machines(self) -> list[wire.Listed]:
+        rows: list[wire.Listed] = []
+        after = ""
+        while True:
+            _, data = await self._call("GET", wire.list_path(after))
+            page, more = wire.parse_list(load_object(data))
+            rows.extend(page)
+            if not more or not page:
+                return rows
+            after = page[-1].id
+
+
+def stored_catalog(catalog: dict[str, wire.MachineType]) -> list[dict[str, object]]:
+    return [orjson.loads(orjson.dumps(asdict(t))) for t in catalog.values()]
--- /dev/null
+++ b/crossmill/fleet/leader.py
@@ -0,0 +1,218 @@
+"""The leader's work: catalog, renting, adopting, releasing."""
+
+import logging
+from collections.abc import Callable
+from itertools import count
+
+import curio
+
+from ..cluster import keys
+from ..cluster.membership import Membership
+from ..cluster.world import World
+from ..net.clock import Clock
+from ..planning.demand import Need
+from ..settings import Settings
+from ..state.writer import LATER, OK, PLACE, Intent, Writer
+from ..wire.cloud import MAX_RELEASE, Listed
+from ..wire.state import Put, Txn
+from .cloud import Cloud, CloudTrouble, NoCapacity, stored_catalog
+from .outlook import Outlook
+
+log = logging.getLogger(__name__)
+
+
+class Leader:
+    def __init__(
+        self,
+        settings: Settings,
+        clock: Clock,
+        world: World,
+        membership: Membership,
+        outlook: Outlook,
+        cloud: Cloud,
+        writer: Writer,
+        unique: Callable[[], str],
+    ) -> None:
+        self._s = settings
+        self._clock = clock
+        self._world = world
+        self._membership = membership
+        self._outlook = outlook
+        self._cloud = cloud
+        self._writer = writer
+        # no incarnation ever uses a name of another: the prefix is drawn anew at each start
+        self._names = (f"{settings.label}-{unique()}-{n}" for n in count(1))
+        self._catalog_at: float | None = None
+        self._list_at: float | None = None
+        self._unlisted: dict[str, int] = {}
+        # released machines go on being listed for a while
+        self._gone: dict[str, float] = {}
+
+    async def run(self) -> None:
+        while True:
+            if self._membership.leading() is not None or not self._world.catalog:
+                try:
+                    await self._step()
+                except CloudTrouble as exc:
+                    # spending pauses; what runs goes on
+                    log.info("cloud trouble error=%s", exc)
+                    await curio.sleep(self._s.report_s)
+            await curio.sleep(self._s.report_s / 2)
+
+    async def _step(self) -> None:
+        now = self._clock.now()
+        stale = self._catalog_at is None or now - self._catalog_at > 30 * self._s.report_s
+        if stale:
+            await self._refresh_catalog()
+        if self._membership.leading() is None:
+            return
+        await self._release()
+        await self._rent()
+        if self._list_at is None or now - self._list_at >= self._s.list_every_s:
+            self._list_at = now
+            await self._look_at_list(await self._cloud.machines())
+
+    async def _refresh_catalog(self) -> None:
+        catalog = await self._cloud.catalog()
+        self._catalog_at = self._clock.now()
+        if not self._world.catalog:
+            self._world.catalog = catalog
+        version = self._membership.leading()
+        if version is None or stored_catalog(catalog) == self._world.mirror.value(keys.CATALOG):
+            return
+        txn = Txn({keys.LEADER: version}, [Put(keys.CATALOG, stored_catalog(catalog))])
+        await self._commit([Intent(txn, LATER, holds=self._leads)])
+
+    def _leads(self) -> bool | None:
+        return self._membership.leading() is not None
+
+    async def _commit(self, intents: list[Intent]) -> int:
+        for intent in intents:
+            await self._writer.submit(intent)
+        return sum([await i.promise.wait() == OK for i in intents])
+
+    # -- renting ---------------------------------------------------------------------
+
+    async def _rent(self) -> None:
+        for shard in range(self._s.nodes):
+            for need in list(self._outlook.look(shard).needs.values()):
+                if self._membership.leading() is None:
+                    return
+                await self._rent_one(shard, need)
+
+    async def _rent_one(self, shard: int, need: Need) -> None:
+        source = need.source
+        name = next(self._names)
+        key = (source.type.name, source.zone, source.spot)
+        asked_at = self._clock.wall()
+        for last in (False, True):
+            try:
+                rented = await self._cloud.rent(
+                    name, source.type.name, source.zone, source.spot, need.number
+                )
+                break
+            except NoCapacity:
+                self._outlook.blocked[key] = self._clock.now() + self._s.blocked_s
+                log.info("no capacity type=%s zone=%s spot=%s", *key)
+                return
+            except CloudTrouble:
+                # the same name again rents nothing twice; what comes late is adopted
+                if last:
+                    raise
+                await curio.sleep(self._s.report_s)
+        log.info(
+            "machines rented shard=%d type=%s zone=%s spot=%s asked=%d got=%d first=%s",
+            shard, *key, need.number, len(rented), rented[0] if rented else "",
+        )
+        if len(rented) < need.number:
+            self._outlook.blocked[key] = self._clock.now() + self._s.blocked_s
+        await self._record([(m, *key) for m in rented], [shard] * len(rented), asked_at)
+
+    async def _record(
+        self, machines: list[tuple[str, str, str, bool]], shards: list[int], at: float
+    ) -> None:
+        version = self._membership.leading()
+        if version is None:
+            return
+        intents = []
+        for (machine, type_name, zone, spot), shard in zip(machines, shards, strict=True):
+            key = keys.machine(machine)
+            value = {
+                "type": type_name, "zone": zone, "spot": spot,
+                "shard": shard, "at": at, "retiring": "", "up": False,
+            }
+            txn = Txn({keys.LEADER: version, key: 0}, [Put(key, value)])
+            intents.append(Intent(txn, PLACE, holds=self._leads))
+        await self._commit(intents)
+
+    # -- the list --------------------------------------------------------------------
+
+    async def _look_at_list(self, listed: list[Listed]) -> None:
+        """Lists lag and may go back: a machine is adopted only when it is listed and has been
+        unknown for longer than a rental's answer and its record take."""
+        fresh: list[Listed] = []
+        for row in listed:
+            known = self._world.machines.get(row.id)
+            if known is not None:
+                self._unlisted.pop(row.id, None)
+                if row.state == "failed" and not known.retiring:
+                    await self._retire(row.id, "failed")
+                continue
+            if row.age_s > 3 * self._s.list_lag_s + self._s.lease_s and row.id not in self._gone:
+                self._unlisted[row.id] = self._unlisted.get(row.id, 0) + 1
+                if self._unlisted[row.id] >= 2:
+                    fresh.append(row)
+        if fresh:
+            await self._adopt(fresh)
+
+    async def _adopt(self, rows: list[Listed]) -> None:
+        """Machines nobody expected are taken in; those not needed go the way of idle ones."""
+        needy = max(range(self._s.nodes), key=lambda k: self._outlook.look(k).short)
+        for row in rows:
+            log.info("machine adopted machine=%s shard=%d", row.id, needy)
+            await self._record(
+                [(row.id, row.type, row.zone, row.spot)],
+                [needy],
+                self._clock.wall() - row.age_s,
+            )
+            if row.state == "failed":
+                await self._retire(row.id, "failed")
+
+    async def _retire(self, machine_id: str, why: str) -> None:
+        machine, version = self._world.machines.get(machine_id), self._membership.leading()
+        if machine is None or version is None:
+            return
+        log.info("machine given up machine=%s why=%s", machine_id, why)
+        key = keys.machine(machine_id)
+        txn = Txn(
+            {keys.LEADER: version, key: machine.version},
+            [Put(key, machine.encode(retiring=why))],
+        )
+        await self._commit([Intent(txn, LATER, holds=self._leads)])
+
+    # -- releasing -------------------------------------------------------------------
+
+    async def _release(self) -> None:
+        """Only what is durably retiring is released; the record goes after the 200, when the
+        machine and all on it are gone."""
+        going = [m for m in self._world.machines.values() if m.retiring][:MAX_RELEASE]
+        if not going:
+            return
+        await self._cloud.release([m.id for m in going])
+        version = self._membership.leading()
+        if version is None:
+            return
+        log.info("machines released number=%d first=%s", len(going), going[0].id)
+        now = self._clock.now()
+        self._gone = {m: at for m, at in self._gone.items() if now - at < 60 * self._s.lease_s}
+        self._gone.update((m.id, now) for m in going)
+        intents = [
+            Intent(
+                Txn({keys.LEADER: version, keys.machine(m.id): m.version}, [],
+                    [keys.machine(m.id)]),
+                LATER,
+                holds=self._leads,
+            )
+            for m in going
+        ]
+        await self._commit(intents)
--- /dev/null
+++ b/crossmill/fleet/outlook.py
@@ -0,0 +1,141 @@
+"""What a shard needs of the fleet, worked out from durable facts: every controller that looks
+sees nearly the same. The leader rents by it, a shard's owner returns machines by it."""
+
+from dataclasses import dataclass, field
+
+from ..cluster.world import Job, Machine, World
+from ..net.clock import Clock
+from ..planning.demand import Outcome, Source, Want, demand, room_of
+from ..planning.estimates import Estimates
+from ..planning.queue import budget_end, place_in_queue
+from ..planning.rooms import Room, Zones
+from ..settings import Settings
+from ..wire.users import JobSpec
+
+
+@dataclass(slots=True)
+class _Arrivals:
+    """Recent submissions of a class to a shard."""
+
+    times: list[tuple[float, int]] = field(default_factory=list)
+    spec: JobSpec | None = None
+
+
+class Outlook:
+    def __init__(self, settings: Settings, clock: Clock, world: World) -> None:
+        self._s = settings
+        self._clock = clock
+        self._world = world
+        self.estimates = Estimates()
+        self.blocked: dict[tuple[str, str, bool], float] = {}
+        self._arrivals: dict[tuple[int, str], _Arrivals] = {}
+        self._seen_order = 0
+
+    def _room(self, machine: Machine, wall: float) -> Room | None:
+        kind = self._world.catalog.get(machine.type)
+        if kind is None or machine.retiring:
+            return None
+        if not machine.up and wall - machine.rented > self._s.late_boot * kind.boot_s:
+            # late: it may still come, but nobody counts on it
+            return None
+        room = room_of(machine.id, kind, machine.zone, machine.spot)
+        room.cpus -= machine.cpus
+        room.gpus -= machine.gpus
+        room.memory_gb -= machine.memory_gb
+        room.images = dict(machine.images)
+        return room
+
+    def _note_arrivals(self, wall: float) -> None:
+        newest = self._seen_order
+        for shard, jobs in self._world.active.items():
+            for job in jobs.values():
+                if job.order <= self._seen_order or job.spec is None:
+                    continue
+                newest = max(newest, job.order)
+                entry = self._arrivals.setdefault((shard, job.spec.job_class), _Arrivals())
+                entry.times.append((job.submitted, job.spec.tasks))
+                entry.spec = job.spec
+        self._seen_order = newest
+        horizon = wall - self._s.forecast_s
+        for entry in self._arrivals.values():
+            entry.times = [t for t in entry.times if t[0] >= horizon]
+
+    def _expected(self, shard: int, wall: float) -> list[Want]:
+        """Tasks likely to come while a machine boots, for which room is kept: those of
+        services. Arrays' room comes free as arrays end."""
+        wants: list[Want] = []
+        for (where, _), entry in self._arrivals.items():
+            spec = entry.spec
+            if where != shard or spec is None or spec.kind != "service":
+                continue
+            kinds = [
+                k for n, k in self._world.catalog.items() if spec.types is None or n in spec.types
+            ]
+            if not kinds:
+                continue
+            boot_s = min(k.boot_s for k in kinds)
+            tasks = sum(n for _, n in entry.times)
+            number = round(tasks / self._s.forecast_s * boot_s * self._s.headroom + 0.5)
+            if number > 0:
+                wants.append(Want(spec, number, Zones(spec, {}), boot_s, 0.0))
+        return wants
+
+    def _wants(self, shard: int, wall: float) -> list[Want]:
+        queue: list[tuple[tuple[int, float], int, Job, float]] = []
+        for job in self._world.active[shard].values():
+            if job.spec is None or job.waiting_count() <= 0:
+                continue
+            margin = self.estimates.margin_s(job.spec.job_class, job.spec.estimate_s)
+            end = budget_end(job.spec, job.submitted, margin, self._s.fixed_wait_s)
+            queue.append((place_in_queue(job.spec, end), job.order, job, end))
+        queue.sort(key=lambda entry: entry[:2])
+        wants: list[Want] = []
+        coming = self._coming_free(shard)
+        for _, _, job, end in queue:
+            spec = job.spec
+            assert spec is not None
+            zones: dict[str, int] = {}
+            for row in job.rows():
+                machine = self._world.machines.get(row.machine)
+                if machine is not None:
+                    zones[machine.zone] = zones.get(machine.zone, 0) + 1
+            task_s = self.estimates.task_s(spec.job_class, spec.estimate_s)
+            want = Want(spec, job.waiting_count(), Zones(spec, zones), end - wall, task_s)
+            if spec.kind == "array" and task_s > 0:
+                # slots of running arrays come free within a task's time, and again after it
+                turns = int((want.budget_s - task_s) / task_s)
+                take = min(want.tasks, max(0, coming * min(turns, 2)))
+                want.covered = take
+                coming -= (take + 1) // 2 if turns >= 2 else take
+            wants.append(want)
+        return wants
+
+    def _coming_free(self, shard: int) -> int:
+        return sum(
+            job.row_count()
+            for job in self._world.active[shard].values()
+            if job.spec is not None and job.spec.kind == "array"
+        )
+
+    def sources(self) -> list[Source]:
+        return [
+            Source(kind, zone, spot)
+            for kind in self._world.catalog.values()
+            for zone in kind.zones
+            for spot in (False, True)
+        ]
+
+    def _limit(self, source: Source) -> int:
+        key = (source.type.name, source.zone, source.spot)
+        return 0 if self.blocked.get(key, 0.0) > self._clock.now() else 50
+
+    def look(self, shard: int) -> Outcome:
+        wall = self._clock.wall()
+        self._note_arrivals(wall)
+        rooms = [
+            room
+            for machine in self._world.machines.values()
+            if machine.shard == shard and (room := self._room(machine, wall)) is not None
+        ]
+        wants = self._wants(shard, wall) + self._expected(shard, wall)
+        return demand(wants, rooms, self.sources(), self._limit)
--- /dev/null
+++ b/crossmill/jobs/__init__.py
@@ -0,0 +1,1 @@
+"""Jobs: accepting, querying, withdrawing; plans and final states."""
--- /dev/null
+++ b/crossmill/jobs/desk.py
@@ -0,0 +1,186 @@
+"""The users' desk: accepting, querying and withdrawing jobs, on every controller."""
+
+import logging
+
+import orjson
+
+from ..cluster import keys
+from ..cluster.world import ACTIVE, CANCELLED, Job, World, encode_end, encode_job
+from ..net.clock import Clock
+from ..net.server import Request, Response
+from ..planning.demand import slots_on
+from ..settings import Settings
+from ..state.client import StateClient
+from ..state.follower import Follower
+from ..state.writer import OK, URGENT, Intent, Writer
+from ..wire import users as wire
+from ..wire.checks import Malformed, load_object
+from ..wire.state import Put, Txn
+from ..wire.users import JobSpec
+
+log = logging.getLogger(__name__)
+
+LATER_PLEASE = Response(503, wire.error_body("not now"), retry_after_s=1)
+
+
+class Desk:
+    def __init__(
+        self,
+        settings: Settings,
+        clock: Clock,
+        world: World,
+        follower: Follower,
+        writer: Writer,
+        client: StateClient,
+    ) -> None:
+        self._s = settings
+        self._clock = clock
+        self._world = world
+        self._follower = follower
+        self._writer = writer
+        self._client = client
+
+    async def handle(self, request: Request) -> Response:
+        parts = request.path.strip("/").split("/")[2:]
+        if not parts:
+            return await self._submit(request) if request.method == "POST" else _wrong_method()
+        if len(parts) == 1:
+            return await self._show(parts[0]) if request.method == "GET" else _wrong_method()
+        if len(parts) == 2 and parts[1] == wire.WITHDRAW:
+            return await self._withdraw(parts[0]) if request.method == "POST" else _wrong_method()
+        return Response(404, wire.error_body("no such path"))
+
+    async def _current(self) -> bool:
+        """Whether the mirror holds all that anybody can have been told by now. Refused at once
+        in an outage: nobody's answer could be shown to be current."""
+        if not self._follower.ready.is_set() or self._client.down_for_s() > self._s.renew_s / 2:
+            return False
+        return await self._follower.sync(self._s.accept_s)
+
+    @staticmethod
+    def _status(job: Job) -> bytes:
+        running = job.row_count()
+        state = job.end or ("running" if running else "queued")
+        return wire.status_body(job.id, state, job.done_count(), 0 if job.end else running)
+
+    def _final(self, job_id: str) -> Job | None:
+        job = self._world.jobs.get(job_id)
+        return job if job is not None and job.end != ACTIVE else None
+
+    def _known(self, job_id: str) -> Job | None:
+        job = self._world.jobs.get(job_id)
+        return job if job is not None and job.spec is not None else None
+
+    async def _show(self, job_id: str) -> Response:
+        if not wire.is_job_id(job_id):
+            return Response(404, wire.error_body("no such job"))
+        job = self._final(job_id)
+        if job is None:
+            if not await self._current():
+                return LATER_PLEASE
+            job = self._known(job_id)
+        if job is None:
+            return Response(404, wire.error_body("no such job"))
+        return Response(200, self._status(job))
+
+    async def _submit(self, request: Request) -> Response:
+        try:
+            if request.too_large:
+                raise Malformed("body over 64 KiB")
+            data = load_object(request.body)
+            job_id = wire.parse_id(data)
+        except Malformed as exc:
+            return Response(400, wire.error_body(str(exc)))
+        job = self._final(job_id)
+        if job is not None:
+            return Response(200, self._status(job))
+        if self._known(job_id) is not None:
+            return await self._show(job_id)
+        refusal = None
+        spec = None
+        try:
+            spec = wire.parse_submission(data)
+        except Malformed as exc:
+            refusal = Response(400, wire.error_body(str(exc)))
+        if spec is not None:
+            if not self._world.catalog:
+                return LATER_PLEASE
+            why = self._never(spec)
+            refusal = None if why is None else Response(422, wire.error_body(why))
+        if refusal is not None:
+            # a repeat of an accepted job gets its state, whatever the rest of it says
+            return refusal if not self._client_down() and await self._absent(job_id) else (
+                await self._show(job_id)
+            )
+        assert spec is not None
+        return await self._accept(spec)
+
+    def _client_down(self) -> bool:
+        return self._client.down_for_s() > self._s.renew_s / 2
+
+    async def _absent(self, job_id: str) -> bool:
+        return await self._current() and self._known(job_id) is None
+
+    def _never(self, spec: JobSpec) -> str | None:
+        team = self._s.team(spec.team)
+        if team is None:
+            return "unknown team"
+        kinds = [
+            k for n, k in self._world.catalog.items() if spec.types is None or n in spec.types
+        ]
+        if not any(slots_on(spec, kind) for kind in kinds):
+            return "a task fits no allowed machine type"
+        tasks = spec.tasks if spec.kind == "service" else 1
+        for most, each in ((team.cpus_max, spec.cpus), (team.gpus_max, spec.gpus)):
+            if most > 0 and tasks * each > most + 1e-6:
+                return "more than the team's limit"
+        return None
+
+    async def _accept(self, spec: JobSpec) -> Response:
+        if self._client_down() or not self._follower.ready.is_set():
+            return LATER_PLEASE
+        key = keys.job(spec.id)
+        value = encode_job(spec, self._clock.wall())
+        intent = Intent(
+            Txn({key: 0}, [Put(key, orjson.loads(orjson.dumps(value)))]),
+            URGENT,
+            until=self._clock.now() + self._s.accept_s,
+        )
+        await self._writer.submit(intent)
+        outcome = await intent.promise.wait(self._s.accept_s)
+        if outcome == OK:
+            log.info("job accepted job=%s class=%s tasks=%d", spec.id, spec.job_class, spec.tasks)
+            return Response(201, wire.status_body(spec.id, "queued"))
+        if outcome is None:
+            return LATER_PLEASE
+        return await self._show(spec.id) if await self._current() else LATER_PLEASE
+
+    async def _withdraw(self, job_id: str) -> Response:
+        if not wire.is_job_id(job_id):
+            return Response(404, wire.error_body("no such job"))
+        for _ in range(3):
+            job = self._final(job_id)
+            if job is not None:
+                return Response(200, wire.status_body(job_id, job.end))
+            if not await self._current():
+                return LATER_PLEASE
+            job = self._known(job_id)
+            if job is None:
+                return Response(404, wire.error_body("no such job"))
+            if job.end != ACTIVE or job.spec is None:
+                continue
+            key = keys.job(job_id)
+            intent = Intent(
+                Txn({key: job.version}, [Put(key, encode_end(CANCELLED, job.spec))]),
+                URGENT,
+                until=self._clock.now() + self._s.accept_s,
+            )
+            await self._writer.submit(intent)
+            if await intent.promise.wait(self._s.accept_s) == OK:
+                log.info("job withdrawn job=%s", job_id)
+                return Response(200, wire.status_body(job_id, CANCELLED))
+        return LATER_PLEASE
+
+
+def _wrong_method() -> Response:
+    return Response(405, wire.error_body("wrong method"))
--- /dev/null
+++ b/crossmill/jobs/rounds.py
@@ -0,0 +1,429 @@
+"""Rounds of decisions for the shards this controller acts for.
+
+A round turns findings into plan changes, places waiting tasks, and makes both durable in
+transactions that carry the stamps of all they rest on. Starts are sent only from durable plans."""
+
+import logging
+from dataclasses import dataclass, field
+from functools import partial
+from typing import Any
+
+import curio
+
+from ..cluster import keys
+from ..cluster.membership import Membership, Owned
+from ..cluster.world import ACTIVE, DONE, Chunk, Job, Machine, Row, World, encode_end
+from ..fleet.outlook import Outlook
+from ..net.clock import Clock
+from ..planning.queue import budget_end, place_in_queue
+from ..planning.rooms import Room, Zones, assign
+from ..settings import Settings
+from ..state.writer import LATER, OK, OUTCOME, PLACE, Intent, Writer
+from ..wire.state import Put, Txn
+from ..wire.users import JobSpec
+from ..workers.reports import Finding, Reports
+
+log = logging.getLogger(__name__)
+
+
+@dataclass(slots=True)
+class Edit:
+    """What a round changes in one chunk of a job's plan."""
+
+    job: Job
+    chunk: int
+    over: list[Finding] = field(default_factory=list)
+    starts: list[Row] = field(default_factory=list)
+
+
+@dataclass(slots=True)
+class Trouble:
+    """A job whose tasks failed: where, and when the next may be tried."""
+
+    machines: set[str] = field(default_factory=set)
+    failures: int = 0
+    succeeded: bool = False
+    not_before: float = 0.0
+
+
+class Rounds:
+    def __init__(
+        self,
+        settings: Settings,
+        clock: Clock,
+        world: World,
+        membership: Membership,
+        reports: Reports,
+        writer: Writer,
+        outlook: Outlook,
+    ) -> None:
+        self._s = settings
+        self._clock = clock
+        self._world = world
+        self._membership = membership
+        self._reports = reports
+        self._writer = writer
+        self._outlook = outlook
+        self.estimates = outlook.estimates
+        self._troubles: dict[str, Trouble] = {}
+        self._resume: dict[int, str] = {}
+        self._machine_errors: dict[str, set[str]] = {}
+        self._again = False
+        self.wake = curio.Event()
+        self.unplaced: dict[int, int] = {}
+
+    async def run(self) -> None:
+        while True:
+            if not self._again:
+                await curio.ignore_after(self._s.report_s / 2, self.wake.wait)
+            self._again = False
+            self.wake.clear()
+            for shard in range(self._s.nodes):
+                own = self._membership.acting(shard)
+                if own is not None:
+                    await self.round(shard, own)
+            await curio.sleep(self._s.round_s)
+
+    # -- one round -------------------------------------------------------------------
+
+    async def round(self, shard: int, own: Owned) -> None:
+        edits: dict[tuple[str, int], Edit] = {}
+        machines = [m for m in self._world.machines.values() if m.shard == shard]
+        for machine in machines:
+            self._reports.expire(machine, own)
+        for row in list(self._world.orphans()):
+            # the record goes only after the machine's release was confirmed
+            job = self._world.jobs.get(row.job)
+            if job is not None and job.shard == shard:
+                self._reports.findings.setdefault((row.job, row.index), Finding(row, "released"))
+        self._gather(shard, edits)
+        self._place(shard, machines, edits)
+        intents = [i for e in edits.values() if (i := self._intent(e, shard, own)) is not None]
+        intents += self._clear_ended(shard, own)
+        intents += self._give_up_machines(shard, own, machines)
+        for intent in intents:
+            await self._writer.submit(intent)
+        for intent in intents:
+            if await intent.promise.wait() == OK:
+                for put in intent.txn.puts:
+                    if put.key.startswith(keys.JOB):
+                        log.info("job done job=%s", put.key[len(keys.JOB) :])
+
+    def _gather(self, shard: int, edits: dict[tuple[str, int], Edit]) -> None:
+        findings = self._reports.findings
+        for key, finding in list(findings.items()):
+            job = self._world.jobs.get(key[0])
+            if job is None or job.shard != shard:
+                if job is None or self._membership.acting(job.shard) is None:
+                    del findings[key]
+                continue
+            del findings[key]
+            number, _ = divmod(key[1], self._s.tasks_per_chunk)
+            chunk = job.chunks.get(number)
+            if chunk is None or chunk.rows.get(key[1]) != finding.row:
+                continue
+            self._learn(job, finding)
+            edit = edits.setdefault((job.id, number), Edit(job, number))
+            edit.over.append(finding)
+
+    def _learn(self, job: Job, finding: Finding) -> None:
+        spec, row = job.spec, finding.row
+        log.info(
+            "task over job=%s task=%d attempt=%d machine=%s why=%s",
+            job.id, row.index, row.attempt, row.machine, finding.why.replace(" ", "-"),
+        )
+        if spec is None:
+            return
+        self._reports.stopping.pop((row.job, row.index, row.attempt), None)
+        trouble = self._troubles.setdefault(job.id, Trouble())
+        if finding.why == "done":
+            trouble.succeeded = True
+            self._machine_errors.pop(row.machine, None)
+            if finding.took_s is not None:
+                self.estimates.saw(spec.job_class, spec.estimate_s, finding.took_s)
+        elif finding.why in ("error", "unknown"):
+            trouble.failures += 1
+            trouble.machines.add(row.machine)
+            # a job that fails on several machines is itself at fault, and is tried ever
+            # more rarely; it says nothing against the machines
+            if len(trouble.machines) >= 2 or finding.why == "unknown":
+                wait = self._s.report_s * 2 ** min(trouble.failures, 8)
+                trouble.not_before = self._clock.now() + min(wait, self._s.backoff_most_s)
+            if not (len(trouble.machines) >= 3 and not trouble.succeeded):
+                self._machine_errors.setdefault(row.machine, set()).add(job.id)
+
+    # -- placing ---------------------------------------------------------------------
+
+    def _usable(self, machine: Machine, own_now: float) -> bool:
+        view = self._reports.peek(machine.id)
+        return (
+            view is not None
+            and not machine.retiring
+            and view.fresh(own_now, self._s.suspect_s)
+            and view.notice_at is None
+            and len(self._machine_errors.get(machine.id, ())) < 2
+        )
+
+    def _rooms(self, machines: list[Machine]) -> list[Room]:
+        now = self._clock.now()
+        rooms: list[Room] = []
+        for machine in machines:
+            kind = self._world.catalog.get(machine.type)
+            if kind is None or not self._usable(machine, now):
+                continue
+            rooms.append(
+                Room(
+                    machine.id, machine.type, machine.zone, machine.spot,
+                    kind.cpus - machine.cpus, kind.gpus - machine.gpus,
+                    kind.memory_gb - machine.memory_gb,
+                    kind.price / max(kind.gpus, kind.cpus / 8), max(kind.gpus, kind.cpus / 8),
+                    dict(machine.images), bool(machine.rows),
+                )
+            )
+        return rooms
+
+    def _queue(self, shard: int) -> list[Job]:
+        waiting: list[tuple[tuple[int, float], int, Job]] = []
+        for job in self._world.active[shard].values():
+            if job.spec is not None and job.waiting_count() > 0:
+                margin = self.estimates.margin_s(job.spec.job_class, job.spec.estimate_s)
+                end = budget_end(job.spec, job.submitted, margin, self._s.fixed_wait_s)
+                waiting.append((place_in_queue(job.spec, end), job.order, job))
+        waiting.sort(key=lambda entry: entry[:2])
+        return [job for _, _, job in waiting]
+
+    def _place(
+        self, shard: int, machines: list[Machine], edits: dict[tuple[str, int], Edit]
+    ) -> None:
+        queue = self._queue(shard)
+        self.unplaced[shard] = len(queue)
+        if not queue:
+            return
+        started = self._clock.now()
+        rooms = self._rooms(machines)
+        used = self._team_use(shard)
+        # a round that ran out of time goes on where it stopped
+        resume = self._resume.pop(shard, None)
+        if resume is not None:
+            start = next((i for i, job in enumerate(queue) if job.id == resume), 0)
+            queue = queue[start:] + queue[:start]
+        for job in queue:
+            if self._clock.now() - started > self._s.round_budget_s:
+                self._resume[shard] = job.id
+                self._again = True
+                break
+            self._place_job(job, rooms, used, edits)
+
+    def _team_use(self, shard: int) -> dict[str, list[float]]:
+        """What each team's tasks hold, those in doubt included."""
+        used: dict[str, list[float]] = {}
+        for job in (*self._world.active[shard].values(), *self._world.ended[shard].values()):
+            if job.spec is not None and (count := job.row_count()):
+                entry = used.setdefault(job.spec.team, [0.0, 0.0])
+                entry[0] += count * job.spec.cpus
+                entry[1] += count * job.spec.gpus
+        return used
+
+    def _within_limit(self, spec: JobSpec, used: dict[str, list[float]]) -> int:
+        team = self._s.team(spec.team)
+        now = used.setdefault(spec.team, [0.0, 0.0])
+        count = spec.tasks
+        if team is None:
+            return 0
+        for most, held, each in (
+            (team.cpus_max, now[0], spec.cpus),
+            (team.gpus_max, now[1], spec.gpus),
+        ):
+            if most > 0 and each > 0:
+                count = min(count, int((most - held + 1e-6) / each))
+        return max(0, count)
+
+    def _place_job(
+        self,
+        job: Job,
+        rooms: list[Room],
+        used: dict[str, list[float]],
+        edits: dict[tuple[str, int], Edit],
+    ) -> None:
+        spec = job.spec
+        assert spec is not None
+        trouble = self._troubles.get(job.id)
+        wanted = min(job.waiting_count(), self._within_limit(spec, used))
+        if trouble is not None and trouble.not_before > self._clock.now():
+            return
+        if trouble is not None and len(trouble.machines) >= 2 and not trouble.succeeded:
+            wanted = min(wanted, 1 - job.row_count())
+        if wanted <= 0:
+            return
+        zones = Zones(spec, self.zones_of(job))
+        bad = trouble.machines if trouble is not None else set()
+        taken = assign(
+            spec, wanted, rooms, zones, lambda room: room.machine in bad, self._s.together
+        )
+        if not taken:
+            return
+        slots = [room.machine for room, number in taken for _ in range(number)]
+        for index, machine_id in zip(self._waiting(job, edits), slots, strict=False):
+            self._start(job, index, machine_id, edits)
+        used[spec.team][0] += len(slots) * spec.cpus
+        used[spec.team][1] += len(slots) * spec.gpus
+
+    def zones_of(self, job: Job) -> dict[str, int]:
+        zones: dict[str, int] = {}
+        for row in job.rows():
+            machine = self._world.machines.get(row.machine)
+            if machine is not None:
+                zones[machine.zone] = zones.get(machine.zone, 0) + 1
+        return zones
+
+    def _waiting(self, job: Job, edits: dict[tuple[str, int], Edit]) -> list[int]:
+        """Tasks with no attempt in the plan and no outcome, lowest first, bounded."""
+        assert job.spec is not None
+        size = self._s.tasks_per_chunk
+        result: list[int] = []
+        for number in range((job.spec.tasks + size - 1) // size):
+            chunk = job.chunks.get(number)
+            for index in range(number * size, min((number + 1) * size, job.spec.tasks)):
+                if chunk is None or (
+                    index not in chunk.rows and not chunk.done >> (index - number * size) & 1
+                ):
+                    result.append(index)
+            if len(result) >= size:
+                break
+        return result
+
+    def _start(
+        self, job: Job, index: int, machine_id: str, edits: dict[tuple[str, int], Edit]
+    ) -> None:
+        view = self._reports.peek(machine_id)
+        number = index // self._s.tasks_per_chunk
+        edit = edits.setdefault((job.id, number), Edit(job, number))
+        if view is None or len({r.machine for r in edit.starts}) >= self._s.machines_per_txn:
+            return
+        chunk = job.chunks.get(number)
+        attempt = (chunk.next if chunk else 1) + len(edit.starts)
+        edit.starts.append(Row(job.id, index, attempt, machine_id, view.session))
+
+    # -- making it durable -----------------------------------------------------------
+
+    def _intent(self, edit: Edit, shard: int, own: Owned) -> Intent | None:
+        job, spec = edit.job, edit.job.spec
+        if spec is None or not (edit.over or edit.starts):
+            return None
+        old = job.chunks.get(edit.chunk)
+        new = Chunk(old.next, old.done, dict(old.rows)) if old else Chunk()
+        first = edit.chunk * self._s.tasks_per_chunk
+        for finding in edit.over:
+            new.rows.pop(finding.row.index, None)
+            if finding.why == "done":
+                new.done |= 1 << (finding.row.index - first)
+        for row in edit.starts:
+            new.rows[row.index] = row
+            new.next = row.attempt + 1
+        key = keys.plan(job.id, edit.chunk)
+        txn = Txn({keys.shard(shard): own.version, key: old.version if old else 0})
+        txn.puts.append(Put(key, new.encode()))
+        if edit.starts:
+            # a job withdrawn or a machine retired in the meantime undoes the start
+            txn.conditions[keys.job(job.id)] = job.version
+            for row in edit.starts:
+                machine = self._world.machines[row.machine]
+                txn.conditions[keys.machine(machine.id)] = machine.version
+        finished = job.end == ACTIVE and spec.kind == "array" and self._all_done(job, edit, new)
+        if finished:
+            txn.conditions[keys.job(job.id)] = job.version
+            txn.puts.append(Put(keys.job(job.id), encode_end(DONE, spec)))
+        rank = PLACE if edit.starts or finished else OUTCOME
+        return Intent(txn, rank, holds=partial(self._membership.holds, shard, own.token))
+
+    def _all_done(self, job: Job, edit: Edit, new: Chunk) -> bool:
+        assert job.spec is not None
+        done = new.done.bit_count()
+        done += sum(c.done.bit_count() for n, c in job.chunks.items() if n != edit.chunk)
+        return done == job.spec.tasks
+
+    def _clear_ended(self, shard: int, own: Owned) -> list[Intent]:
+        """An ended job's plan goes once nothing of it can be on a machine."""
+        intents: list[Intent] = []
+        for job in list(self._world.ended[shard].values()):
+            for number, chunk in list(job.chunks.items()):
+                if chunk.rows or len(intents) >= self._s.txn_ops:
+                    continue
+                key = keys.plan(job.id, number)
+                txn = Txn({keys.shard(shard): own.version, key: chunk.version}, [], [key])
+                intents.append(
+                    Intent(txn, LATER, holds=partial(self._membership.holds, shard, own.token))
+                )
+            if not job.chunks:
+                self._troubles.pop(job.id, None)
+        return intents
+
+    # -- machines --------------------------------------------------------------------
+
+    def _give_up_machines(
+        self, shard: int, own: Owned, machines: list[Machine]
+    ) -> list[Intent]:
+        now = self._clock.now()
+        intents = [
+            self._machine_intent(shard, own, m, m.encode(up=True))
+            for m in machines
+            if not m.up and (v := self._reports.peek(m.id)) is not None and v.trusted
+        ]
+        silent = 0
+        for machine in machines:
+            view = self._reports.peek(machine.id)
+            if view is not None and view.trusted and not view.fresh(now, self._s.worker_end_s):
+                silent += 1
+        # many silent at once is a cut or our own trouble, not the machines': wait longer
+        patience = self._s.worker_end_s * (1 if silent * 3 <= len(machines) else 3)
+        if now - own.acquired_at < patience:
+            return intents
+        spare = self._spare(shard, machines, now)
+        for machine in machines:
+            why = "" if machine.retiring else self._fault(machine, now, patience, spare)
+            if why:
+                log.info("machine given up machine=%s why=%s", machine.id, why)
+                intents.append(
+                    self._machine_intent(shard, own, machine, machine.encode(why, True))
+                )
+        return intents
+
+    def _machine_intent(
+        self, shard: int, own: Owned, machine: Machine, value: dict[str, Any]
+    ) -> Intent:
+        key = keys.machine(machine.id)
+        txn = Txn({keys.shard(shard): own.version, key: machine.version}, [Put(key, value)])
+        return Intent(txn, LATER, holds=partial(self._membership.holds, shard, own.token))
+
+    def _spare(self, shard: int, machines: list[Machine], now: float) -> set[str]:
+        """Machines that neither waiting nor expected tasks would use; looked for only when
+        some machine has been empty for long enough."""
+        for machine in machines:
+            view = self._reports.peek(machine.id)
+            since = view.idle_since if view is not None else None
+            if since is not None and now - since > self._s.idle_s and not machine.retiring:
+                return self._outlook.look(shard).spare
+        return set()
+
+    def _fault(
+        self, machine: Machine, now: float, patience: float, spare: set[str]
+    ) -> str:
+        view = self._reports.peek(machine.id)
+        kind = self._world.catalog.get(machine.type)
+        if view is None or kind is None:
+            return ""
+        if not view.trusted:
+            age = self._clock.wall() - machine.rented
+            late = age > self._s.boot_patience * kind.boot_s and not view.answered
+            return "never-up" if late and now - view.answered_at > patience else ""
+        if not view.fresh(now, patience):
+            return "silent"
+        if len(self._machine_errors.get(machine.id, ())) >= 2:
+            return "faulty" if not machine.rows else ""
+        if machine.rows or view.tasks:
+            view.idle_since = None
+        elif view.idle_since is None:
+            view.idle_since = now
+        elif now - view.idle_since > self._s.idle_s and machine.id in spare:
+            return "idle"
+        return ""
--- /dev/null
+++ b/crossmill/net/pacer.py
@@ -0,0 +1,38 @@
+"""A token bucket."""
+
+from .clock import Clock
+
+
+class Pacer:
+    def __init__(self, clock: Clock, rate: float, burst: float) -> None:
+        self._clock = clock
+        self.rate = rate
+        self._burst = burst
+        self._tokens = burst
+        self._at = clock.now()
+
+    def _refill(self) -> None:
+        now = self._clock.now()
+        self._tokens = min(self._burst, self._tokens + (now - self._at) * self.rate)
+        self._at = now
+
+    def available(self) -> float:
+        self._refill()
+        return self._tokens
+
+    def take(self, amount: float = 1.0) -> bool:
+        self._refill()
+        # an amount over the whole burst passes once the bucket is full, and leaves a debt
+        if self._tokens < min(amount, self._burst):
+            return False
+        self._tokens -= amount
+        return True
+
+    def wait_s(self, amount: float = 1.0) -> float:
+        self._refill()
+        return max(0.0, (min(amount, self._burst) - self._tokens) / self.rate)
+
+    def drain(self) -> None:
+        """After a refusal the far side's bucket is known to be empty."""
+        self._refill()
+        self._tokens = min(self._tokens, 0.0)
--- /dev/null
+++ b/crossmill/planning/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions as pure functions: no input or output, no clock."""
--- /dev/null
+++ b/crossmill/planning/rooms.py
@@ -0,0 +1,121 @@
+"""Which machine takes which task: free room, allowed types and zones, spread, images."""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from ..wire.users import JobSpec
+
+EPS = 1e-6
+
+
+@dataclass(slots=True)
+class Room:
+    """What is free on a machine; `weight` is the price of its type's share per task fitted."""
+
+    machine: str
+    type: str
+    zone: str
+    spot: bool
+    cpus: float
+    gpus: float
+    memory_gb: float
+    price: float
+    size: float
+    images: dict[str, float] = field(default_factory=dict)
+    used: bool = False
+
+    def fits(self, spec: JobSpec) -> int:
+        count = spec.tasks
+        if spec.cpus > 0:
+            count = min(count, int((self.cpus + EPS) / spec.cpus))
+        if spec.gpus > 0:
+            count = min(count, int((self.gpus + EPS) / spec.gpus))
+        if spec.memory_gb > 0:
+            count = min(count, int((self.memory_gb + EPS) / spec.memory_gb))
+        return max(0, count)
+
+    def take(self, spec: JobSpec, tasks: int = 1) -> None:
+        self.cpus -= tasks * spec.cpus
+        self.gpus -= tasks * spec.gpus
+        self.memory_gb -= tasks * spec.memory_gb
+        self.used = True
+        self.images[spec.image] = spec.image_gb
+
+
+def allowed(spec: JobSpec, type_name: str, zone: str, spot: bool) -> bool:
+    if spot and not spec.spot:
+        return False
+    if spec.types is not None and type_name not in spec.types:
+        return False
+    return spec.zone is None or spec.zone == zone
+
+
+class Zones:
+    """How many of a job's tasks may yet go to a zone, given where the others are."""
+
+    def __init__(self, spec: JobSpec, placed: dict[str, int]) -> None:
+        self._spec = spec
+        self._placed = dict(placed)
+        self._most = (spec.tasks + 1) // 2
+
+    def open(self, zone: str) -> int:
+        if self._spec.one_zone and any(n for z, n in self._placed.items() if z != zone):
+            return 0
+        if self._spec.spread:
+            return self._most - self._placed.get(zone, 0)
+        return self._spec.tasks
+
+    def take(self, zone: str, tasks: int) -> None:
+        self._placed[zone] = self._placed.get(zone, 0) + tasks
+
+
+def assign(
+    spec: JobSpec,
+    tasks: int,
+    rooms: list[Room],
+    zones: Zones,
+    avoid: Callable[[Room], bool] = lambda room: False,
+    together: float = 1.0,
+) -> list[tuple[Room, int]]:
+    """Machines for up to this many tasks. Cheapest room for the task first (throughput per
+    price), machines that have the image before those that must fetch it, full ones before
+    empty ones. Services are dealt out, at most `together` of a job's tasks on one machine,
+    so that one loss hurts little, as long as there is other room."""
+    fitting = [
+        (room, count)
+        for room in rooms
+        if allowed(spec, room.type, room.zone, room.spot)
+        and (count := room.fits(spec)) > 0
+        and not avoid(room)
+    ]
+    if spec.one_zone and not any(zones.open(r.zone) == 0 for r, _ in fitting):
+        best = max({r.zone for r, _ in fitting}, default="", key=lambda z: _fit(fitting, z))
+        fitting = [(r, c) for r, c in fitting if r.zone == best]
+
+    def rank(entry: tuple[Room, int]) -> tuple[bool, bool, float, float]:
+        room, _ = entry
+        cached = spec.image in room.images
+        share = max(spec.gpus and room.gpus / room.size, spec.cpus and room.cpus / room.size)
+        if spec.kind == "service":
+            return (not cached, not room.used, room.price, share)
+        return (not room.spot and spec.spot, not cached, room.price, share)
+
+    fitting.sort(key=rank)
+    result: list[tuple[Room, int]] = []
+    left = tasks
+    cap = max(1, int(spec.tasks * together + 0.999)) if spec.kind == "service" else tasks
+    for limit in (cap, tasks) if cap < tasks else (tasks,):
+        for room, _ in fitting:
+            number = min(room.fits(spec), left, limit, max(0, zones.open(room.zone)))
+            if number > 0:
+                room.take(spec, number)
+                zones.take(room.zone, number)
+                result.append((room, number))
+                left -= number
+            if left <= 0:
+                return result
+    return result
+
+
+def _fit(fitting: list[tuple[Room, int]], zone: str) -> int:
+    return sum(count for room, count in fitting if room.zone == zone)
--- /dev/null
+++ b/crossmill/state/__init__.py
@@ -0,0 +1,1 @@
+"""The state service: client, mirror, follower, writer."""
--- /dev/null
+++ b/crossmill/state/client.py
@@ -0,0 +1,127 @@
+"""Typed calls to the state service."""
+
+from dataclasses import dataclass
+
+import orjson
+
+from ..net.client import Client, Unanswered, Unreached
+from ..net.clock import Clock
+from ..settings import Settings
+from ..wire import state as wire
+
+
+class Refused(Exception):
+    """Not executed: an outage, a rate limit, or no connection."""
+
+
+class Doubt(Exception):
+    """No answer: it might have been executed, or might still be."""
+
+
+class Compacted(Exception):
+    """The changes asked for are no longer kept; the keys must be read again."""
+
+
+class NoLease(Exception):
+    """The lease has ended."""
+
+
+@dataclass(slots=True)
+class Outcome:
+    revision: int
+    failed: list[str]
+
+
+class StateClient:
+    def __init__(self, settings: Settings, clock: Clock) -> None:
+        self._http = Client(settings.state, max_sockets=12)
+        # watches stay open; they must not take the sockets of short calls
+        self._watch_http = Client(settings.state, max_sockets=2)
+        self._clock = clock
+        self._timeout_s = settings.hold_ttl_s / 3
+        self._bad = 0
+        self._bad_since = 0.0
+
+    def down_for_s(self) -> float:
+        """How long the state service has refused or not answered; 0 while it serves."""
+        return self._clock.now() - self._bad_since if self._bad >= 2 else 0.0
+
+    def _note(self, ok: bool) -> None:
+        if ok:
+            self._bad = 0
+        else:
+            if self._bad == 0:
+                self._bad_since = self._clock.now()
+            self._bad += 1
+
+    async def _call(
+        self, method: str, path: str, body: bytes = b"", timeout_s: float | None = None
+    ) -> tuple[int, bytes]:
+        http = self._http if timeout_s is None else self._watch_http
+        try:
+            status, data = await http.request(method, path, body, timeout_s or self._timeout_s)
+        except Unreached as exc:
+            self._note(False)
+            raise Refused(str(exc)) from exc
+        except Unanswered as exc:
+            self._note(False)
+            raise Doubt(str(exc)) from exc
+        if status in (429, 503):
+            self._note(status == 429)
+            raise Refused(f"{method} {path}: {status}")
+        self._note(True)
+        return status, data
+
+    async def get(self, key: str) -> wire.Row | None:
+        status, data = await self._call("GET", wire.key_path(key))
+        return wire.parse_row(orjson.loads(data)) if status == 200 else None
+
+    async def read_all(self, prefix: str) -> tuple[list[wire.Row], int]:
+        """Every key under the prefix. The revision is the first page's: later pages may hold
+        newer values, and the changes after it bring the rest up to date."""
+        rows: list[wire.Row] = []
+        revision = -1
+        after = ""
+        while True:
+            status, data = await self._call("GET", wire.list_path(prefix, after))
+            if status != 200:
+                raise Refused(f"list: {status}")
+            page, more, rev = wire.parse_list(orjson.loads(data))
+            rows.extend(page)
+            revision = rev if revision < 0 else revision
+            if not more:
+                return rows, revision
+            after = page[-1].key
+
+    async def txn(self, txn: wire.Txn) -> Outcome:
+        status, data = await self._call("POST", wire.TXN_PATH, wire.txn_body(txn))
+        if status in (200, 409):
+            return Outcome(*wire.parse_txn(status, orjson.loads(data)))
+        if status == 400 and b"lease" in data:
+            raise NoLease
+        raise Refused(f"txn: {status} {data[:200]!r}")
+
+    async def changes(
+        self, prefix: str, after: int, wait_s: float
+    ) -> tuple[int, list[wire.Event]]:
+        path = wire.changes_path(prefix, after, int(wait_s * 1000))
+        timeout_s = wait_s + self._timeout_s if wait_s else None
+        status, data = await self._call("GET", path, timeout_s=timeout_s)
+        if status == 410:
+            raise Compacted
+        if status != 200:
+            raise Refused(f"changes: {status}")
+        return wire.parse_changes(orjson.loads(data))
+
+    async def hold(self, ttl_s: float) -> int:
+        status, data = await self._call("POST", wire.HOLDS_PATH, wire.hold_body(ttl_s))
+        if status != 200:
+            raise Refused(f"hold: {status}")
+        return wire.parse_hold(orjson.loads(data))
+
+    async def renew(self, lease: int) -> None:
+        status, _ = await self._call("POST", wire.renew_path(lease))
+        if status == 404:
+            raise NoLease
+        if status != 200:
+            raise Refused(f"renew: {status}")
--- /dev/null
+++ b/crossmill/state/follower.py
@@ -0,0 +1,77 @@
+"""Keeps the mirror up to date, and shows that it is when an answer depends on it."""
+
+import logging
+
+import curio
+
+from ..net.actor import Promise
+from ..settings import Settings
+from .client import Compacted, Doubt, Refused, StateClient
+from .mirror import Mirror
+
+log = logging.getLogger(__name__)
+
+
+class Follower:
+    """A long watch brings changes soon; a sync is a watch that does not wait, and what it
+    returns was current after it was sent: it serves all who asked before that."""
+
+    def __init__(self, client: StateClient, mirror: Mirror, prefix: str, s: Settings) -> None:
+        self._client = client
+        self._mirror = mirror
+        self._prefix = prefix
+        self._watch_s = min(60.0, 4 * s.lease_s)
+        # both loops together take at most half of this controller's share of requests
+        self._pause_s = 4 / s.requests_share
+        self._waiting: list[Promise] = []
+        self._asked = curio.Event()
+        self.ready = curio.Event()
+
+    async def sync(self, timeout_s: float) -> bool:
+        """True when the mirror holds all that was durable when this was called."""
+        promise = Promise()
+        self._waiting.append(promise)
+        await self._asked.set()
+        return bool(await promise.wait(timeout_s))
+
+    async def load(self) -> None:
+        rows, revision = await self._client.read_all(self._prefix)
+        self._mirror.replace(revision, rows)
+        log.info("state read keys=%d revision=%d", len(rows), revision)
+        await self.ready.set()
+
+    async def _step(self, wait_s: float) -> None:
+        try:
+            if not self.ready.is_set():
+                await self.load()
+                return
+            result = await self._client.changes(self._prefix, self._mirror.revision, wait_s)
+            self._mirror.apply(*result)
+        except Compacted:
+            log.info("watch too old, reading everything again")
+            await self.load()
+
+    async def run(self) -> None:
+        while True:
+            try:
+                await self._step(self._watch_s)
+                await curio.sleep(self._pause_s)
+            except (Refused, Doubt) as exc:
+                log.debug("watch failed error=%s", exc)
+                await curio.sleep(2 * self._pause_s)
+
+    async def run_syncs(self) -> None:
+        await self.ready.wait()
+        while True:
+            await self._asked.wait()
+            self._asked.clear()
+            waiting, self._waiting = self._waiting, []
+            try:
+                await self._step(0.0)
+                current = True
+            except (Refused, Doubt) as exc:
+                log.debug("sync failed error=%s", exc)
+                current = False
+            for promise in waiting:
+                await promise.settle(current)
+            await curio.sleep(self._pause_s)
--- /dev/null
+++ b/crossmill/state/writer.py
@@ -0,0 +1,224 @@
+"""Batches transactions inside this controller's share of the state service's write rate."""
+
+import logging
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+import curio
+import orjson
+
+from ..net.actor import Promise
+from ..net.clock import Clock
+from ..net.pacer import Pacer
+from ..settings import Settings
+from ..wire.state import Txn
+from .client import Doubt, NoLease, Outcome, Refused, StateClient
+from .mirror import Mirror
+
+log = logging.getLogger(__name__)
+
+OK, CONFLICT, EXPIRED = "ok", "conflict", "expired"
+MAX_TXN_BYTES = 56 * 1024
+IN_FLIGHT = 3
+
+# lower goes first
+URGENT, PLACE, OUTCOME, LATER = 0, 1, 2, 3
+
+
+@dataclass(slots=True)
+class Intent:
+    """Changes that stand or fall together. `holds` is asked right before each sending: None
+    means not now, False never again."""
+
+    txn: Txn
+    rank: int = LATER
+    until: float | None = None
+    holds: Callable[[], bool | None] | None = None
+    doubtful: bool = False
+    failed: list[str] = field(default_factory=list)
+    promise: Promise = field(default_factory=Promise)
+
+    @property
+    def ops(self) -> int:
+        return len(self.txn.puts) + len(self.txn.deletes)
+
+    def keys(self) -> set[str]:
+        return {*(p.key for p in self.txn.puts), *self.txn.deletes}
+
+    def size(self) -> int:
+        puts = sum(len(orjson.dumps(p.value)) + len(p.key) + 60 for p in self.txn.puts)
+        names = sum(len(k) + 40 for k in (*self.txn.conditions, *self.txn.deletes))
+        return puts + names
+
+
+class Writer:
+    def __init__(
+        self, client: StateClient, mirror: Mirror, clock: Clock, settings: Settings
+    ) -> None:
+        self._client = client
+        self._mirror = mirror
+        self._clock = clock
+        self._max_ops = settings.txn_ops
+        share = settings.writes_share
+        self._pacer = Pacer(clock, share, max(share, 1.0))
+        self._retry_s = settings.renew_s / 4
+        self._queue: list[Intent] = []
+        self._busy: set[str] = set()
+        self._flying = 0
+        self._wake = curio.Event()
+
+    @property
+    def backlog(self) -> int:
+        return len(self._queue)
+
+    async def submit(self, intent: Intent) -> None:
+        self._queue.append(intent)
+        self._queue.sort(key=lambda i: i.rank)
+        await self._wake.set()
+
+    async def commit(self, intent: Intent) -> str:
+        await self.submit(intent)
+        return str(await intent.promise.wait())
+
+    async def run(self) -> None:
+        while True:
+            batch, nap_s = await self._pick()
+            if batch:
+                self._flying += 1
+                self._busy.update(*(i.keys() for i in batch))
+                await curio.spawn(self._send, batch, daemon=True)
+                continue
+            if nap_s is None:
+                await self._wake.wait()
+            else:
+                await curio.ignore_after(nap_s, self._wake.wait)
+            self._wake.clear()
+
+    async def _pick(self) -> tuple[list[Intent], float | None]:
+        """The next batch, or how long to wait for one (None: until something happens)."""
+        if not self._queue or self._flying >= IN_FLIGHT:
+            return [], None
+        batch: list[Intent] = []
+        keys: set[str] = set()
+        conditions: dict[str, int] = {}
+        ops = size = 0
+        nap_s: float | None = None
+        now = self._clock.now()
+        for intent in list(self._queue):
+            holds = True if intent.holds is None else intent.holds()
+            if holds is False or (intent.until is not None and now > intent.until):
+                self._queue.remove(intent)
+                await intent.promise.settle(CONFLICT if holds is False else EXPIRED)
+                continue
+            mine = intent.keys()
+            if holds is None or mine & self._busy:
+                nap_s = self._retry_s
+                continue
+            # alike conditions share their place in a batch; others must not contradict it
+            merged = {**conditions, **intent.txn.conditions}
+            clash = any(conditions.get(k, v) != v for k, v in intent.txn.conditions.items())
+            more, bytes_more = intent.ops, intent.size()
+            full = (
+                ops + more > self._max_ops
+                or len(merged) > 4 * self._max_ops
+                or size + bytes_more > MAX_TXN_BYTES
+            )
+            if batch and (full or clash or mine & keys or keys & intent.txn.conditions.keys()):
+                continue
+            if batch and any(k in conditions for k in mine):
+                continue
+            if self._pacer.wait_s(ops + more) > 0:
+                nap_s = self._pacer.wait_s(ops + more)
+                break
+            batch.append(intent)
+            keys |= mine
+            conditions = merged
+            ops += more
+            size += bytes_more
+        if batch:
+            self._pacer.take(ops)
+            for intent in batch:
+                self._queue.remove(intent)
+        return batch, nap_s
+
+    async def _send(self, batch: list[Intent]) -> None:
+        try:
+            await self._try(batch)
+        finally:
+            self._flying -= 1
+            for intent in batch:
+                self._busy -= intent.keys()
+            await self._wake.set()
+
+    async def _try(self, batch: list[Intent]) -> None:
+        txn = Txn()
+        for intent in batch:
+            txn.conditions.update(intent.txn.conditions)
+            txn.puts.extend(intent.txn.puts)
+            txn.deletes.extend(intent.txn.deletes)
+        try:
+            outcome = await self._client.txn(txn)
+        except Refused as exc:
+            log.debug("write refused error=%s", exc)
+            if "429" in str(exc):
+                self._pacer.drain()
+            await curio.sleep(self._retry_s)
+            self._queue[:0] = batch
+        except Doubt as exc:
+            # the same conditions make a repeat harmless: one of the two does nothing
+            log.info("write unanswered error=%s", exc)
+            for intent in batch:
+                intent.doubtful = True
+            await curio.sleep(self._retry_s)
+            self._queue[:0] = batch
+        except NoLease:
+            for intent in batch:
+                await intent.promise.settle(CONFLICT)
+        else:
+            await self._settle(batch, outcome)
+
+    async def _settle(self, batch: list[Intent], outcome: Outcome) -> None:
+        if not outcome.failed:
+            for intent in batch:
+                await self._applied(intent, outcome.revision)
+            return
+        failed = set(outcome.failed)
+        again: list[Intent] = []
+        for intent in batch:
+            intent.failed = [k for k in intent.txn.conditions if k in failed]
+            if not intent.failed:
+                again.append(intent)
+            elif intent.doubtful and await self._was_applied(intent):
+                log.info("lost answer settled keys=%s", sorted(intent.keys())[:3])
+            else:
+                await intent.promise.settle(CONFLICT)
+        self._queue[:0] = again
+
+    async def _applied(self, intent: Intent, revision: int) -> None:
+        for put in intent.txn.puts:
+            self._mirror.written(put.key, put.value, revision)
+        for key in intent.txn.deletes:
+            self._mirror.deleted(key, revision)
+        await intent.promise.settle(OK)
+
+    async def _was_applied(self, intent: Intent) -> bool:
+        """After a lost answer the repeat's conditions fail when the first was executed: what
+        stands in the store tells."""
+        while True:
+            try:
+                rows = [await self._client.get(p.key) for p in intent.txn.puts]
+                gone = [await self._client.get(k) for k in intent.txn.deletes]
+                break
+            except (Refused, Doubt):
+                await curio.sleep(self._retry_s)
+        if any(gone):
+            return False
+        for row, put in zip(rows, intent.txn.puts, strict=True):
+            # the store may write numbers its own way, so values are compared, not bytes
+            if row is None or row.value != orjson.loads(orjson.dumps(put.value)):
+                return False
+        for row in rows:
+            if row is not None:
+                self._mirror.written(row.key, row.value, row.version)
+        await intent.promise.settle(OK)
+        return True
--- /dev/null
+++ b/crossmill/wire/state.py
@@ -0,0 +1,106 @@
+"""Messages to and from the state service."""
+
+from dataclasses import dataclass, field
+from typing import Any
+
+import orjson
+
+MAX_ROWS = 1000
+
+
+@dataclass(frozen=True, slots=True)
+class Row:
+    key: str
+    value: Any
+    version: int
+
+
+@dataclass(frozen=True, slots=True)
+class Event:
+    key: str
+    value: Any
+    version: int
+    deleted: bool
+
+
+@dataclass(slots=True)
+class Put:
+    key: str
+    value: Any
+    lease: int | None = None
+
+
+@dataclass(slots=True)
+class Txn:
+    conditions: dict[str, int] = field(default_factory=dict)
+    puts: list[Put] = field(default_factory=list)
+    deletes: list[str] = field(default_factory=list)
+
+
+def txn_body(txn: Txn) -> bytes:
+    apply: list[dict[str, Any]] = []
+    for put in txn.puts:
+        entry: dict[str, Any] = {"write": put.key, "data": put.value}
+        if put.lease is not None:
+            entry["tenure"] = put.lease
+        apply.append(entry)
+    apply.extend({"delete": key} for key in txn.deletes)
+    when = [{"k": key, "stamp": version} for key, version in txn.conditions.items()]
+    return orjson.dumps({"when": when, "apply": apply})
+
+
+def parse_txn(status: int, data: dict[str, Any]) -> tuple[int, list[str]]:
+    """(revision, keys whose condition failed)"""
+    return int(data["ledgerRev"]), list(data["failed"]) if status == 409 else []
+
+
+def list_path(prefix: str, after: str) -> str:
+    cursor = f"&after={after}" if after else ""
+    return f"/keys?prefix={prefix}{cursor}&limit={MAX_ROWS}"
+
+
+def parse_list(data: dict[str, Any]) -> tuple[list[Row], bool, int]:
+    rows = [Row(r["k"], r["data"], r["stamp"]) for r in data["rows"]]
+    return rows, data["hasNext"] is True, int(data["ledgerRev"])
+
+
+def key_path(key: str) -> str:
+    return f"/keys/{key}"
+
+
+def parse_row(data: dict[str, Any]) -> Row:
+    return Row(data["k"], data["data"], data["stamp"])
+
+
+def changes_path(prefix: str, after: int, wait_ms: int) -> str:
+    return f"/changes?prefix={prefix}&after={after}&holdMs={wait_ms}"
+
+
+def parse_changes(data: dict[str, Any]) -> tuple[int, list[Event]]:
+    events = [
+        Event(e["delete"], None, e["stamp"], True)
+        if "delete" in e
+        else Event(e["write"], e["data"], e["stamp"], False)
+        for e in data["log"]
+    ]
+    return int(data["ledgerRev"]), events
+
+
+def hold_body(ttl_s: float) -> bytes:
+    return orjson.dumps({"ttlMs": int(ttl_s * 1000)})
+
+
+def parse_hold(data: dict[str, Any]) -> int:
+    return int(data["tenure"])
+
+
+HOLDS_PATH = "/holds"
+TXN_PATH = "/txn"
+
+
+def renew_path(lease: int) -> str:
+    return f"/holds/{lease}/renew"
+
+
+def hold_path(lease: int) -> str:
+    return f"/holds/{lease}"
--- /dev/null
+++ b/crossmill/wire/users.py
@@ -0,0 +1,98 @@
+"""What users send and are told."""
+
+import re
+from dataclasses import dataclass
+from typing import Any
+
+import orjson
+
+from . import checks
+from .checks import Malformed
+
+MAX_TASKS = 100_000
+JOB_ID = re.compile(r"wk-[0-9]{6,18}\Z")
+KINDS = {"array": "array", "service": "service"}
+PRIORITIES = {"production": "production", "high": "high", "standard": "normal", "idle": "low"}
+JOBS_PATH = "/v1/jobs"
+WITHDRAW = "withdraw"
+
+
+@dataclass(frozen=True, slots=True)
+class JobSpec:
+    id: str
+    job_class: str
+    team: str
+    kind: str
+    priority: str
+    tasks: int
+    cpus: float
+    gpus: float
+    memory_gb: float
+    image: str
+    image_gb: float
+    types: tuple[str, ...] | None
+    zone: str | None
+    one_zone: bool
+    spread: bool
+    spot: bool
+    estimate_s: float
+    checkpoint_s: float
+    save_s: float
+    deadline_s: float | None
+
+
+def is_job_id(value: str) -> bool:
+    return JOB_ID.match(value) is not None
+
+
+def parse_submission(data: dict[str, Any]) -> JobSpec:
+    job_id = parse_id(data)
+    types = data.get("frames")
+    if types is not None and (
+        type(types) is not list or not types or not all(type(t) is str and t for t in types)
+    ):
+        raise Malformed("frames: a list of machine types or null is needed")
+    return JobSpec(
+        id=job_id,
+        job_class=checks.text(data, "grist"),
+        team=checks.text(data, "crew"),
+        kind=checks.one_of(data, "cut", KINDS),
+        priority=checks.one_of(data, "precedence", PRIORITIES),
+        tasks=checks.count(data, "sacks", 1, MAX_TASKS),
+        cpus=checks.amount(data, "cpus"),
+        gpus=checks.amount(data, "cards"),
+        memory_gb=checks.amount(data, "ramGb"),
+        image=checks.text(data, "recipe"),
+        image_gb=checks.amount(data, "pullGb"),
+        types=None if types is None else tuple(types),
+        zone=checks.optional_text(data, "yard"),
+        one_zone=checks.flag(data, "oneZone"),
+        spread=checks.flag(data, "spread"),
+        spot=checks.flag(data, "loaners"),
+        estimate_s=checks.amount(data, "grindS"),
+        checkpoint_s=checks.amount(data, "baggingS"),
+        save_s=checks.amount(data, "sealS"),
+        deadline_s=checks.optional_amount(data, "dueS"),
+    )
+
+
+def parse_id(data: dict[str, Any]) -> str:
+    job_id = checks.text(data, "nameId")
+    if not is_job_id(job_id):
+        raise Malformed("nameId: not in the form of a job id")
+    return job_id
+
+
+def status_body(job_id: str, state: str, done: int | None = None, running: int = 0) -> bytes:
+    body: dict[str, Any] = {
+        "nameId": job_id,
+        "stage": "withdrawn" if state == "cancelled" else state,
+    }
+    if done is not None:
+        body["done"] = done
+        body["running"] = running
+    return orjson.dumps(body)
+
+
+def error_body(why: str) -> bytes:
+    return orjson.dumps({"error": why})
--- /dev/null
+++ b/crossmill/wire/workers.py
@@ -0,0 +1,113 @@
+"""Reports of workers and the commands that answer them."""
+
+from dataclasses import dataclass
+from typing import Any
+
+import orjson
+
+from . import checks
+
+REPORT_PATH = "/agent/beat"
+COMMANDS_PATH = "/commands"
+STATES = {s: s for s in ("fetching", "running", "saving", "exited")}
+CAUSES = {
+    "done": "done",
+    "halted": "stopped",
+    "error": "error",
+    "full": "no_room",
+    "in_use": "busy",
+    "no_such": "unknown",
+}
+
+
+@dataclass(slots=True)
+class TaskReport:
+    job: str
+    index: int
+    attempt: int
+    state: str
+    why: str
+    saved: bool
+
+
+@dataclass(slots=True)
+class Report:
+    machine: str
+    address: str
+    type: str
+    zone: str
+    spot: bool
+    session: int
+    seq: int
+    token: int
+    notice_s: float | None
+    tasks: list[TaskReport]
+
+
+@dataclass(frozen=True, slots=True)
+class Command:
+    op: str
+    task: str
+    attempt: int
+    grace_s: float = 0.0
+
+
+def _task(data: dict[str, Any]) -> TaskReport:
+    job, _, index = checks.text(data, "sack").rpartition("/")
+    if not job or not index.isdigit():
+        raise checks.Malformed("sack: not a task")
+    state = checks.one_of(data, "stage", STATES)
+    return TaskReport(
+        job=job,
+        index=int(index),
+        attempt=checks.count(data, "turn"),
+        state=state,
+        why=CAUSES.get(data.get("cause") or "", "error") if state == "exited" else "",
+        saved=data.get("kept") is True,
+    )
+
+
+def parse_report(data: dict[str, Any]) -> Report:
+    tasks = data.get("sacks")
+    if type(tasks) is not list or not all(type(t) is dict for t in tasks):
+        raise checks.Malformed("sacks: a list is needed")
+    return Report(
+        machine=checks.text(data, "stone"),
+        address=checks.text(data, "address"),
+        type=checks.text(data, "frame"),
+        zone=checks.text(data, "yard"),
+        spot=checks.flag(data, "loaners"),
+        session=checks.count(data, "shift"),
+        seq=checks.count(data, "tally"),
+        token=checks.count(data, "warrant"),
+        notice_s=checks.optional_amount(data, "recallS"),
+        tasks=[_task(t) for t in tasks],
+    )
+
+
+_OPS = {"start": "start", "stop": "kill", "forget": "reap"}
+
+
+def _order(command: Command) -> dict[str, Any]:
+    order: dict[str, Any] = {
+        "verb": _OPS[command.op],
+        "sack": command.task,
+        "turn": command.attempt,
+    }
+    if command.op == "stop":
+        order["windDownS"] = command.grace_s
+    return order
+
+
+def answer_body(token: int, commands: list[Command]) -> bytes:
+    return orjson.dumps({"warrant": token, "orders": [_order(c) for c in commands]})
+
+
+def direct_body(token: int, session: int, commands: list[Command]) -> bytes:
+    return orjson.dumps(
+        {"warrant": token, "shift": session, "orders": [_order(c) for c in commands]}
+    )
+
+
+def redirect_body(label: str | None) -> bytes:
+    return orjson.dumps({} if label is None else {"foreman": label})
--- /dev/null
+++ b/crossmill/workers/reports.py
@@ -0,0 +1,164 @@
+"""Reports of workers: who answers them, and with which orders.
+
+Orders come from comparing the newest report with the durable plan, so they need no memory and
+can be repeated. Only responses carry them: the worker drops a response that comes late."""
+
+import logging
+from dataclasses import dataclass
+
+from ..cluster.membership import Membership, Owned
+from ..cluster.world import ACTIVE, Machine, Row, World
+from ..net.clock import Clock
+from ..settings import Settings
+from ..wire.workers import Command, Report, TaskReport
+from .views import Verdict, View
+
+log = logging.getLogger(__name__)
+
+Key = tuple[str, int]
+
+
+@dataclass(frozen=True, slots=True)
+class Finding:
+    """An attempt that is over, with what it means for the plan."""
+
+    row: Row
+    why: str
+    took_s: float | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Answer:
+    status: int
+    token: int = 0
+    commands: tuple[Command, ...] = ()
+    redirect: str | None = None
+
+
+class Reports:
+    """The views of all machines of the shards this controller acts for."""
+
+    def __init__(
+        self, settings: Settings, clock: Clock, world: World, membership: Membership
+    ) -> None:
+        self._s = settings
+        self._clock = clock
+        self._world = world
+        self._membership = membership
+        self._views: dict[str, View] = {}
+        self.findings: dict[Key, Finding] = {}
+        # tasks to be stopped to make room or to drain, by attempt
+        self.stopping: dict[tuple[str, int, int], str] = {}
+        self.unexpected: dict[str, Report] = {}
+        membership.on_lost.append(self._forget)
+
+    def _forget(self, shard: int) -> None:
+        """Beliefs of a shard end with our right to act for it."""
+        for machine_id in list(self._views):
+            machine = self._world.machines.get(machine_id)
+            if machine is None or machine.shard == shard:
+                del self._views[machine_id]
+
+    def view(self, machine: Machine, own: Owned) -> View:
+        """Before the first answer of ours an earlier owner may have answered, at the latest
+        when we took over, and no worker was ours before we knew its machine."""
+        view = self._views.get(machine.id)
+        if view is None:
+            view = self._views[machine.id] = View(machine.id, self._clock.now())
+        return view
+
+    def peek(self, machine_id: str) -> View | None:
+        return self._views.get(machine_id)
+
+    def handle(self, report: Report) -> Answer:
+        machine = self._world.machines.get(report.machine)
+        if machine is None:
+            if len(self.unexpected) < 256:
+                self.unexpected[report.machine] = report
+            return Answer(421)
+        own = self._membership.acting(machine.shard)
+        if own is None:
+            known = self._world.shards.get(machine.shard)
+            elsewhere = known is not None and known.owner != self._s.label
+            return Answer(421, redirect=known.owner if known and elsewhere else None)
+        if report.token > own.token:
+            # the worker would drop our answer, and its lease would run out meanwhile
+            self._membership.raise_token(machine.shard)
+            return Answer(503)
+        view = self.view(machine, own)
+        verdict = view.take(report, own.token, self._clock.now())
+        if verdict is Verdict.STALE:
+            return Answer(200, own.token)
+        view.answered_at = self._clock.now()
+        view.answered = True
+        if verdict is Verdict.GREETED:
+            return Answer(200, own.token)
+        return Answer(200, own.token, tuple(self._orders(machine, view)))
+
+    def _orders(self, machine: Machine, view: View) -> list[Command]:
+        orders: list[Command] = []
+        for key, task in view.tasks.items():
+            row = machine.rows.get(key)
+            if row is not None and (row.attempt, row.session) == (task.attempt, view.session):
+                self._on_planned(row, task, view, orders)
+            elif task.state == "exited":
+                # the plan no longer holds this attempt, so its outcome is durable
+                orders.append(Command("forget", f"{key[0]}/{key[1]}", task.attempt))
+            else:
+                orders.append(Command("stop", f"{key[0]}/{key[1]}", task.attempt, 0.0))
+        for key, row in machine.rows.items():
+            if key in view.tasks and view.tasks[key].attempt == row.attempt:
+                continue
+            if row.session < view.session:
+                self._found(Finding(row, "session over"))
+            elif key not in view.tasks and row.session == view.session:
+                if self._unwanted(row, machine):
+                    # a newer report without it: no start sent before can still arrive
+                    self._found(Finding(row, "not started"))
+                else:
+                    orders.append(Command("start", f"{row.job}/{row.index}", row.attempt))
+        return orders
+
+    def _unwanted(self, row: Row, machine: Machine) -> bool:
+        job = self._world.jobs.get(row.job)
+        if job is None or job.end != ACTIVE or machine.retiring:
+            return True
+        return (row.job, row.index, row.attempt) in self.stopping
+
+    def _on_planned(
+        self, row: Row, task: TaskReport, view: View, orders: list[Command]
+    ) -> None:
+        key = (row.job, row.index)
+        if task.state == "exited":
+            since = view.running_since.get(key)
+            took = None if since is None else self._clock.now() - since
+            self._found(Finding(row, task.why, took))
+            return
+        job = self._world.jobs.get(row.job)
+        if job is None or job.end != ACTIVE:
+            orders.append(Command("stop", f"{row.job}/{row.index}", row.attempt, 0.0))
+            return
+        spec = job.spec
+        saves = spec is not None and spec.checkpoint_s > 0
+        if (row.job, row.index, row.attempt) in self.stopping:
+            if task.state != "saving":
+                grace = spec.save_s * 2 if spec is not None and saves else 0.0
+                orders.append(Command("stop", f"{row.job}/{row.index}", row.attempt, grace))
+        elif view.notice_at is not None and saves and spec is not None:
+            # saved as late as is safe, so that the machine's last seconds count
+            left = view.notice_at - self._clock.now()
+            if task.state == "running" and left < spec.save_s + 3 * self._s.report_s:
+                orders.append(
+                    Command("stop", f"{row.job}/{row.index}", row.attempt, spec.save_s * 2)
+                )
+
+    def _found(self, finding: Finding) -> None:
+        self.findings.setdefault((finding.row.job, finding.row.index), finding)
+
+    def expire(self, machine: Machine, own: Owned) -> None:
+        """A worker that nobody can have answered for a lease has killed its tasks."""
+        view = self.view(machine, own)
+        if machine.rows and view.lease_over(self._clock.now(), self._s.worker_end_s):
+            for row in machine.rows.values():
+                if row.session <= view.session or not view.trusted:
+                    self._found(Finding(row, "lease over"))
--- /dev/null
+++ b/crossmill/workers/views.py
@@ -0,0 +1,57 @@
+"""What this incarnation knows of a machine from its reports."""
+
+from dataclasses import dataclass, field
+from enum import Enum
+
+from ..wire.workers import Report, TaskReport
+
+
+class Verdict(Enum):
+    STALE = "stale"
+    GREETED = "greeted"
+    TRUSTED = "trusted"
+
+
+@dataclass(slots=True)
+class View:
+    """`answered_at` bounds the worker's lease: nobody can have answered it later. A report is
+    trusted once it carries our own token: only then was it made after we took over."""
+
+    machine: str
+    answered_at: float
+    session: int = 0
+    seq: int = -1
+    answered: bool = False
+    heard_at: float | None = None
+    trusted: bool = False
+    address: str = ""
+    notice_at: float | None = None
+    tasks: dict[tuple[str, int], TaskReport] = field(default_factory=dict)
+    running_since: dict[tuple[str, int], float] = field(default_factory=dict)
+    errors: set[str] = field(default_factory=set)
+    idle_since: float | None = None
+
+    def take(self, report: Report, token: int, now: float) -> Verdict:
+        # a late copy, even of another session, renews no belief in the machine's life
+        if (report.session, report.seq) <= (self.session, self.seq):
+            return Verdict.STALE
+        if report.token != token:
+            # not yet ours: it may be a copy from before we took over, so nothing is believed
+            return Verdict.GREETED
+        self.session, self.seq = report.session, report.seq
+        self.heard_at = now
+        self.trusted = True
+        self.address = report.address
+        self.notice_at = None if report.notice_s is None else now + report.notice_s
+        old = self.running_since
+        self.tasks = {(t.job, t.index): t for t in report.tasks}
+        self.running_since = {
+            key: old.get(key, now) for key, t in self.tasks.items() if t.state == "running"
+        }
+        return Verdict.TRUSTED
+
+    def fresh(self, now: float, within_s: float) -> bool:
+        return self.trusted and self.heard_at is not None and now - self.heard_at <= within_s
+
+    def lease_over(self, now: float, lease_s: float) -> bool:
+        return now - self.answered_at > lease_s
