--- a/crossmill/fleet/cloud.py
+++ b/crossmill/fleet/cloud.py
@@ -5,7 +5,7 @@
 import curio
 import orjson
 
-from ..net.client import Client, Unanswered, Unreached
+from ..net.client import Client, Http, Unanswered, Unreached
 from ..net.clock import Clock
 from ..net.pacer import Pacer
 from ..settings import Settings
@@ -22,8 +22,8 @@
 
 
 class Cloud:
-    def __init__(self, settings: Settings, clock: Clock) -> None:
-        self._http = Client(settings.cloud, max_sockets=4)
+    def __init__(self, settings: Settings, clock: Clock, http: Http | None = None) -> None:
+        self._http = http or Client(settings.cloud, max_sockets=4)
         self._pacer = Pacer(clock, settings.cloud_pace, settings.cloud_pace)
         self._timeout_s = max(4.0, 8 / settings.cloud_rps)
 
--- a/crossmill/fleet/leader.py
+++ b/crossmill/fleet/leader.py
@@ -122,7 +122,11 @@
                 await curio.sleep(self._s.report_s)
         log.info(
             "machines rented shard=%d type=%s zone=%s spot=%s asked=%d got=%d first=%s",
-            shard, *key, need.number, len(rented), rented[0] if rented else "",
+            shard,
+            *key,
+            need.number,
+            len(rented),
+            rented[0] if rented else "",
         )
         if len(rented) < need.number:
             self._outlook.blocked[key] = self._clock.now() + self._s.blocked_s
@@ -138,8 +142,13 @@
         for (machine, type_name, zone, spot), shard in zip(machines, shards, strict=True):
             key = keys.machine(machine)
             value = {
-                "type": type_name, "zone": zone, "spot": spot,
-                "shard": shard, "at": at, "retiring": "", "up": False,
+                "type": type_name,
+                "zone": zone,
+                "spot": spot,
+                "shard": shard,
+                "at": at,
+                "retiring": "",
+                "up": False,
             }
             txn = Txn({keys.LEADER: version, key: 0}, [Put(key, value)])
             intents.append(Intent(txn, PLACE, holds=self._leads))
@@ -208,8 +217,9 @@
         self._gone.update((m.id, now) for m in going)
         intents = [
             Intent(
-                Txn({keys.LEADER: version, keys.machine(m.id): m.version}, [],
-                    [keys.machine(m.id)]),
+                Txn(
+                    {keys.LEADER: version, keys.machine(m.id): m.version}, [], [keys.machine(m.id)]
+                ),
                 LATER,
                 holds=self._leads,
             )
--- a/crossmill/jobs/desk.py
+++ b/crossmill/jobs/desk.py
@@ -109,8 +109,10 @@
             refusal = None if why is None else Response(422, wire.error_body(why))
         if refusal is not None:
             # a repeat of an accepted job gets its state, whatever the rest of it says
-            return refusal if not self._client_down() and await self._absent(job_id) else (
-                await self._show(job_id)
+            return (
+                refusal
+                if not self._client_down() and await self._absent(job_id)
+                else (await self._show(job_id))
             )
         assert spec is not None
         return await self._accept(spec)
@@ -125,9 +127,7 @@
         team = self._s.team(spec.team)
         if team is None:
             return "unknown team"
-        kinds = [
-            k for n, k in self._world.catalog.items() if spec.types is None or n in spec.types
-        ]
+        kinds = [k for n, k in self._world.catalog.items() if spec.types is None or n in spec.types]
         if not any(slots_on(spec, kind) for kind in kinds):
             return "a task fits no allowed machine type"
         tasks = spec.tasks if spec.kind == "service" else 1
--- a/crossmill/jobs/rounds.py
+++ b/crossmill/jobs/rounds.py
@@ -130,7 +130,11 @@
         spec, row = job.spec, finding.row
         log.info(
             "task over job=%s task=%d attempt=%d machine=%s why=%s",
-            job.id, row.index, row.attempt, row.machine, finding.why.replace(" ", "-"),
+            job.id,
+            row.index,
+            row.attempt,
+            row.machine,
+            finding.why.replace(" ", "-"),
         )
         if spec is None:
             return
@@ -173,11 +177,17 @@
                 continue
             rooms.append(
                 Room(
-                    machine.id, machine.type, machine.zone, machine.spot,
-                    kind.cpus - machine.cpus, kind.gpus - machine.gpus,
+                    machine.id,
+                    machine.type,
+                    machine.zone,
+                    machine.spot,
+                    kind.cpus - machine.cpus,
+                    kind.gpus - machine.gpus,
                     kind.memory_gb - machine.memory_gb,
-                    kind.price / max(kind.gpus, kind.cpus / 8), max(kind.gpus, kind.cpus / 8),
-                    dict(machine.images), bool(machine.rows),
+                    kind.price / max(kind.gpus, kind.cpus / 8),
+                    max(kind.gpus, kind.cpus / 8),
+                    dict(machine.images),
+                    bool(machine.rows),
                 )
             )
         return rooms
@@ -360,9 +370,7 @@
 
     # -- machines --------------------------------------------------------------------
 
-    def _give_up_machines(
-        self, shard: int, own: Owned, machines: list[Machine]
-    ) -> list[Intent]:
+    def _give_up_machines(self, shard: int, own: Owned, machines: list[Machine]) -> list[Intent]:
         now = self._clock.now()
         intents = [
             self._machine_intent(shard, own, m, m.encode(up=True))
@@ -383,9 +391,7 @@
             why = "" if machine.retiring else self._fault(machine, now, patience, spare)
             if why:
                 log.info("machine given up machine=%s why=%s", machine.id, why)
-                intents.append(
-                    self._machine_intent(shard, own, machine, machine.encode(why, True))
-                )
+                intents.append(self._machine_intent(shard, own, machine, machine.encode(why, True)))
         return intents
 
     def _machine_intent(
@@ -405,9 +411,7 @@
                 return self._outlook.look(shard).spare
         return set()
 
-    def _fault(
-        self, machine: Machine, now: float, patience: float, spare: set[str]
-    ) -> str:
+    def _fault(self, machine: Machine, now: float, patience: float, spare: set[str]) -> str:
         view = self._reports.peek(machine.id)
         kind = self._world.catalog.get(machine.type)
         if view is None or kind is None:
--- a/crossmill/net/client.py
+++ b/crossmill/net/client.py
@@ -1,5 +1,7 @@
 """A pooled keep-alive HTTP client for one endpoint."""
 
+from typing import Protocol
+
 import curio
 import curio.socket as socket
 import h11
@@ -15,6 +17,14 @@
     """No answer came: the request might have been executed, or might still be."""
 
 
+class Http(Protocol):
+    """What calls a server; scripted peers stand in for it in tests."""
+
+    async def request(
+        self, method: str, path: str, body: bytes = b"", timeout_s: float = 2.0
+    ) -> tuple[int, bytes]: ...
+
+
 class _Connection:
     def __init__(self, sock: socket.socket) -> None:
         self.sock = sock
@@ -33,7 +43,10 @@
     ) -> tuple[int, bytes]:
         sent = [False]
         try:
-            return await curio.timeout_after(timeout_s, self._request, method, path, body, sent)
+            answer: tuple[int, bytes] = await curio.timeout_after(
+                timeout_s, self._request, method, path, body, sent
+            )
+            return answer
         except curio.TaskTimeout as exc:
             error = Unanswered if sent[0] else Unreached
             raise error(f"{self._host} {method} {path}: timed out") from exc
--- a/crossmill/planning/demand.py
+++ b/crossmill/planning/demand.py
@@ -52,8 +52,15 @@
 def room_of(machine: str, kind: MachineType, zone: str, spot: bool) -> Room:
     size = max(kind.gpus, kind.cpus / 8)
     return Room(
-        machine, kind.name, zone, spot,
-        kind.cpus, kind.gpus, kind.memory_gb, kind.price / size, size,
+        machine,
+        kind.name,
+        zone,
+        spot,
+        kind.cpus,
+        kind.gpus,
+        kind.memory_gb,
+        kind.price / size,
+        size,
     )
 
 
@@ -141,7 +148,8 @@
         finish_s = setup_s + (want.task_s if spec.kind == "array" else 0.0)
         options[name] = Option(name, source.type.price, slots / max(task_s, 1e-3), finish_s)
         offers[name] = (
-            Offer(name, source.price(), slots, setup_s, task_s, min(room, open_tasks)), source
+            Offer(name, source.price(), slots, setup_s, task_s, min(room, open_tasks)),
+            source,
         )
     if not options:
         return None
--- a/crossmill/settings.py
+++ b/crossmill/settings.py
@@ -228,7 +228,7 @@
 
     def number(self, field: str, low: float, default: float | None = None) -> float:
         value = self.data.get(field, default)
-        ok = isinstance(value, (int, float)) and not isinstance(value, bool)
+        ok = isinstance(value, int | float) and not isinstance(value, bool)
         if not ok or not math.isfinite(value) or value < low:
             raise BadSettings(f"{self._name(field)}: a number of at least {low:g} is needed")
         return float(value)
--- a/crossmill/state/client.py
+++ b/crossmill/state/client.py
@@ -4,7 +4,7 @@
 
 import orjson
 
-from ..net.client import Client, Unanswered, Unreached
+from ..net.client import Client, Http, Unanswered, Unreached
 from ..net.clock import Clock
 from ..settings import Settings
 from ..wire import state as wire
@@ -33,10 +33,10 @@
 
 
 class StateClient:
-    def __init__(self, settings: Settings, clock: Clock) -> None:
-        self._http = Client(settings.state, max_sockets=12)
+    def __init__(self, settings: Settings, clock: Clock, http: Http | None = None) -> None:
+        self._http = http or Client(settings.state, max_sockets=12)
         # watches stay open; they must not take the sockets of short calls
-        self._watch_http = Client(settings.state, max_sockets=2)
+        self._watch_http = http or Client(settings.state, max_sockets=2)
         self._clock = clock
         self._timeout_s = settings.hold_ttl_s / 3
         self._bad = 0
@@ -101,9 +101,7 @@
             raise NoLease
         raise Refused(f"txn: {status} {data[:200]!r}")
 
-    async def changes(
-        self, prefix: str, after: int, wait_s: float
-    ) -> tuple[int, list[wire.Event]]:
+    async def changes(self, prefix: str, after: int, wait_s: float) -> tuple[int, list[wire.Event]]:
         path = wire.changes_path(prefix, after, int(wait_s * 1000))
         timeout_s = wait_s + self._timeout_s if wait_s else None
         status, data = await self._call("GET", path, timeout_s=timeout_s)
--- a/crossmill/wire/checks.py
+++ b/crossmill/wire/checks.py
@@ -34,7 +34,7 @@
 
 
 def amount(data: dict[str, Any], name: str) -> float:
-    value = data.get(name)
+    value: Any = data.get(name)
     # bool is an int in Python, and would pass as an amount of one
     if type(value) not in (int, float) or not math.isfinite(value) or value < 0:
         raise Malformed(f"{name}: an amount of at least 0 is needed")
--- a/crossmill/workers/reports.py
+++ b/crossmill/workers/reports.py
@@ -125,9 +125,7 @@
             return True
         return (row.job, row.index, row.attempt) in self.stopping
 
-    def _on_planned(
-        self, row: Row, task: TaskReport, view: View, orders: list[Command]
-    ) -> None:
+    def _on_planned(self, row: Row, task: TaskReport, view: View, orders: list[Command]) -> None:
         key = (row.job, row.index)
         if task.state == "exited":
             since = view.running_since.get(key)
--- /dev/null
+++ b/tests/test_settings.py
@@ -0,0 +1,45 @@
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from crossmill.cli import main
+from crossmill.settings import BadSettings, parse
+
+from .standins import make_settings, settings_table
+
+
+def test_unknown_fields_are_ignored_and_labels_sorted() -> None:
+    settings = parse(settings_table("node-1", novelty={"x": 1}))
+    assert settings.labels == ("node-0", "node-1", "node-2")
+
+
+@pytest.mark.parametrize(
+    ("change", "field"),
+    [
+        ({"bind": "nowhere"}, "bind"),
+        ({"members": [{"label": "x"}]}, "members[0].site"),
+        ({"external": {"cloud": "1.2.3.4:5"}}, "external.state"),
+        ({"settings": {}}, "settings.workers"),
+        ({"label": True}, "label"),
+    ],
+)
+def test_bad_settings_name_the_field(change: dict[str, Any], field: str) -> None:
+    with pytest.raises(BadSettings, match=field.replace("[", r"\[")):
+        parse(settings_table(**change))
+
+
+def test_crash_and_takeover_fit_into_the_workers_lease() -> None:
+    s = make_settings()
+    # lease end, the state service's 100 ms, one renewal's length for the takeover itself, and
+    # the worker's second to the next node and back
+    assert s.hold_ttl_s + 0.1 + 2 * s.renew_s + 2.0 < s.lease_s - s.report_s
+    assert s.worker_end_s > s.lease_s * 1.0005
+
+
+def test_bad_file_ends_with_one_line(tmp_path: Path, capsys: pytest.CaptureFixture[str]) -> None:
+    path = tmp_path / "x.toml"
+    path.write_text('label = "a"\n')
+    assert main(["check", "--config", str(path)]) == 2
+    error = capsys.readouterr().err
+    assert error.count("\n") == 1 and "settings" in error
--- /dev/null
+++ b/tests/test_wire.py
@@ -0,0 +1,68 @@
+from typing import Any
+
+import pytest
+
+from crossmill.wire.checks import Malformed, load_object
+from crossmill.wire.users import parse_submission
+from crossmill.wire.workers import Command, answer_body, parse_report
+
+from .standins import beat, on, submission
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"nameId": "wk-1"},
+        {"nameId": "job-000001"},
+        {"sacks": 0},
+        {"sacks": 100_001},
+        {"sacks": True},
+        {"sacks": 2.0},
+        {"cpus": -1.0},
+        {"cpus": True},
+        {"cpus": "4"},
+        {"cut": "pile"},
+        {"precedence": "urgent"},
+        {"frames": []},
+        {"frames": ["g4", 3]},
+        {"yard": 3},
+        {"spread": 1},
+        {"dueS": -1},
+        {"crew": ""},
+    ],
+)
+def test_invalid_fields_are_malformed(change: dict[str, Any]) -> None:
+    with pytest.raises(Malformed):
+        parse_submission(submission(**change))
+
+
+@pytest.mark.parametrize("field", sorted(set(submission()) - {"frames", "yard", "dueS"}))
+def test_missing_fields_are_malformed(field: str) -> None:
+    data = submission()
+    del data[field]
+    with pytest.raises(Malformed):
+        parse_submission(data)
+
+
+def test_nullable_fields_may_be_missing_and_unknown_ones_stand() -> None:
+    data = submission(novel=[1])
+    for field in ("frames", "yard", "dueS"):
+        del data[field]
+    spec = parse_submission(data)
+    assert (spec.types, spec.zone, spec.deadline_s) == (None, None, None)
+
+
+@pytest.mark.parametrize("body", [b"", b"{", b"[]", b'"x"', b'{"cpus": NaN}', b"\xff{}"])
+def test_bodies_that_are_no_objects(body: bytes) -> None:
+    with pytest.raises(Malformed):
+        load_object(body)
+
+
+def test_report_and_orders_keep_wire_spellings_out() -> None:
+    report = parse_report(load_object(beat("n-1", 2, 7, 41, on("wk-1", 3, 2, "exited", "halted"))))
+    task = report.tasks[0]
+    assert (task.job, task.index, task.attempt, task.why) == ("wk-1", 3, 2, "stopped")
+    assert load_object(answer_body(41, [Command("forget", "wk-1/3", 2)])) == {
+        "warrant": 41,
+        "orders": [{"verb": "reap", "sack": "wk-1/3", "turn": 2}],
+    }
