Send starts straight to workers and wake rounds on changes

Ruled out: holding reports open, since it delays the worker's news of ended tasks. An unanswered start leaves its attempt in doubt until a higher token was reported.

--- a/crossmill/app.py
+++ b/crossmill/app.py
@@ -23,6 +23,7 @@
 from .state.writer import Writer
 from .wire import users, workers
 from .wire.checks import Malformed, load_object
+from .workers.direct import Direct
 from .workers.reports import Reports
 
 log = logging.getLogger(__name__)
@@ -43,8 +44,16 @@
         self.reports = Reports(settings, clock, self.world, self.membership)
         self.outlook = Outlook(settings, clock, self.world)
         self.rounds = Rounds(
-            settings, clock, self.world, self.membership, self.reports, self.writer, self.outlook
+            settings,
+            clock,
+            self.world,
+            self.membership,
+            self.reports,
+            self.writer,
+            self.outlook,
+            Direct(settings, self.world, self.membership, self.reports),
         )
+        self.follower.on_change = self.rounds.wake.set
         self.leader = Leader(
             settings,
             clock,
--- a/crossmill/jobs/rounds.py
+++ b/crossmill/jobs/rounds.py
@@ -21,6 +21,7 @@
 from ..state.writer import LATER, OK, OUTCOME, PLACE, Intent, Writer
 from ..wire.state import Put, Txn
 from ..wire.users import JobSpec
+from ..workers.direct import Direct
 from ..workers.reports import Finding, Reports
 
 log = logging.getLogger(__name__)
@@ -56,6 +57,7 @@
         reports: Reports,
         writer: Writer,
         outlook: Outlook,
+        direct: Direct,
     ) -> None:
         self._s = settings
         self._clock = clock
@@ -64,6 +66,7 @@
         self._reports = reports
         self._writer = writer
         self._outlook = outlook
+        self._direct = direct
         self.estimates = outlook.estimates
         self._troubles: dict[str, Trouble] = {}
         self._resume: dict[int, str] = {}
@@ -98,17 +101,31 @@
                 self._reports.findings.setdefault((row.job, row.index), Finding(row, "released"))
         self._gather(shard, edits)
         self._place(shard, machines, edits)
-        intents = [i for e in edits.values() if (i := self._intent(e, shard, own)) is not None]
+        starts: dict[int, list[Row]] = {}
+        intents: list[Intent] = []
+        for edit in edits.values():
+            intent = self._intent(edit, shard, own)
+            if intent is not None:
+                intents.append(intent)
+                starts[id(intent)] = edit.starts
         intents += self._clear_ended(shard, own)
         intents += self._give_up_machines(shard, own, machines)
         for intent in intents:
             await self._writer.submit(intent)
         for intent in intents:
             if await intent.promise.wait() == OK:
+                await self._send_starts(starts.get(id(intent), []))
                 for put in intent.txn.puts:
                     if put.key.startswith(keys.JOB):
                         log.info("job done job=%s", put.key[len(keys.JOB) :])
 
+    async def _send_starts(self, rows: list[Row]) -> None:
+        by_machine: dict[str, list[Row]] = {}
+        for row in rows:
+            by_machine.setdefault(row.machine, []).append(row)
+        for machine_id, some in by_machine.items():
+            await self._direct.start(machine_id, some)
+
     def _gather(self, shard: int, edits: dict[tuple[str, int], Edit]) -> None:
         findings = self._reports.findings
         for key, finding in list(findings.items()):
--- a/crossmill/settings.py
+++ b/crossmill/settings.py
@@ -184,6 +184,11 @@
         """A type and zone that was refused is left alone for this long."""
         return self.lease_s
 
+    @property
+    def direct_sockets(self) -> int:
+        """Connections kept to workers for starts."""
+        return int(self.fd_limit * 0.12)
+
     @property
     def server_sockets(self) -> int:
         return int(self.fd_limit * 0.8)
--- a/crossmill/state/follower.py
+++ b/crossmill/state/follower.py
@@ -1,6 +1,7 @@
 """Keeps the mirror up to date, and shows that it is when an answer depends on it."""
 
 import logging
+from collections.abc import Awaitable, Callable
 
 import curio
 
@@ -26,6 +27,7 @@
         self._waiting: list[Promise] = []
         self._asked = curio.Event()
         self.ready = curio.Event()
+        self.on_change: Callable[[], Awaitable[None]] | None = None
 
     async def sync(self, timeout_s: float) -> bool:
         """True when the mirror holds all that was durable when this was called."""
@@ -47,6 +49,8 @@
                 return
             result = await self._client.changes(self._prefix, self._mirror.revision, wait_s)
             self._mirror.apply(*result)
+            if result[1] and self.on_change is not None:
+                await self.on_change()
         except Compacted:
             log.info("watch too old, reading everything again")
             await self.load()
--- /dev/null
+++ b/crossmill/workers/direct.py
@@ -0,0 +1,85 @@
+"""Starts sent straight to workers, so that they need not wait for the next report.
+
+Such a command may be executed late, as long as token and session match. While one is not
+answered its attempt is in doubt: see `Reports.doubts`."""
+
+import logging
+
+import curio
+
+from ..cluster.membership import Membership
+from ..cluster.world import Row, World
+from ..net.client import Client, Http, Unanswered, Unreached
+from ..settings import Endpoint, Settings
+from ..wire.checks import Malformed, load_object
+from ..wire.workers import COMMANDS_PATH, Command, direct_body, parse_report
+from .reports import Reports
+
+log = logging.getLogger(__name__)
+
+
+class Direct:
+    def __init__(
+        self, settings: Settings, world: World, membership: Membership, reports: Reports
+    ) -> None:
+        self._s = settings
+        self._world = world
+        self._membership = membership
+        self._reports = reports
+        self._clients: dict[str, Http] = {}
+        self._sending = 0
+
+    def _client(self, address: str) -> Http | None:
+        client = self._clients.get(address)
+        if client is None:
+            host, _, port = address.rpartition(":")
+            if not host or not port.isdigit():
+                return None
+            if len(self._clients) >= self._s.direct_sockets:
+                # the oldest goes; its worker is heard through its reports all the same
+                self._clients.pop(next(iter(self._clients)))
+            client = self._clients[address] = Client(Endpoint(host, int(port)), max_sockets=1)
+        return client
+
+    async def start(self, machine_id: str, rows: list[Row]) -> None:
+        if self._sending < self._s.direct_sockets:
+            await curio.spawn(self._start, machine_id, rows, daemon=True)
+
+    async def _start(self, machine_id: str, rows: list[Row]) -> None:
+        machine, view = self._world.machines.get(machine_id), self._reports.peek(machine_id)
+        if machine is None or view is None:
+            return
+        own = self._membership.acting(machine.shard)
+        client = self._client(view.address)
+        rows = [r for r in rows if r.session == view.session]
+        if own is None or client is None or not rows or not view.trusted:
+            return
+        commands = [Command("start", f"{r.job}/{r.index}", r.attempt) for r in rows]
+        body = direct_body(own.token, view.session, commands)
+        doubts = self._reports.doubts.setdefault(machine_id, {})
+        for row in rows:
+            doubts[row.job, row.index, row.attempt] = own.token
+        self._sending += 1
+        try:
+            status, data = await client.request("POST", COMMANDS_PATH, body, self._s.report_s)
+        except Unreached as exc:
+            log.debug("worker not reached machine=%s error=%s", machine_id, exc)
+        except Unanswered as exc:
+            log.info("start in doubt machine=%s tasks=%d error=%s", machine_id, len(rows), exc)
+            return
+        else:
+            self._answered(machine_id, status, data)
+        finally:
+            self._sending -= 1
+        for row in rows:
+            doubts.pop((row.job, row.index, row.attempt), None)
+
+    def _answered(self, machine_id: str, status: int, data: bytes) -> None:
+        if status not in (200, 409):
+            return
+        try:
+            report = parse_report(load_object(data))
+        except Malformed as exc:
+            log.info("odd answer machine=%s error=%s", machine_id, exc)
+            return
+        self._reports.learn(report)
--- a/crossmill/workers/reports.py
+++ b/crossmill/workers/reports.py
@@ -49,7 +49,9 @@
         self.findings: dict[Key, Finding] = {}
         # tasks to be stopped to make room or to drain, by attempt
         self.stopping: dict[tuple[str, int, int], str] = {}
-        self.unexpected: dict[str, Report] = {}
+        # starts sent straight to a worker and not answered, with the token they carried: they
+        # may still be executed until the worker has seen a higher token or begun a new session
+        self.doubts: dict[str, dict[tuple[str, int, int], int]] = {}
         membership.on_lost.append(self._forget)
 
     def _forget(self, shard: int) -> None:
@@ -58,6 +60,8 @@
             machine = self._world.machines.get(machine_id)
             if machine is None or machine.shard == shard:
                 del self._views[machine_id]
+                # whoever acts next has a higher token, and believes only those who saw it
+                self.doubts.pop(machine_id, None)
 
     def view(self, machine: Machine, own: Owned) -> View:
         """Before the first answer of ours an earlier owner may have answered, at the latest
@@ -73,8 +77,6 @@
     def handle(self, report: Report) -> Answer:
         machine = self._world.machines.get(report.machine)
         if machine is None:
-            if len(self.unexpected) < 256:
-                self.unexpected[report.machine] = report
             return Answer(421)
         own = self._membership.acting(machine.shard)
         if own is None:
@@ -86,15 +88,43 @@
             self._membership.raise_token(machine.shard)
             return Answer(503)
         view = self.view(machine, own)
-        verdict = view.take(report, own.token, self._clock.now())
+        verdict = view.beat(report, own.token, self._clock.now())
         if verdict is Verdict.STALE:
             return Answer(200, own.token)
         view.answered_at = self._clock.now()
         view.answered = True
         if verdict is Verdict.GREETED:
             return Answer(200, own.token)
+        self._settle_doubts(machine.id, report)
         return Answer(200, own.token, tuple(self._orders(machine, view)))
 
+    def learn(self, report: Report) -> None:
+        """The answer to a direct command: a report, but one that renews no lease."""
+        machine = self._world.machines.get(report.machine)
+        own = self._membership.acting(machine.shard) if machine is not None else None
+        if machine is None or own is None:
+            return
+        view = self.view(machine, own)
+        if view.take(report, own.token, self._clock.now()):
+            self._settle_doubts(machine.id, report)
+            self._orders(machine, view)
+
+    def _settle_doubts(self, machine_id: str, report: Report) -> None:
+        doubts = self.doubts.get(machine_id)
+        if doubts:
+            for attempt, token in list(doubts.items()):
+                if report.token > token:
+                    del doubts[attempt]
+        if not doubts:
+            self.doubts.pop(machine_id, None)
+
+    def _doubtful(self, machine: Machine, job: str, index: int, attempt: int) -> bool:
+        """True, and a higher token asked for, while a start of the attempt can still arrive."""
+        if (job, index, attempt) not in self.doubts.get(machine.id, {}):
+            return False
+        self._membership.raise_token(machine.shard)
+        return True
+
     def _orders(self, machine: Machine, view: View) -> list[Command]:
         orders: list[Command] = []
         for key, task in view.tasks.items():
@@ -102,7 +132,10 @@
             if row is not None and (row.attempt, row.session) == (task.attempt, view.session):
                 self._on_planned(row, task, view, orders)
             elif task.state == "exited":
-                # the plan no longer holds this attempt, so its outcome is durable
+                # the plan no longer holds this attempt, so its outcome is durable; but after a
+                # reap a start still under way would run it once more
+                if self._doubtful(machine, *key, task.attempt):
+                    continue
                 orders.append(Command("forget", f"{key[0]}/{key[1]}", task.attempt))
             else:
                 orders.append(Command("stop", f"{key[0]}/{key[1]}", task.attempt, 0.0))
@@ -110,9 +143,12 @@
             if key in view.tasks and view.tasks[key].attempt == row.attempt:
                 continue
             if row.session < view.session:
+                self.doubts.get(machine.id, {}).pop((row.job, row.index, row.attempt), None)
                 self._found(Finding(row, "session over"))
             elif key not in view.tasks and row.session == view.session:
                 if self._unwanted(row, machine):
+                    if self._doubtful(machine, row.job, row.index, row.attempt):
+                        continue
                     # a newer report without it: no start sent before can still arrive
                     self._found(Finding(row, "not started"))
                 else:
--- a/crossmill/workers/views.py
+++ b/crossmill/workers/views.py
@@ -8,6 +8,7 @@
 
 class Verdict(Enum):
     STALE = "stale"
+    OLDER = "older"
     GREETED = "greeted"
     TRUSTED = "trusted"
 
@@ -21,6 +22,7 @@
     answered_at: float
     session: int = 0
     seq: int = -1
+    last_beat: tuple[int, int] = (0, -1)
     answered: bool = False
     heard_at: float | None = None
     trusted: bool = False
@@ -31,13 +33,22 @@
     errors: set[str] = field(default_factory=set)
     idle_since: float | None = None
 
-    def take(self, report: Report, token: int, now: float) -> Verdict:
+    def beat(self, report: Report, token: int, now: float) -> Verdict:
+        """A report that came to us (answers to direct commands are only taken)."""
+        number = (report.session, report.seq)
         # a late copy, even of another session, renews no belief in the machine's life
-        if (report.session, report.seq) <= (self.session, self.seq):
+        if number <= self.last_beat:
             return Verdict.STALE
         if report.token != token:
             # not yet ours: it may be a copy from before we took over, so nothing is believed
             return Verdict.GREETED
+        self.last_beat = number
+        return Verdict.TRUSTED if self.take(report, token, now) else Verdict.OLDER
+
+    def take(self, report: Report, token: int, now: float) -> bool:
+        """Believe a report, if it is the newest and made under our token."""
+        if report.token != token or (report.session, report.seq) <= (self.session, self.seq):
+            return False
         self.session, self.seq = report.session, report.seq
         self.heard_at = now
         self.trusted = True
@@ -48,7 +59,7 @@
         self.running_since = {
             key: old.get(key, now) for key, t in self.tasks.items() if t.state == "running"
         }
-        return Verdict.TRUSTED
+        return True
 
     def fresh(self, now: float, within_s: float) -> bool:
         return self.trusted and self.heard_at is not None and now - self.heard_at <= within_s
