Cheapest type for deadline-free jobs, preemption, emptied machines

Cause: jobs without a deadline met no option's boot time and got the fastest, costliest type; services waited for boots while arrays held room; replicas left over pinned whole machines.

--- a/crossmill/app.py
+++ b/crossmill/app.py
@@ -43,6 +43,7 @@
         )
         self.reports = Reports(settings, clock, self.world, self.membership)
         self.outlook = Outlook(settings, clock, self.world)
+        direct = Direct(settings, self.world, self.membership, self.reports)
         self.rounds = Rounds(
             settings,
             clock,
@@ -51,8 +52,9 @@
             self.reports,
             self.writer,
             self.outlook,
-            Direct(settings, self.world, self.membership, self.reports),
+            direct,
         )
+        direct.on_news = self.rounds.wake.set
         self.follower.on_change = self.rounds.wake.set
         self.leader = Leader(
             settings,
--- a/crossmill/cluster/world.py
+++ b/crossmill/cluster/world.py
@@ -247,6 +247,15 @@
         for rows in self._orphans.values():
             yield from rows.values()
 
+    def zones_of(self, job: Job) -> dict[str, int]:
+        """Where the job's tasks are, those in doubt included."""
+        zones: dict[str, int] = {}
+        for row in job.rows():
+            machine = self.machines.get(row.machine)
+            if machine is not None:
+                zones[machine.zone] = zones.get(machine.zone, 0) + 1
+        return zones
+
     def _on_machine(self, machine_id: str, value: Any, version: int) -> None:
         old = self.machines.pop(machine_id, None)
         if value is None:
--- a/crossmill/fleet/outlook.py
+++ b/crossmill/fleet/outlook.py
@@ -1,14 +1,15 @@
 """What a shard needs of the fleet, worked out from durable facts: every controller that looks
 sees nearly the same. The leader rents by it, a shard's owner returns machines by it."""
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
+from math import inf
 
 from ..cluster.world import Job, Machine, World
 from ..net.clock import Clock
 from ..planning.demand import Outcome, Source, Want, demand, room_of
 from ..planning.estimates import Estimates
 from ..planning.queue import budget_end, place_in_queue
-from ..planning.rooms import Room, Zones
+from ..planning.rooms import Room, Zones, assign
 from ..settings import Settings
 from ..wire.users import JobSpec
 
@@ -77,7 +78,7 @@
             tasks = sum(n for _, n in entry.times)
             number = round(tasks / self._s.forecast_s * boot_s * self._s.headroom + 0.5)
             if number > 0:
-                wants.append(Want(spec, number, Zones(spec, {}), boot_s, 0.0))
+                wants.append(Want(spec, number, Zones(spec, {}), inf, 0.0))
         return wants
 
     def _wants(self, shard: int, wall: float) -> list[Want]:
@@ -94,16 +95,14 @@
         for _, _, job, end in queue:
             spec = job.spec
             assert spec is not None
-            zones: dict[str, int] = {}
-            for row in job.rows():
-                machine = self._world.machines.get(row.machine)
-                if machine is not None:
-                    zones[machine.zone] = zones.get(machine.zone, 0) + 1
+            zones = self._world.zones_of(job)
             task_s = self.estimates.task_s(spec.job_class, spec.estimate_s)
-            want = Want(spec, job.waiting_count(), Zones(spec, zones), end - wall, task_s)
+            # the fixed wait is a place in the queue; without a deadline no option is too slow
+            budget_s = inf if spec.deadline_s is None else end - wall
+            want = Want(spec, job.waiting_count(), Zones(spec, zones), budget_s, task_s)
             if spec.kind == "array" and task_s > 0:
                 # slots of running arrays come free within a task's time, and again after it
-                turns = int((want.budget_s - task_s) / task_s)
+                turns = int(min(want.budget_s - task_s, 2 * task_s) / task_s)
                 take = min(want.tasks, max(0, coming * min(turns, 2)))
                 want.covered = take
                 coming -= (take + 1) // 2 if turns >= 2 else take
@@ -129,13 +128,40 @@
         key = (source.type.name, source.zone, source.spot)
         return 0 if self.blocked.get(key, 0.0) > self._clock.now() else 50
 
-    def look(self, shard: int) -> Outcome:
-        wall = self._clock.wall()
-        self._note_arrivals(wall)
-        rooms = [
+    def _rooms(self, shard: int, wall: float) -> list[Room]:
+        return [
             room
             for machine in self._world.machines.values()
             if machine.shard == shard and (room := self._room(machine, wall)) is not None
         ]
+
+    def look(self, shard: int) -> Outcome:
+        wall = self._clock.wall()
+        self._note_arrivals(wall)
         wants = self._wants(shard, wall) + self._expected(shard, wall)
-        return demand(wants, rooms, self.sources(), self._limit)
+        return demand(wants, self._rooms(shard, wall), self.sources(), self._limit)
+
+    def redundant(self, shard: int, machine: Machine, rooms: list[Room]) -> bool:
+        """Whether all on this machine would fit where its images are, on machines in use or
+        cheaper, with room left for what is expected."""
+        kind = self._world.catalog.get(machine.type)
+        if kind is None:
+            return False
+        own = room_of(machine.id, kind, machine.zone, machine.spot)
+        rooms = [
+            replace(r, images=dict(r.images))
+            for r in rooms
+            if r.machine != machine.id and (r.used or r.price < own.price)
+        ]
+        for row in machine.rows.values():
+            job = self._world.jobs.get(row.job)
+            if job is None or job.spec is None or job.spec.kind != "service":
+                return False
+            zones = self._world.zones_of(job)
+            zones[machine.zone] -= 1
+            spec = job.spec
+            cached = [r for r in rooms if spec.image in r.images]
+            if not assign(spec, 1, cached, Zones(spec, zones)):
+                return False
+        outcome = demand(self._expected(shard, self._clock.wall()), rooms, [], self._limit)
+        return outcome.short == 0
--- /dev/null
+++ b/crossmill/jobs/making_room.py
@@ -0,0 +1,183 @@
+"""Stopping tasks: to make room for jobs of higher priority, and to empty machines that the
+rest of the fleet can do without. Only intentions are kept here; reports carry them out."""
+
+import logging
+from collections.abc import Iterator
+
+from ..cluster.membership import Owned
+from ..cluster.world import ACTIVE, Job, Machine, Row, World
+from ..fleet.outlook import Outlook
+from ..net.clock import Clock
+from ..planning.queue import PRIORITY
+from ..planning.rooms import Room, Zones, allowed
+from ..settings import Settings
+from ..wire.users import JobSpec
+from ..workers.reports import Reports
+
+log = logging.getLogger(__name__)
+
+Attempt = tuple[str, int, int]
+
+
+class MakingRoom:
+    def __init__(
+        self, settings: Settings, clock: Clock, world: World, reports: Reports, outlook: Outlook
+    ) -> None:
+        self._s = settings
+        self._clock = clock
+        self._world = world
+        self._reports = reports
+        self._outlook = outlook
+        # jobs for which room is being made, until when it is waited for
+        self._claims: dict[str, float] = {}
+        self.draining: dict[str, float] = {}
+        self._drained_at: dict[int, float] = {}
+
+    # -- preemption ------------------------------------------------------------------
+
+    def preempt(
+        self, job: Job, tasks: int, rooms: list[Room], used: dict[str, list[float]]
+    ) -> list[Row]:
+        """Rows to be stopped so that this many tasks of the job find room."""
+        spec, now = job.spec, self._clock.now()
+        if spec is None or self._claims.get(job.id, 0.0) > now:
+            return []
+        zones = Zones(spec, self._world.zones_of(job))
+        best: list[tuple[bool, float, Room, list[Row]]] = []
+        for room in rooms:
+            if not allowed(spec, room.type, room.zone, room.spot):
+                continue
+            victims = self._victims(spec, room, used)
+            if victims is not None:
+                lost = sum(self._lost_s(row) for row in victims)
+                best.append((spec.image not in room.images, lost, room, victims))
+        best.sort(key=lambda entry: entry[:2])
+        chosen: list[Row] = []
+        for _, _, room, victims in best:
+            if tasks <= 0:
+                break
+            if zones.open(room.zone) <= 0:
+                continue
+            zones.take(room.zone, 1)
+            tasks -= 1
+            chosen.extend(victims)
+        if chosen:
+            self._claims[job.id] = (
+                now
+                + 2 * self._s.report_s
+                + 2 * max((self._spec(row).save_s for row in chosen), default=0.0)
+            )
+        for row in chosen:
+            log.info(
+                "task preempted job=%s task=%d machine=%s for=%s",
+                row.job,
+                row.index,
+                row.machine,
+                job.id,
+            )
+            self._reports.stopping[row.job, row.index, row.attempt] = "preempted"
+        return chosen
+
+    def _spec(self, row: Row) -> JobSpec:
+        spec = self._world.jobs[row.job].spec
+        assert spec is not None
+        return spec
+
+    def _lost_s(self, row: Row) -> float:
+        """Run time that stopping this attempt throws away, counting its image anew."""
+        view = self._reports.peek(row.machine)
+        since = view.running_since.get((row.job, row.index)) if view is not None else None
+        ran = 0.0 if since is None else self._clock.now() - since
+        spec = self._spec(row)
+        return spec.save_s if 0 < spec.checkpoint_s < ran else ran
+
+    def _stoppable(self, spec: JobSpec, used: dict[str, list[float]], row: Row) -> bool:
+        job = self._world.jobs.get(row.job)
+        if job is None or job.end != ACTIVE or job.spec is None:
+            return False
+        if (row.job, row.index, row.attempt) in self._reports.stopping:
+            return False
+        if PRIORITY[job.spec.priority] > PRIORITY[spec.priority]:
+            return True
+        return (
+            job.spec.team != spec.team
+            and self._beyond(job.spec.team, used)
+            and self._within(spec, used)
+        )
+
+    def _beyond(self, team_name: str, used: dict[str, list[float]]) -> bool:
+        team = self._s.team(team_name)
+        cpus, gpus = used.get(team_name, [0.0, 0.0])
+        return team is not None and team.gpus > 0 and gpus > team.gpus
+
+    def _within(self, spec: JobSpec, used: dict[str, list[float]]) -> bool:
+        team = self._s.team(spec.team)
+        _, gpus = used.get(spec.team, [0.0, 0.0])
+        return team is not None and team.gpus > 0 and gpus + spec.gpus <= team.gpus
+
+    def _victims(self, spec: JobSpec, room: Room, used: dict[str, list[float]]) -> list[Row] | None:
+        """The rows whose end lets one task in, least work lost first; None if there are none."""
+        machine = self._world.machines.get(room.machine)
+        if machine is None:
+            return None
+        rows = [r for r in machine.rows.values() if self._stoppable(spec, used, r)]
+        rows.sort(key=self._lost_s)
+        cpus, gpus, memory = room.cpus, room.gpus, room.memory_gb
+        chosen: list[Row] = []
+        for row in rows:
+            victim = self._spec(row)
+            cpus, gpus = cpus + victim.cpus, gpus + victim.gpus
+            memory += victim.memory_gb
+            chosen.append(row)
+            if cpus >= spec.cpus and gpus >= spec.gpus and memory >= spec.memory_gb:
+                return chosen
+        return None
+
+    # -- emptying machines -----------------------------------------------------------
+
+    def drain(self, shard: int, own: Owned, rooms: list[Room]) -> Iterator[Row]:
+        """At most one machine at a time is emptied, when its replicas would stand within a
+        moment on machines that are kept anyway."""
+        now = self._clock.now()
+        for machine_id in list(self.draining):
+            machine = self._world.machines.get(machine_id)
+            if machine is None or machine.retiring or now > self.draining[machine_id]:
+                del self.draining[machine_id]
+        if self.draining or now - max(own.acquired_at, self._drained_at.get(shard, 0.0)) < (
+            self._s.drain_every_s
+        ):
+            return
+        self._drained_at[shard] = now
+        machine = self._emptiest(shard, rooms)
+        if machine is None:
+            return
+        self.draining[machine.id] = now + 2 * self._s.lease_s
+        log.info("machine drained machine=%s tasks=%d", machine.id, len(machine.rows))
+        for row in machine.rows.values():
+            self._reports.stopping[row.job, row.index, row.attempt] = "drained"
+            yield row
+
+    def _emptiest(self, shard: int, rooms: list[Room]) -> Machine | None:
+        """The machine whose going saves most for each replica moved."""
+        by_gain: list[tuple[float, Machine]] = []
+        for room in rooms:
+            machine = self._world.machines[room.machine]
+            kind = self._world.catalog.get(machine.type)
+            if kind is None or not machine.rows or len(machine.rows) > self._s.drain_most:
+                continue
+            if all(self._settled(row) for row in machine.rows.values()):
+                by_gain.append((kind.price / len(machine.rows), machine))
+        by_gain.sort(key=lambda entry: -entry[0])
+        for _, machine in by_gain[:4]:
+            if self._outlook.redundant(shard, machine, rooms):
+                return machine
+        return None
+
+    def _settled(self, row: Row) -> bool:
+        """A replica that has run for a while; one just begun would count as not started."""
+        view = self._reports.peek(row.machine)
+        since = view.running_since.get((row.job, row.index)) if view is not None else None
+        job = self._world.jobs.get(row.job)
+        if since is None or job is None or job.spec is None or job.spec.kind != "service":
+            return False
+        return self._clock.now() - since > self._s.settled_s
--- a/crossmill/jobs/rounds.py
+++ b/crossmill/jobs/rounds.py
@@ -23,6 +23,7 @@
 from ..wire.users import JobSpec
 from ..workers.direct import Direct
 from ..workers.reports import Finding, Reports
+from .making_room import MakingRoom
 
 log = logging.getLogger(__name__)
 
@@ -72,6 +73,8 @@
         self._resume: dict[int, str] = {}
         self._machine_errors: dict[str, set[str]] = {}
         self._again = False
+        self._stops: list[Row] = []
+        self._making = MakingRoom(settings, clock, world, reports, outlook)
         self.wake = curio.Event()
         self.unplaced: dict[int, int] = {}
 
@@ -100,7 +103,10 @@
             if job is not None and job.shard == shard:
                 self._reports.findings.setdefault((row.job, row.index), Finding(row, "released"))
         self._gather(shard, edits)
-        self._place(shard, machines, edits)
+        self._stops = []
+        self._place(shard, own, machines, edits)
+        if self._stops:
+            await self._direct.send([], self._stops)
         starts: dict[int, list[Row]] = {}
         intents: list[Intent] = []
         for edit in edits.values():
@@ -114,18 +120,11 @@
             await self._writer.submit(intent)
         for intent in intents:
             if await intent.promise.wait() == OK:
-                await self._send_starts(starts.get(id(intent), []))
+                await self._direct.send(starts.get(id(intent), []), [])
                 for put in intent.txn.puts:
                     if put.key.startswith(keys.JOB):
                         log.info("job done job=%s", put.key[len(keys.JOB) :])
 
-    async def _send_starts(self, rows: list[Row]) -> None:
-        by_machine: dict[str, list[Row]] = {}
-        for row in rows:
-            by_machine.setdefault(row.machine, []).append(row)
-        for machine_id, some in by_machine.items():
-            await self._direct.start(machine_id, some)
-
     def _gather(self, shard: int, edits: dict[tuple[str, int], Edit]) -> None:
         findings = self._reports.findings
         for key, finding in list(findings.items()):
@@ -183,6 +182,7 @@
             and view.fresh(own_now, self._s.suspect_s)
             and view.notice_at is None
             and len(self._machine_errors.get(machine.id, ())) < 2
+            and machine.id not in self._making.draining
         )
 
     def _rooms(self, machines: list[Machine]) -> list[Room]:
@@ -203,6 +203,7 @@
                     kind.memory_gb - machine.memory_gb,
                     kind.price / max(kind.gpus, kind.cpus / 8),
                     max(kind.gpus, kind.cpus / 8),
+                    kind.gpus > 0,
                     dict(machine.images),
                     bool(machine.rows),
                 )
@@ -220,11 +221,16 @@
         return [job for _, _, job in waiting]
 
     def _place(
-        self, shard: int, machines: list[Machine], edits: dict[tuple[str, int], Edit]
+        self,
+        shard: int,
+        own: Owned,
+        machines: list[Machine],
+        edits: dict[tuple[str, int], Edit],
     ) -> None:
         queue = self._queue(shard)
         self.unplaced[shard] = len(queue)
         if not queue:
+            self._stops.extend(self._making.drain(shard, own, self._rooms(machines)))
             return
         started = self._clock.now()
         rooms = self._rooms(machines)
@@ -282,11 +288,14 @@
             wanted = min(wanted, 1 - job.row_count())
         if wanted <= 0:
             return
-        zones = Zones(spec, self.zones_of(job))
+        zones = Zones(spec, self._world.zones_of(job))
         bad = trouble.machines if trouble is not None else set()
         taken = assign(
             spec, wanted, rooms, zones, lambda room: room.machine in bad, self._s.together
         )
+        missing = wanted - sum(number for _, number in taken)
+        if missing > 0 and trouble is None:
+            self._stops.extend(self._making.preempt(job, missing, rooms, used))
         if not taken:
             return
         slots = [room.machine for room, number in taken for _ in range(number)]
@@ -295,14 +304,6 @@
         used[spec.team][0] += len(slots) * spec.cpus
         used[spec.team][1] += len(slots) * spec.gpus
 
-    def zones_of(self, job: Job) -> dict[str, int]:
-        zones: dict[str, int] = {}
-        for row in job.rows():
-            machine = self._world.machines.get(row.machine)
-            if machine is not None:
-                zones[machine.zone] = zones.get(machine.zone, 0) + 1
-        return zones
-
     def _waiting(self, job: Job, edits: dict[tuple[str, int], Edit]) -> list[int]:
         """Tasks with no attempt in the plan and no outcome, lowest first, bounded."""
         assert job.spec is not None
@@ -445,6 +446,8 @@
             view.idle_since = None
         elif view.idle_since is None:
             view.idle_since = now
+        elif machine.id in self._making.draining:
+            return "drained"
         elif now - view.idle_since > self._s.idle_s and machine.id in spare:
             return "idle"
         return ""
--- a/crossmill/planning/demand.py
+++ b/crossmill/planning/demand.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
+from math import isinf
 
 from ..wire.cloud import MachineType
 from ..wire.users import JobSpec
@@ -61,6 +62,7 @@
         kind.memory_gb,
         kind.price / size,
         size,
+        kind.gpus > 0,
     )
 
 
@@ -116,6 +118,8 @@
 
 
 def _rounds(want: Want, source: Source) -> int:
+    if isinf(want.budget_s):
+        return 1
     if want.spec.kind == "service" or want.task_s <= 0:
         return 1
     return max(1, int((want.budget_s - _setup_s(want, source)) / want.task_s))
--- a/crossmill/planning/fill.py
+++ b/crossmill/planning/fill.py
@@ -18,7 +18,7 @@
     limit: int
 
     def rounds(self, budget_s: float) -> int:
-        if self.task_s <= 0:
+        if self.task_s <= 0 or math.isinf(budget_s):
             return 1
         return int((budget_s - self.setup_s) / self.task_s)
 
--- a/crossmill/planning/rooms.py
+++ b/crossmill/planning/rooms.py
@@ -21,6 +21,7 @@
     memory_gb: float
     price: float
     size: float
+    accelerated: bool = False
     images: dict[str, float] = field(default_factory=dict)
     used: bool = False
 
@@ -92,13 +93,16 @@
         best = max({r.zone for r, _ in fitting}, default="", key=lambda z: _fit(fitting, z))
         fitting = [(r, c) for r, c in fitting if r.zone == best]
 
-    def rank(entry: tuple[Room, int]) -> tuple[bool, bool, float, float]:
+    def rank(entry: tuple[Room, int]) -> tuple[bool, bool, bool, float, float]:
         room, _ = entry
         cached = spec.image in room.images
         share = max(spec.gpus and room.gpus / room.size, spec.cpus and room.cpus / room.size)
+        # a task without GPUs would keep a GPU machine rented when all else on it has ended
+        pins = spec.gpus == 0 and room.accelerated
         if spec.kind == "service":
-            return (not cached, not room.used, room.price, share)
-        return (not room.spot and spec.spot, not cached, room.price, share)
+            return (pins, not cached, not room.used, room.price, share)
+        # spot room can't serve those who may not use it, so the others go there first
+        return (pins, not cached, not room.spot, room.price, share)
 
     fitting.sort(key=rank)
     result: list[tuple[Room, int]] = []
--- a/crossmill/settings.py
+++ b/crossmill/settings.py
@@ -184,6 +184,21 @@
         """A type and zone that was refused is left alone for this long."""
         return self.lease_s
 
+    @property
+    def drain_every_s(self) -> float:
+        """A shard empties at most one machine in this time."""
+        return self.lease_s
+
+    @property
+    def drain_most(self) -> int:
+        """A machine with more tasks than this is not emptied: each move is a short outage."""
+        return 6
+
+    @property
+    def settled_s(self) -> float:
+        """A replica is not moved sooner after its start."""
+        return 4 * self.lease_s
+
     @property
     def direct_sockets(self) -> int:
         """Connections kept to workers for starts."""
--- a/crossmill/workers/direct.py
+++ b/crossmill/workers/direct.py
@@ -4,6 +4,7 @@
 answered its attempt is in doubt: see `Reports.doubts`."""
 
 import logging
+from collections.abc import Awaitable, Callable
 
 import curio
 
@@ -28,6 +29,7 @@
         self._reports = reports
         self._clients: dict[str, Http] = {}
         self._sending = 0
+        self.on_news: Callable[[], Awaitable[None]] | None = None
 
     def _client(self, address: str) -> Http | None:
         client = self._clients.get(address)
@@ -41,20 +43,29 @@
             client = self._clients[address] = Client(Endpoint(host, int(port)), max_sockets=1)
         return client
 
-    async def start(self, machine_id: str, rows: list[Row]) -> None:
-        if self._sending < self._s.direct_sockets:
-            await curio.spawn(self._start, machine_id, rows, daemon=True)
+    async def send(self, starts: list[Row], stops: list[Row]) -> None:
+        """Starts of durable plans, and stops; a stop that comes late ends an attempt that is
+        to end anyway, and is in no doubt."""
+        by_machine: dict[str, tuple[list[Row], list[Row]]] = {}
+        for row in starts:
+            by_machine.setdefault(row.machine, ([], []))[0].append(row)
+        for row in stops:
+            by_machine.setdefault(row.machine, ([], []))[1].append(row)
+        for machine_id, (some, others) in by_machine.items():
+            if self._sending < self._s.direct_sockets:
+                await curio.spawn(self._send, machine_id, some, others, daemon=True)
 
-    async def _start(self, machine_id: str, rows: list[Row]) -> None:
+    async def _send(self, machine_id: str, rows: list[Row], stops: list[Row]) -> None:
         machine, view = self._world.machines.get(machine_id), self._reports.peek(machine_id)
         if machine is None or view is None:
             return
         own = self._membership.acting(machine.shard)
         client = self._client(view.address)
         rows = [r for r in rows if r.session == view.session]
-        if own is None or client is None or not rows or not view.trusted:
+        if own is None or client is None or not (rows or stops) or not view.trusted:
             return
-        commands = [Command("start", f"{r.job}/{r.index}", r.attempt) for r in rows]
+        commands = [self._reports.stop(r) for r in stops]
+        commands += [Command("start", f"{r.job}/{r.index}", r.attempt) for r in rows]
         body = direct_body(own.token, view.session, commands)
         doubts = self._reports.doubts.setdefault(machine_id, {})
         for row in rows:
@@ -69,6 +80,8 @@
             return
         else:
             self._answered(machine_id, status, data)
+            if self.on_news is not None:
+                await self.on_news()
         finally:
             self._sending -= 1
         for row in rows:
--- a/crossmill/workers/reports.py
+++ b/crossmill/workers/reports.py
@@ -176,15 +176,18 @@
         saves = spec is not None and spec.checkpoint_s > 0
         if (row.job, row.index, row.attempt) in self.stopping:
             if task.state != "saving":
-                grace = spec.save_s * 2 if spec is not None and saves else 0.0
-                orders.append(Command("stop", f"{row.job}/{row.index}", row.attempt, grace))
+                orders.append(self.stop(row))
         elif view.notice_at is not None and saves and spec is not None:
             # saved as late as is safe, so that the machine's last seconds count
             left = view.notice_at - self._clock.now()
             if task.state == "running" and left < spec.save_s + 3 * self._s.report_s:
-                orders.append(
-                    Command("stop", f"{row.job}/{row.index}", row.attempt, spec.save_s * 2)
-                )
+                orders.append(self.stop(row))
+
+    def stop(self, row: Row) -> Command:
+        job = self._world.jobs.get(row.job)
+        saves = job is not None and job.spec is not None and job.spec.checkpoint_s > 0
+        grace = job.spec.save_s * 2 if job is not None and job.spec is not None and saves else 0.0
+        return Command("stop", f"{row.job}/{row.index}", row.attempt, grace)
 
     def _found(self, finding: Finding) -> None:
         self.findings.setdefault((finding.row.job, finding.row.index), finding)
