Answer workers on peers' promises while the lease can't be renewed

Cause: in a state outage controllers stopped answering 3 s in; with all controllers killed during it, workers' leases ended just before the restart. Ruled out: a longer lease, which slows every takeover.

--- a/crossmill/app.py
+++ b/crossmill/app.py
@@ -8,6 +8,7 @@
 from .cluster.keeper import Keeper
 from .cluster.keys import ROOT
 from .cluster.membership import Membership
+from .cluster.promises import Promises
 from .cluster.world import World
 from .fleet.cloud import Cloud
 from .fleet.leader import Leader
@@ -38,8 +39,9 @@
         self.follower = Follower(client, mirror, ROOT, settings)
         self.writer = Writer(client, mirror, clock, settings)
         self.keeper = Keeper(client, clock, settings)
+        self.promises = Promises(settings, clock)
         self.membership = Membership(
-            settings, clock, self.keeper, self.world, self.follower, self.writer
+            settings, clock, self.keeper, self.world, self.follower, self.writer, self.promises
         )
         self.reports = Reports(settings, clock, self.world, self.membership)
         self.outlook = Outlook(settings, clock, self.world)
@@ -70,6 +72,12 @@
         self.server = Server(
             settings.bind, self._handle, settings.server_sockets, 6 * settings.lease_s
         )
+        self.peer_server = Server(
+            settings.peer_listen, self._handle_peer, settings.peer_sockets, 6 * settings.lease_s
+        )
+
+    async def _handle_peer(self, request: Request) -> Response:
+        return self.promises.handle(request)
 
     async def _handle(self, request: Request) -> Response:
         if request.path == workers.REPORT_PATH:
@@ -101,6 +109,7 @@
         log.info("starting controller=%s zone=%s bind=%s:%d", s.label, s.zone, *_pair(s))
         for run in (
             self.server.run,
+            self.peer_server.run,
             self.keeper.run,
             self.follower.run,
             self.follower.run_syncs,
--- a/crossmill/cluster/keeper.py
+++ b/crossmill/cluster/keeper.py
@@ -26,6 +26,7 @@
         # grows with every new lease: what was decided under an older one is void
         self.epoch = 0
         self.changed = curio.Event()
+        self.failing = False
 
     def authority(self) -> bool:
         return self.lease is not None and self._clock.now() < self._until
@@ -50,7 +51,9 @@
             else:
                 await self._client.renew(self.lease)
                 self._until = sent + self._span_s
+            self.failing = False
         except NoLease:
+            self.failing = False
             log.info("lease lost lease=%s epoch=%d", self.lease, self.epoch)
             self.lease = None
             self._until = 0.0
@@ -59,6 +62,9 @@
             return 0.0
         except (Refused, Doubt) as exc:
             log.debug("lease not renewed error=%s", exc)
+            if not self.failing:
+                self.failing = True
+                await self.changed.set()
             return self._renew_s / 4
         return max(0.0, self._renew_s - (self._clock.now() - sent))
 
--- a/crossmill/cluster/membership.py
+++ b/crossmill/cluster/membership.py
@@ -13,6 +13,7 @@
 from ..wire.state import Put, Txn
 from . import keys
 from .keeper import Keeper
+from .promises import Promises
 from .world import World
 
 log = logging.getLogger(__name__)
@@ -38,6 +39,7 @@
         world: World,
         follower: Follower,
         writer: Writer,
+        promises: Promises,
     ) -> None:
         self._s = settings
         self._clock = clock
@@ -45,6 +47,8 @@
         self._world = world
         self._follower = follower
         self._writer = writer
+        self._promises = promises
+        promises.owned = lambda: self.owned
         self._labels = settings.labels
         self._started = clock.now()
         self._missing: dict[str, float] = {}
@@ -63,6 +67,16 @@
             return None
         return own if self._keeper.authority() else None
 
+    def answering(self, shard: int) -> tuple[Owned, bool] | None:
+        """The shard, if its workers may be answered, and whether by full authority; without
+        it they are only kept alive."""
+        own = self.owned.get(shard)
+        if own is None or not own.ready or own.epoch != self._keeper.epoch:
+            return None
+        if self._keeper.authority():
+            return own, True
+        return (own, False) if self._promises.extended() else None
+
     def holds(self, shard: int, token: int) -> bool | None:
         own = self.owned.get(shard)
         if own is None or own.token != token:
@@ -87,6 +101,10 @@
     async def run(self) -> None:
         await self._follower.ready.wait()
         while True:
+            if self._keeper.failing:
+                await self._promises.ask(sorted(self.owned))
+            else:
+                self._promises.renewed()
             if self._keeper.authority():
                 await self.step()
             await curio.ignore_after(self._s.renew_s / 4, self._keeper.changed.wait)
@@ -106,6 +124,9 @@
             elif known is not None and known.version > own.version:
                 self._drop(shard, f"taken by {known.owner}")
         await self._announce()
+        missing = [k for k in range(self._s.nodes) if k not in self._world.shards]
+        if any(not self._promises.may_start(k) for k in missing):
+            await self._promises.inquire()
         for shard in range(self._s.nodes):
             if shard not in self.owned and self._may_take(shard):
                 await self._take(shard)
@@ -161,7 +182,9 @@
         if known is not None:
             self._missing.pop(key, None)
             # the process of an older incarnation under our label has ended: its place is ours
-            return known.owner == self._s.label
+            return known.owner == self._s.label and not self._promises.bound(shard)
+        if self._promises.bound(shard) or not self._promises.may_start(shard):
+            return False
         home = self.home(shard)
         if home == self._s.label:
             return True
@@ -171,6 +194,13 @@
         return self._patient(key)
 
     async def _take(self, shard: int) -> None:
+        self._promises.taking.add(shard)
+        try:
+            await self._take_one(shard)
+        finally:
+            self._promises.taking.discard(shard)
+
+    async def _take_one(self, shard: int) -> None:
         known = self._world.shards.get(shard)
         counter = self._world.mirror.value(keys.TOKEN) or {"n": 0}
         token = int(counter["n"]) + 1
--- /dev/null
+++ b/crossmill/cluster/promises.py
@@ -0,0 +1,130 @@
+"""Answering workers while the state service can't be asked.
+
+A controller whose lease can't be renewed may go on answering its workers (and nothing more)
+as long as every peer has promised not to take its shards: only a peer could. A promise is
+given by a process; the next process under the same label does not know of it, so a controller
+that has just started takes a shard whose key is missing only when all peers say that they do
+not act for it, or after the longest promise it can have forgotten has ended."""
+
+import logging
+from collections.abc import Callable, Iterable
+
+import curio
+
+from ..net.client import Client, Http, Unanswered, Unreached
+from ..net.clock import Clock
+from ..net.server import Request, Response
+from ..settings import Peer, Settings
+from ..wire import peers as wire
+from ..wire.checks import Malformed
+
+log = logging.getLogger(__name__)
+
+
+class Promises:
+    def __init__(
+        self,
+        settings: Settings,
+        clock: Clock,
+        connect: Callable[[Peer], Http] = lambda peer: Client(peer.endpoint, max_sockets=2),
+    ) -> None:
+        self._s = settings
+        self._clock = clock
+        self._http = {peer.label: connect(peer) for peer in settings.peers}
+        self._started = clock.now()
+        self._given: dict[int, float] = {}
+        self._got: dict[str, float] = {}
+        self._free: dict[str, set[int]] = {}
+        self._failing_since: float | None = None
+        # set by the membership: shards owned, and those being taken right now
+        self.owned: Callable[[], Iterable[int]] = lambda: ()
+        self.taking: set[int] = set()
+
+    # -- promises given --------------------------------------------------------------
+
+    def handle(self, request: Request) -> Response:
+        mine = {*self.owned(), *self.taking}
+        if request.path == wire.ACTING_PATH and request.method == "GET":
+            return Response(200, wire.acting_body(sorted(mine)))
+        if request.path != wire.PROMISE_PATH or request.method != "POST":
+            return Response(404)
+        try:
+            claim = wire.parse_claim(request.body)
+        except Malformed:
+            return Response(400)
+        if mine & set(claim.shards):
+            # taken, or perhaps about to be: a transaction under way can't be called back
+            return Response(409)
+        until = self._clock.now() + self._s.promise_s * (1 + self._s.drift)
+        for shard in claim.shards:
+            self._given[shard] = until
+        return Response(200)
+
+    def bound(self, shard: int) -> bool:
+        """Whether a promise forbids taking this shard now."""
+        return self._clock.now() < self._given.get(shard, 0.0)
+
+    def may_start(self, shard: int) -> bool:
+        """Whether a shard without an owner can't be under a promise this label has forgotten."""
+        waited = self._clock.now() - self._started
+        if waited > self._s.promise_s * (1 + 2 * self._s.drift):
+            return True
+        return all(shard in self._free.get(label, ()) for label in self._http)
+
+    async def inquire(self) -> None:
+        """Ask the peers once, soon after the start, what they act for."""
+        async with curio.TaskGroup() as group:
+            for label in self._http:
+                await group.spawn(self._inquire_one, label)
+
+    async def _inquire_one(self, label: str) -> None:
+        try:
+            status, data = await self._http[label].request(
+                "GET", wire.ACTING_PATH, b"", self._s.promise_s / 4
+            )
+            if status == 200:
+                acting = wire.parse_acting(data)
+                self._free[label] = set(range(self._s.nodes)) - set(acting)
+        except (Unreached, Unanswered, Malformed) as exc:
+            log.debug("peer not heard peer=%s error=%s", label, exc)
+
+    # -- promises got ----------------------------------------------------------------
+
+    def renewed(self) -> None:
+        """The lease stands again: promises are no longer leaned on."""
+        if self._failing_since is not None:
+            self._failing_since = None
+            self._got.clear()
+
+    def extended(self) -> bool:
+        """Whether every peer's promise, counted from when it was asked for, still holds. A job
+        withdrawn by others meanwhile is not known here, so this ends well before cancel_s."""
+        since, now = self._failing_since, self._clock.now()
+        if since is None or now - since > self._s.extension_s:
+            return False
+        return all(now < self._got.get(label, 0.0) for label in self._http)
+
+    async def ask(self, shards: list[int]) -> None:
+        if self._failing_since is None:
+            self._failing_since = self._clock.now()
+        if not shards:
+            return
+        claim = wire.Claim(self._s.label, tuple(shards))
+        async with curio.TaskGroup() as group:
+            for label in self._http:
+                await group.spawn(self._ask_one, label, claim)
+
+    async def _ask_one(self, label: str, claim: wire.Claim) -> None:
+        sent = self._clock.now()
+        try:
+            status, _ = await self._http[label].request(
+                "POST", wire.PROMISE_PATH, wire.claim_body(claim), self._s.promise_s / 4
+            )
+        except (Unreached, Unanswered) as exc:
+            log.debug("no promise peer=%s error=%s", label, exc)
+            return
+        if status == 200:
+            self._got[label] = sent + self._s.promise_s * (1 - self._s.drift)
+        else:
+            log.info("promise refused peer=%s status=%d", label, status)
+            self._got.pop(label, None)
--- a/crossmill/settings.py
+++ b/crossmill/settings.py
@@ -83,6 +83,17 @@
     def renew_s(self) -> float:
         return self.hold_ttl_s / 4
 
+    @property
+    def promise_s(self) -> float:
+        """How long a peer's promise not to take a shard holds."""
+        return self.hold_ttl_s
+
+    @property
+    def extension_s(self) -> float:
+        """How long workers are answered on promises alone: a withdrawal that is not heard of
+        must still end its tasks in time, by the end of the workers' lease if need be."""
+        return max(0.0, 0.9 * self.cancel_s - self.worker_end_s - self.report_s)
+
     @property
     def drift(self) -> float:
         """Two steady clocks, each up to 0.05% off, doubled for safety."""
@@ -184,6 +195,10 @@
         """A type and zone that was refused is left alone for this long."""
         return self.lease_s
 
+    @property
+    def peer_sockets(self) -> int:
+        return max(8, int(self.fd_limit * 0.04))
+
     @property
     def drain_every_s(self) -> float:
         """A shard empties at most one machine in this time."""
--- a/crossmill/workers/reports.py
+++ b/crossmill/workers/reports.py
@@ -78,11 +78,12 @@
         machine = self._world.machines.get(report.machine)
         if machine is None:
             return Answer(421)
-        own = self._membership.acting(machine.shard)
-        if own is None:
+        standing = self._membership.answering(machine.shard)
+        if standing is None:
             known = self._world.shards.get(machine.shard)
             elsewhere = known is not None and known.owner != self._s.label
             return Answer(421, redirect=known.owner if known and elsewhere else None)
+        own, entitled = standing
         if report.token > own.token:
             # the worker would drop our answer, and its lease would run out meanwhile
             self._membership.raise_token(machine.shard)
@@ -96,7 +97,11 @@
         if verdict is Verdict.GREETED:
             return Answer(200, own.token)
         self._settle_doubts(machine.id, report)
-        return Answer(200, own.token, tuple(self._orders(machine, view)))
+        orders = self._orders(machine, view)
+        if not entitled:
+            # kept alive on the peers' promises; nothing is begun or ended meanwhile
+            orders = []
+        return Answer(200, own.token, tuple(orders))
 
     def learn(self, report: Report) -> None:
         """The answer to a direct command: a report, but one that renews no lease."""
