--- a/crossmill/workers/direct.py
+++ b/crossmill/workers/direct.py
@@ -29,6 +29,7 @@
         self._reports = reports
         self._clients: dict[str, Http] = {}
         self._sending = 0
+        self.connect: Callable[[Endpoint], Http] = lambda endpoint: Client(endpoint, max_sockets=1)
         self.on_news: Callable[[], Awaitable[None]] | None = None
 
     def _client(self, address: str) -> Http | None:
@@ -40,7 +41,7 @@
             if len(self._clients) >= self._s.direct_sockets:
                 # the oldest goes; its worker is heard through its reports all the same
                 self._clients.pop(next(iter(self._clients)))
-            client = self._clients[address] = Client(Endpoint(host, int(port)), max_sockets=1)
+            client = self._clients[address] = self.connect(Endpoint(host, int(port)))
         return client
 
     async def send(self, starts: list[Row], stops: list[Row]) -> None:
--- /dev/null
+++ b/tests/harness.py
@@ -0,0 +1,195 @@
+"""One controller, or several, over the stand-ins; stepped by hand under a held clock."""
+
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import curio
+import orjson
+
+from crossmill.cluster import keys
+from crossmill.cluster.keeper import Keeper
+from crossmill.cluster.membership import Membership
+from crossmill.cluster.promises import Promises
+from crossmill.cluster.world import World, encode_job
+from crossmill.fleet.cloud import Cloud, stored_catalog
+from crossmill.fleet.leader import Leader
+from crossmill.fleet.outlook import Outlook
+from crossmill.jobs.desk import Desk
+from crossmill.jobs.rounds import Rounds
+from crossmill.net.client import Unreached
+from crossmill.net.server import Request, Response
+from crossmill.settings import Peer
+from crossmill.state.client import StateClient
+from crossmill.state.follower import Follower
+from crossmill.state.mirror import Mirror
+from crossmill.state.writer import Writer
+from crossmill.wire.checks import load_object
+from crossmill.wire.cloud import parse_catalog
+from crossmill.wire.workers import parse_report
+from crossmill.workers.direct import Direct
+from crossmill.workers.reports import Answer, Reports
+
+from .standins import (
+    CATALOG,
+    CloudService,
+    FakeClock,
+    StateService,
+    beat,
+    make_settings,
+    make_spec,
+)
+
+
+class PeerLine:
+    """The line to a peer's handler; cut, it reaches nobody."""
+
+    def __init__(self, nodes: dict[str, "Node"], label: str) -> None:
+        self._nodes = nodes
+        self._label = label
+
+    async def request(
+        self, method: str, path: str, body: bytes = b"", timeout_s: float = 2.0
+    ) -> tuple[int, bytes]:
+        node = self._nodes.get(self._label)
+        if node is None or node.cut:
+            raise Unreached(self._label)
+        response = node.promises.handle(Request(method, path, body))
+        return response.status, response.body
+
+
+class WorkerLine:
+    """The line to a worker's own address: what it does with direct commands is scripted."""
+
+    def __init__(self) -> None:
+        self.sent: list[dict[str, Any]] = []
+        self.answer: Callable[[dict[str, Any]], tuple[int, bytes]] | Exception | None = None
+
+    async def request(
+        self, method: str, path: str, body: bytes = b"", timeout_s: float = 2.0
+    ) -> tuple[int, bytes]:
+        data = load_object(body)
+        self.sent.append(data)
+        if isinstance(self.answer, Exception):
+            raise self.answer
+        if self.answer is None:
+            raise Unreached("nobody")
+        return self.answer(data)
+
+
+class Node:
+    def __init__(
+        self,
+        state: StateService,
+        clock: FakeClock,
+        nodes: dict[str, "Node"],
+        label: str = "node-0",
+        cloud: CloudService | None = None,
+    ) -> None:
+        self.settings = s = make_settings(label)
+        self.clock = clock
+        self.cut = False
+        nodes[label] = self
+        self.client = StateClient(s, clock, state)
+        self.mirror = Mirror()
+        self.world = World(self.mirror, s)
+        self.follower = Follower(self.client, self.mirror, keys.ROOT, s)
+        self.writer = Writer(self.client, self.mirror, clock, s)
+        self.keeper = Keeper(self.client, clock, s)
+
+        def line(peer: Peer) -> PeerLine:
+            return PeerLine(nodes, peer.label)
+
+        self.promises = Promises(s, clock, line)
+        self.membership = Membership(
+            s, clock, self.keeper, self.world, self.follower, self.writer, self.promises
+        )
+        self.reports = Reports(s, clock, self.world, self.membership)
+        self.outlook = Outlook(s, clock, self.world)
+        self.worker = WorkerLine()
+        self.direct = Direct(s, self.world, self.membership, self.reports)
+        self.direct.connect = lambda endpoint: self.worker
+        self.rounds = Rounds(
+            s,
+            clock,
+            self.world,
+            self.membership,
+            self.reports,
+            self.writer,
+            self.outlook,
+            self.direct,
+        )
+        self.cloud = cloud or CloudService()
+        self.leader = Leader(
+            s,
+            clock,
+            self.world,
+            self.membership,
+            self.outlook,
+            Cloud(s, clock, self.cloud),
+            self.writer,
+            lambda: "once",
+        )
+        self.desk = Desk(s, clock, self.world, self.follower, self.writer, self.client)
+
+    async def boot(self, waited: bool = True) -> None:
+        """Started, and long enough ago to take shards that have no owner."""
+        if waited:
+            self.clock.time += self.settings.promise_s * 1.1
+        await curio.spawn(self.writer.run, daemon=True)
+        await curio.spawn(self.follower.run_syncs, daemon=True)
+        await self.keeper.step()
+        await self.follower.load()
+        await self.membership.step()
+
+    async def sync(self) -> None:
+        assert await self.follower.sync(1.0)
+
+    async def round(self, shard: int = 0) -> None:
+        own = self.membership.acting(shard)
+        assert own is not None
+        await self.rounds.round(shard, own)
+
+    def token(self, shard: int = 0) -> int:
+        return self.membership.owned[shard].token
+
+    def report(self, machine: str, session: int, seq: int, token: int, *tasks: Any) -> Answer:
+        report = parse_report(load_object(beat(machine, session, seq, token, *tasks)))
+        return self.reports.handle(report)
+
+    async def ask(self, method: str, path: str, body: bytes = b"") -> Response:
+        return await self.desk.handle(Request(method, path, body))
+
+
+def seed(state: StateService, clock: FakeClock, machines: int = 2, shard: int = 0) -> None:
+    """A catalog and machines that a leader has rented."""
+    state.put(keys.CATALOG, stored_catalog(parse_catalog(CATALOG)))
+    for number in range(machines):
+        add_machine(state, clock, f"n-{number}", shard)
+
+
+def add_machine(
+    state: StateService, clock: FakeClock, machine: str, shard: int = 0, **changes: Any
+) -> None:
+    value = {
+        "type": "g4",
+        "zone": "north",
+        "spot": False,
+        "shard": shard,
+        "at": clock.wall(),
+        "retiring": "",
+        "up": True,
+        **changes,
+    }
+    state.put(keys.machine(machine), value)
+
+
+def add_job(state: StateService, clock: FakeClock, **changes: Any) -> str:
+    spec = make_spec(**changes)
+    value = load_object(orjson.dumps(encode_job(spec, clock.wall())))
+    state.put(keys.job(spec.id), value)
+    return spec.id
+
+
+def play(story: Callable[[StateService, FakeClock, dict[str, Node]], Awaitable[None]]) -> None:
+    state, clock = StateService(), FakeClock()
+    curio.run(story, state, clock, {})
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -8,11 +8,12 @@
 import orjson
 
 from crossmill.net.client import Unanswered, Unreached
+from crossmill.net.clock import Clock
 from crossmill.settings import Settings, parse
 from crossmill.wire.users import JobSpec, parse_submission
 
 
-class FakeClock:
+class FakeClock(Clock):
     def __init__(self) -> None:
         self.time = 1000.0
 
--- /dev/null
+++ b/tests/test_safety.py
@@ -0,0 +1,432 @@
+"""The rules, each against the failure that would break it."""
+
+import curio
+import orjson
+
+from crossmill.cluster import keys
+from crossmill.net.client import Unanswered
+from crossmill.state.writer import CONFLICT, OK, Intent
+from crossmill.wire.state import Put, Txn
+from crossmill.wire.workers import Command
+
+from .harness import Node, add_job, add_machine, play, seed
+from .standins import FakeClock, StateService, beat, on, submission
+
+Nodes = dict[str, Node]
+
+
+async def _placed(state: StateService, clock: FakeClock, nodes: Nodes, **job: object) -> Node:
+    """A node whose machine n-0 runs the job's one task, attempt 1, in session 1."""
+    seed(state, clock, machines=1)
+    job_id = add_job(state, clock, **{"sacks": 1, **job})
+    node = Node(state, clock, nodes)
+    await node.boot()
+    token = node.token()
+    node.report("n-0", 1, 1, 0)
+    node.report("n-0", 1, 2, token)
+    await node.round()
+    assert node.report("n-0", 1, 3, token).commands == (Command("start", f"{job_id}/0", 1),)
+    node.report("n-0", 1, 4, token, on(job_id, 0, 1, "running"))
+    return node
+
+
+def test_start_is_sent_only_from_a_durable_plan() -> None:
+    async def story(state: StateService, clock: FakeClock, nodes: Nodes) -> None:
+        seed(state, clock, machines=1)
+        add_job(state, clock, sacks=1)
+        node = Node(state, clock, nodes)
+        await node.boot()
+        node.report("n-0", 1, 1, node.token())
+        state.script["/txn"] = ["refuse"] * 2
+        task = await curio.spawn(node.round)
+        await curio.sleep(0)
+        assert node.report("n-0", 1, 2, node.token()).commands == ()
+        await task.join()
+        assert len(node.report("n-0", 1, 3, node.token()).commands) == 1
+
+    play(story)
+
+
+def test_a_report_from_before_takeover_is_not_believed() -> None:
+    async def story(state: StateService, clock: FakeClock, nodes: Nodes) -> None:
+        node = await _placed(state, clock, nodes)
+        # a new incarnation; a late copy of an old report lists nothing
+        again = Node(state, clock, nodes)
+        await again.boot()
+        assert again.token() > node.token()
+        answer = again.report("n-0", 1, 2, node.token())
+        assert answer.commands == () and answer.token == again.token()
+        assert not again.reports.findings
+        await again.round()
+        assert len(again.world.machines["n-0"].rows) == 1
+
+    play(story)
+
+
+def test_late_copy_renews_no_belief_and_brings_no_order() -> None:
+    async def story(state: StateService, clock: FakeClock, nodes: Nodes) -> None:
+        node = await _placed(state, clock, nodes)
+        clock.time += node.settings.suspect_s + 0.1
+        view = node.reports.peek("n-0")
+        assert view is not None
+        before = view.answered_at
+        assert node.report("n-0", 1, 3, node.token()).commands == ()
+        assert not view.fresh(clock.now(), node.settings.suspect_s)
+        assert view.answered_at == before
+
+    play(story)
+
+
+def test_silence_is_no_proof_until_the_lease_must_have_ended() -> None:
+    async def story(state: StateService, clock: FakeClock, nodes: Nodes) -> None:
+        node = await _placed(state, clock, nodes)
+        add_machine(state, clock, "n-1")
+        await node.sync()
+        for seq in range(1, 60):
+            clock.time += 0.2
+            await node.keeper.step()
+            node.report("n-1", 1, seq, node.token())
+            await node.round()
+            held = [r.machine for r in node.world.jobs["wk-000001"].rows()]
+            silent_s = 0.2 * seq
+            if silent_s <= node.settings.lease_s * 1.0005:
+                assert held == ["n-0"], silent_s
+        assert held == ["n-1"]
+
+    play(story)
+
+
+def test_a_new_session_proves_the_old_attempts_over() -> None:
+    async def story(state: StateService, clock: FakeClock, nodes: Nodes) -> None:
+        node = await _placed(state, clock, nodes)
+        node.report("n-0", 2, 1, node.token())
+        await node.round()
+        await node.round()
+        rows = list(node.world.jobs["wk-000001"].rows())
+        assert [(r.attempt, r.session) for r in rows] == [(2, 2)]
+
+    play(story)
+
+
+def test_a_failed_entry_in_the_list_is_no_proof_but_a_release_is() -> None:
+    async def story(state: StateService, clock: FakeClock, nodes: Nodes) -> None:
+        node = await _placed(state, clock, nodes)
+        node.cloud.listed = [
+            {
+                "nameId": "n-0",
+                "address": "x:1",
+                "frame": "g4",
+                "yard": "north",
+                "loaners": False,
+                "stage": "failed",
+                "heldS": 99.0,
+            }
+        ]
+        for _ in range(3):
+            await node.membership.step()
+            clock.time += node.settings.hold_ttl_s / 3
+            await node.keeper.step()
+        clock.time += 1
+        await node.keeper.step()
+        await node.membership.step()
+        assert node.membership.leading() is not None
+        await node.leader._look_at_list(await node.leader._cloud.machines())
+        await node.round()
+        assert node.world.machines["n-0"].retiring == "failed"
+        assert node.world.jobs["wk-000001"].row_count() == 1
+        await node.leader._release()
+        assert node.cloud.released == ["n-0"]
+        await node.round()
+        assert node.world.jobs["wk-000001"].row_count() == 0
+
+    play(story)
+
+
+def test_an_unanswered_direct_start_stays_in_doubt_until_a_higher_token() -> None:
+    async def story(state: StateService, clock: FakeClock, nodes: Nodes) -> None:
+        seed(state, clock, machines=1)
+        job = add_job(state, clock, sacks=1)
+        node = Node(state, clock, nodes)
+        await node.boot()
+        node.worker.answer = Unanswered("held back")
+        token = node.token()
+        node.report("n-0", 1, 1, token)
+        await node.round()
+        await curio.sleep(0.01)
+        assert node.worker.sent[0]["orders"][0]["verb"] == "start"
+        # withdrawn, and a newer report shows it absent: the start may still come
+        version = state.keys[keys.job(job)]
+        state.put(keys.job(job), {**version[0], "end": "cancelled"})
+        await node.sync()
+        node.report("n-0", 1, 2, token)
+        await node.round()
+        assert node.world.jobs[job].row_count() == 1
+        await node.membership.step()
+        higher = node.token()
+        assert higher > token
+        node.report("n-0", 1, 3, token)
+        await node.round()
+        assert node.world.jobs[job].row_count() == 1
+        node.report("n-0", 1, 4, higher)
+        await node.round()
+        assert node.world.jobs[job].row_count() == 0
+
+    play(story)
+
+
+def test_an_outcome_is_durable_before_the_reap() -> None:
+    async def story(state: StateService, clock: FakeClock, nodes: Nodes) -> None:
+        node = await _placed(state, clock, nodes)
+        done = on("wk-000001", 0, 1, "exited", "done")
+        assert node.report("n-0", 1, 5, node.token(), done).commands == ()
+        await node.round()
+        assert state.keys[keys.job("wk-000001")][0]["end"] == "done"
+        orders = node.report("n-0", 1, 6, node.token(), done).commands
+        assert orders == (Command("forget", "wk-000001/0", 1),)
+
+    play(story)
+
+
+def test_a_job_withdrawn_elsewhere_stops_a_start_that_did_not_know() -> None:
+    async def story(state: StateService, clock: FakeClock, nodes: Nodes) -> None:
+        seed(state, clock, machines=1)
+        job = add_job(state, clock, sacks=1)
+        node = Node(state, clock, nodes)
+        await node.boot()
+        node.report("n-0", 1, 1, node.token())
+        # another controller's write that this mirror has not seen yet
+        state.put(keys.job(job), {**state.keys[keys.job(job)][0], "end": "cancelled"})
+        await node.round()
+        assert node.world.jobs[job].row_count() == 0
+        assert keys.plan(job, 0) not in state.keys
+
+    play(story)
+
+
+def test_withdrawn_tasks_are_killed_and_done_jobs_stay_done() -> None:
+    async def story(state: StateService, clock: FakeClock, nodes: Nodes) -> None:
+        node = await _placed(state, clock, nodes)
+        answer = await node.ask("POST", "/v1/jobs/wk-000001/withdraw")
+        assert (answer.status, orjson.loads(answer.body)["stage"]) == (200, "withdrawn")
+        running = on("wk-000001", 0, 1, "running")
+        orders = node.report("n-0", 1, 5, node.token(), running).commands
+        assert orders == (Command("stop", "wk-000001/0", 1, 0.0),)
+        node.report("n-0", 1, 6, node.token(), on("wk-000001", 0, 1, "exited", "done"))
+        await node.round()
+        assert state.keys[keys.job("wk-000001")][0]["end"] == "cancelled"
+
+    play(story)
+
+
+def test_a_non_final_answer_is_shown_to_be_current() -> None:
+    async def story(state: StateService, clock: FakeClock, nodes: Nodes) -> None:
+        seed(state, clock)
+        job = add_job(state, clock)
+        node = Node(state, clock, nodes)
+        await node.boot()
+        # told elsewhere to be withdrawn; this mirror lags
+        state.put(keys.job(job), {**state.keys[keys.job(job)][0], "end": "cancelled"})
+        answer = await node.ask("GET", f"/v1/jobs/{job}")
+        assert orjson.loads(answer.body)["stage"] == "withdrawn"
+        state.put(keys.job("wk-000002"), state.keys[keys.job(job)][0])
+        assert (await node.ask("GET", "/v1/jobs/wk-000002")).status == 200
+        assert (await node.ask("GET", "/v1/jobs/wk-000009")).status == 404
+        state.down = True
+        assert (await node.ask("GET", "/v1/jobs/wk-000009")).status == 503
+        # what is final needs no proof
+        assert (await node.ask("GET", f"/v1/jobs/{job}")).status == 200
+
+    play(story)
+
+
+def test_submissions_and_their_repeats() -> None:
+    async def story(state: StateService, clock: FakeClock, nodes: Nodes) -> None:
+        node = Node(state, clock, nodes)
+        await node.boot()
+        body = orjson.dumps(submission())
+        early = await node.ask("POST", "/v1/jobs", body)
+        assert (early.status, early.retry_after_s) == (503, 1)
+        seed(state, clock)
+        await node.sync()
+        assert (await node.ask("POST", "/v1/jobs", body)).status == 201
+        assert state.keys[keys.job("wk-000001")][0]["spec"]["tasks"] == 2
+        # another node that has not seen it, and a repeat that is broken by now
+        other = Node(state, clock, nodes, "node-1")
+        await other.boot()
+        broken = orjson.dumps({"nameId": "wk-000001", "cpus": -1})
+        assert (await other.ask("POST", "/v1/jobs", broken)).status == 200
+        for change, status in (
+            ({"cpus": True}, 400),
+            ({"crew": "nobody"}, 422),
+            ({"cards": 5.0}, 422),
+            ({"cut": "service", "sacks": 17}, 422),
+            ({"sacks": 17}, 201),
+        ):
+            data = orjson.dumps(submission(nameId="wk-000007", **change))
+            assert (await node.ask("POST", "/v1/jobs", data)).status == status, change
+        state.down = True
+        refused = await node.ask("POST", "/v1/jobs", orjson.dumps(submission(nameId="wk-000008")))
+        assert (refused.status, refused.retry_after_s) == (503, 1)
+
+    play(story)
+
+
+def test_team_limit_counts_attempts_in_doubt() -> None:
+    async def story(state: StateService, clock: FakeClock, nodes: Nodes) -> None:
+        seed(state, clock, machines=6)
+        add_job(state, clock, sacks=16)
+        node = Node(state, clock, nodes)
+        await node.boot()
+        for number in range(6):
+            node.report(f"n-{number}", 1, 1, node.token())
+        await node.round()
+        add_job(state, clock, nameId="wk-000002")
+        await node.sync()
+        # every machine silent: the sixteen may all be running still
+        clock.time += node.settings.suspect_s
+        for number in range(6):
+            node.report(f"n-{number}", 1, 2, node.token())
+        await node.round()
+        assert node.world.jobs["wk-000001"].row_count() == 16
+        assert node.world.jobs["wk-000002"].row_count() == 0
+
+    play(story)
+
+
+def test_spread_and_zone_are_kept_with_tasks_in_doubt() -> None:
+    async def story(state: StateService, clock: FakeClock, nodes: Nodes) -> None:
+        seed(state, clock, machines=2)
+        job = add_job(state, clock, sacks=4, spread=True, cut="service", grindS=0.0)
+        node = Node(state, clock, nodes)
+        await node.boot()
+        for number in range(2):
+            node.report(f"n-{number}", 1, 1, node.token())
+        await node.round()
+        assert node.world.zones_of(node.world.jobs[job]) == {"north": 2}
+
+    play(story)
+
+
+def test_lost_answer_of_a_write_is_settled_by_reading() -> None:
+    async def story(state: StateService, clock: FakeClock, nodes: Nodes) -> None:
+        node = Node(state, clock, nodes)
+        await node.boot()
+        state.script["/txn"] = ["lose"]
+        mine = Intent(Txn({"cm/x": 0}, [Put("cm/x", {"a": 1.0})]))
+        assert await node.writer.commit(mine) == OK
+        assert state.calls.count(("GET", "/keys/cm/x")) == 1
+        state.script["/txn"] = ["drop"]
+        other = Intent(Txn({"cm/y": 0}, [Put("cm/y", {"a": 1})]))
+        state.put("cm/y", {"a": 2})
+        assert await node.writer.commit(other) == CONFLICT
+
+    play(story)
+
+
+def test_a_stale_owners_write_does_nothing() -> None:
+    async def story(state: StateService, clock: FakeClock, nodes: Nodes) -> None:
+        node = await _placed(state, clock, nodes)
+        lease = node.keeper.lease
+        assert lease is not None
+        state.end_lease(lease)
+        other = Node(state, clock, nodes, "node-1")
+        await other.boot()
+        clock.time += other.settings.promise_s * 1.1 + other.settings.hold_ttl_s * 2
+        await other.keeper.step()
+        await other.keeper.step()
+        await other.membership.step()
+        clock.time += other.settings.hold_ttl_s
+        await other.keeper.step()
+        await other.membership.step()
+        assert 0 in other.membership.owned
+        assert other.token() > node.token()
+        assert node.membership.acting(0) is None
+        before = dict(state.keys)
+        add_job(state, clock, nameId="wk-000003")
+        assert node.report("n-0", 1, 9, node.token()).status == 421
+        assert {k: v for k, v in state.keys.items() if k in before} == before
+
+    play(story)
+
+
+def test_workers_are_kept_alive_on_promises_and_only_then() -> None:
+    async def story(state: StateService, clock: FakeClock, nodes: Nodes) -> None:
+        node = await _placed(state, clock, nodes)
+        for label in ("node-1", "node-2"):
+            await Node(state, clock, nodes, label).boot()
+        running = on("wk-000001", 0, 1, "running")
+        state.down = True
+        seq = 4
+        until = clock.now() + node.settings.extension_s - 1
+        while clock.now() < until:
+            clock.time += node.settings.renew_s
+            seq += 1
+            await node.keeper.step()
+            await node.promises.ask(sorted(node.membership.owned))
+            answer = node.report("n-0", 1, seq, node.token(), running)
+            assert answer.status == 200
+        # bound, the others do not take it even when its key has gone
+        assert nodes["node-1"].promises.bound(0)
+        nodes["node-2"].cut = True
+        clock.time += node.settings.promise_s
+        await node.promises.ask(sorted(node.membership.owned))
+        assert node.report("n-0", 1, seq + 1, node.token(), running).status in (421, 503)
+
+    play(story)
+
+
+def test_a_restarted_controller_waits_out_promises_it_has_forgotten() -> None:
+    async def story(state: StateService, clock: FakeClock, nodes: Nodes) -> None:
+        first = Node(state, clock, nodes, "node-0")
+        await first.boot()
+        lease = first.keeper.lease
+        assert lease is not None
+        state.end_lease(lease)
+        # node-0 acts on promises while its key is gone; node-1 has just started anew
+        other = Node(state, clock, nodes, "node-1")
+        first.cut = True
+        await other.boot(waited=False)
+        assert 0 not in other.membership.owned
+        assert not other.promises.may_start(0)
+        clock.time += other.settings.promise_s * 1.1
+        assert other.promises.may_start(0)
+
+    play(story)
+
+
+def test_request_names_differ_between_incarnations_and_lost_rentals_are_not_doubled() -> None:
+    async def story(state: StateService, clock: FakeClock, nodes: Nodes) -> None:
+        seed(state, clock, machines=0)
+        add_job(state, clock, sacks=4)
+        node = Node(state, clock, nodes)
+        await node.boot()
+        for _ in range(6):
+            clock.time += node.settings.hold_ttl_s / 2
+            await node.keeper.step()
+            await node.membership.step()
+        assert node.membership.leading() is not None
+        node.cloud.script = ["lose"]
+        await node.leader._rent()
+        assert len(node.cloud.requests) == 1
+        assert len(node.world.machines) == 1
+        await node.leader._rent()
+        assert len(node.cloud.requests) == 1
+
+    play(story)
+
+
+def test_direct_answers_do_not_renew_the_lease_bound() -> None:
+    async def story(state: StateService, clock: FakeClock, nodes: Nodes) -> None:
+        node = await _placed(state, clock, nodes)
+        view = node.reports.peek("n-0")
+        assert view is not None
+        before = view.answered_at
+        clock.time += 3
+        data = orjson.loads(beat("n-0", 1, 9, node.token(), on("wk-000001", 0, 1, "running")))
+        node.direct._answered("n-0", 200, orjson.dumps(data))
+        assert view.seq == 9 and view.answered_at == before
+        # the report that was under way meanwhile is older, but its answer does renew
+        node.report("n-0", 1, 8, node.token(), on("wk-000001", 0, 1, "running"))
+        assert view.answered_at == clock.now()
+
+    play(story)
