Count a type's weight per task that fits it

Cause: a type short of memory (2 slots on 4 GPUs) and small jobs' own task numbers made the wrong types look cheap; seen in the new fleet summary.

--- a/crossmill/fleet/leader.py
+++ b/crossmill/fleet/leader.py
@@ -72,7 +72,36 @@
             self._list_at = now
             await self._look_at_list(await self._cloud.machines())
 
+    def _summarize(self) -> None:
+        """The fleet in a few lines, so that an operator sees what the money goes to."""
+        groups: dict[tuple[int, str, bool], list[float]] = {}
+        for machine in self._world.machines.values():
+            kind = self._world.catalog.get(machine.type)
+            if kind is None:
+                continue
+            entry = groups.setdefault((machine.shard, machine.type, machine.spot), [0.0] * 6)
+            empty = not machine.rows
+            cpus = machine.cpus / kind.cpus
+            shown = (1.0, float(not machine.up), float(empty), cpus, machine.gpus, kind.gpus)
+            for i, value in enumerate(shown):
+                entry[i] += value
+        for (shard, name, spot), (number, booting, empty, load, gpus, most) in groups.items():
+            log.info(
+                "fleet shard=%d type=%s spot=%s machines=%d booting=%d empty=%d cpus=%.0f%% "
+                "gpus=%d/%d",
+                shard,
+                name,
+                spot,
+                number,
+                booting,
+                empty,
+                100 * load / number,
+                gpus,
+                most,
+            )
+
     async def _refresh_catalog(self) -> None:
+        self._summarize()
         catalog = await self._cloud.catalog()
         self._catalog_at = self._clock.now()
         if not self._world.catalog:
--- a/crossmill/fleet/outlook.py
+++ b/crossmill/fleet/outlook.py
@@ -11,6 +11,7 @@
 from ..planning.queue import budget_end, place_in_queue
 from ..planning.rooms import Room, Zones, assign
 from ..settings import Settings
+from ..wire.cloud import MachineType
 from ..wire.users import JobSpec
 
 
@@ -39,11 +40,17 @@
         if not machine.up and wall - machine.rented > self._s.late_boot * kind.boot_s:
             # late: it may still come, but nobody counts on it
             return None
+        return self.room(machine, kind)
+
+    @staticmethod
+    def room(machine: Machine, kind: MachineType) -> Room:
+        """What the plan leaves free on a machine."""
         room = room_of(machine.id, kind, machine.zone, machine.spot)
         room.cpus -= machine.cpus
         room.gpus -= machine.gpus
         room.memory_gb -= machine.memory_gb
         room.images = dict(machine.images)
+        room.used = bool(machine.rows)
         return room
 
     def _note_arrivals(self, wall: float) -> None:
@@ -151,7 +158,7 @@
         rooms = [
             replace(r, images=dict(r.images))
             for r in rooms
-            if r.machine != machine.id and (r.used or r.price < own.price)
+            if r.machine != machine.id and (r.used or r.price / r.size < own.price / own.size)
         ]
         for row in machine.rows.values():
             job = self._world.jobs.get(row.job)
--- a/crossmill/jobs/rounds.py
+++ b/crossmill/jobs/rounds.py
@@ -192,22 +192,7 @@
             kind = self._world.catalog.get(machine.type)
             if kind is None or not self._usable(machine, now):
                 continue
-            rooms.append(
-                Room(
-                    machine.id,
-                    machine.type,
-                    machine.zone,
-                    machine.spot,
-                    kind.cpus - machine.cpus,
-                    kind.gpus - machine.gpus,
-                    kind.memory_gb - machine.memory_gb,
-                    kind.price / max(kind.gpus, kind.cpus / 8),
-                    max(kind.gpus, kind.cpus / 8),
-                    kind.gpus > 0,
-                    dict(machine.images),
-                    bool(machine.rows),
-                )
-            )
+            rooms.append(self._outlook.room(machine, kind))
         return rooms
 
     def _queue(self, shard: int) -> list[Job]:
--- a/crossmill/planning/demand.py
+++ b/crossmill/planning/demand.py
@@ -2,12 +2,13 @@
 
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
+from functools import partial
 from math import isinf
 
 from ..wire.cloud import MachineType
 from ..wire.users import JobSpec
 from .fill import Offer, fill
-from .rooms import Room, Zones, allowed, assign
+from .rooms import Room, Zones, allowed, assign, tasks_fitting
 from .split import Option, Stage, split
 
 
@@ -51,7 +52,7 @@
 
 
 def room_of(machine: str, kind: MachineType, zone: str, spot: bool) -> Room:
-    size = max(kind.gpus, kind.cpus / 8)
+    """An empty machine's room."""
     return Room(
         machine,
         kind.name,
@@ -60,14 +61,16 @@
         kind.cpus,
         kind.gpus,
         kind.memory_gb,
-        kind.price / size,
-        size,
+        kind.price,
+        max(kind.gpus, kind.cpus / 8),
         kind.gpus > 0,
+        partial(slots_on, kind=kind),
     )
 
 
 def slots_on(spec: JobSpec, kind: MachineType) -> int:
-    return room_of("", kind, "", False).fits(spec)
+    """How many tasks like this fit on an empty machine of the type."""
+    return tasks_fitting(spec, kind.cpus, kind.gpus, kind.memory_gb)
 
 
 def demand(
--- a/crossmill/planning/rooms.py
+++ b/crossmill/planning/rooms.py
@@ -3,14 +3,25 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from ..wire.users import JobSpec
+from ..wire.users import MAX_TASKS, JobSpec
 
 EPS = 1e-6
 
 
+def tasks_fitting(spec: JobSpec, cpus: float, gpus: float, memory_gb: float) -> int:
+    """How many tasks like this fit; not bounded by the job's own number, since a machine
+    that one job fills in part is shared with others, and costs each its share."""
+    count = MAX_TASKS
+    for free, each in ((cpus, spec.cpus), (gpus, spec.gpus), (memory_gb, spec.memory_gb)):
+        if each > 0:
+            count = min(count, int((free + EPS) / each))
+    return max(0, count)
+
+
 @dataclass(slots=True)
 class Room:
-    """What is free on a machine; `weight` is the price of its type's share per task fitted."""
+    """What is free on a machine; `price` is its type's, whole, and `slots` tells how many
+    tasks like the one given fit on an empty one."""
 
     machine: str
     type: str
@@ -22,18 +33,16 @@
     price: float
     size: float
     accelerated: bool = False
+    slots: Callable[[JobSpec], int] = lambda spec: 1
     images: dict[str, float] = field(default_factory=dict)
     used: bool = False
 
     def fits(self, spec: JobSpec) -> int:
-        count = spec.tasks
-        if spec.cpus > 0:
-            count = min(count, int((self.cpus + EPS) / spec.cpus))
-        if spec.gpus > 0:
-            count = min(count, int((self.gpus + EPS) / spec.gpus))
-        if spec.memory_gb > 0:
-            count = min(count, int((self.memory_gb + EPS) / spec.memory_gb))
-        return max(0, count)
+        return tasks_fitting(spec, self.cpus, self.gpus, self.memory_gb)
+
+    def price_for(self, spec: JobSpec) -> float:
+        """The weight of one task's share: a type short of memory for it gives few slots."""
+        return self.price / max(1, self.slots(spec))
 
     def take(self, spec: JobSpec, tasks: int = 1) -> None:
         self.cpus -= tasks * spec.cpus
@@ -100,9 +109,9 @@
         # a task without GPUs would keep a GPU machine rented when all else on it has ended
         pins = spec.gpus == 0 and room.accelerated
         if spec.kind == "service":
-            return (pins, not cached, not room.used, room.price, share)
+            return (pins, not cached, not room.used, room.price_for(spec), share)
         # spot room can't serve those who may not use it, so the others go there first
-        return (pins, not cached, not room.spot, room.price, share)
+        return (pins, not cached, not room.spot, room.price_for(spec), share)
 
     fitting.sort(key=rank)
     result: list[tuple[Room, int]] = []
