--- a/crossmill/cluster/world.py
+++ b/crossmill/cluster/world.py
@@ -208,9 +208,30 @@
         machine.cpus += sign * job.spec.cpus
         machine.gpus += sign * job.spec.gpus
         machine.memory_gb += sign * job.spec.memory_gb
-        if sign > 0:
-            machine.images.pop(job.spec.image, None)
-            machine.images[job.spec.image] = job.spec.image_gb
+        machine.images.pop(job.spec.image, None)
+        machine.images[job.spec.image] = job.spec.image_gb
+        self._trim(machine)
+
+    def _trim(self, machine: Machine) -> None:
+        """Only the most recently used images are still cached; to count on one that has gone
+        would cost its fetch when a replica is moved there."""
+        kind = self.catalog.get(machine.type)
+        if kind is None:
+            return
+        size = sum(machine.images.values())
+        if size <= kind.cache_gb:
+            return
+        used = {
+            job.spec.image
+            for row in machine.rows.values()
+            if (job := self.jobs.get(row.job)) is not None and job.spec is not None
+        }
+        newest = next(reversed(machine.images))
+        for image in list(machine.images):
+            if size <= kind.cache_gb:
+                break
+            if image not in used and image != newest:
+                size -= machine.images.pop(image)
 
     def _on_plan(self, job_id: str, index: int, value: Any, version: int) -> None:
         job = self._job(job_id)
--- a/crossmill/fleet/leader.py
+++ b/crossmill/fleet/leader.py
@@ -80,12 +80,12 @@
             if kind is None:
                 continue
             entry = groups.setdefault((machine.shard, machine.type, machine.spot), [0.0] * 6)
-            empty = not machine.rows
-            cpus = machine.cpus / kind.cpus
-            shown = (1.0, float(not machine.up), float(empty), cpus, machine.gpus, kind.gpus)
+            empty, load = not machine.rows, machine.cpus / kind.cpus
+            shown: tuple[float, ...]
+            shown = (1.0, float(not machine.up), float(empty), load, machine.gpus, kind.gpus)
             for i, value in enumerate(shown):
                 entry[i] += value
-        for (shard, name, spot), (number, booting, empty, load, gpus, most) in groups.items():
+        for (shard, name, spot), (number, booting, idle, busy, gpus, most) in groups.items():
             log.info(
                 "fleet shard=%d type=%s spot=%s machines=%d booting=%d empty=%d cpus=%.0f%% "
                 "gpus=%d/%d",
@@ -94,8 +94,8 @@
                 spot,
                 number,
                 booting,
-                empty,
-                100 * load / number,
+                idle,
+                100 * busy / number,
                 gpus,
                 most,
             )
--- a/crossmill/fleet/outlook.py
+++ b/crossmill/fleet/outlook.py
@@ -148,6 +148,11 @@
         wants = self._wants(shard, wall) + self._expected(shard, wall)
         return demand(wants, self._rooms(shard, wall), self.sources(), self._limit)
 
+    def _quick(self, spec: JobSpec, room: Room) -> bool:
+        """Whether the image is there as soon as the machine's next report."""
+        kind = self._world.catalog[room.type]
+        return spec.image_gb < kind.fetch_gb_per_s * self._s.report_s
+
     def redundant(self, shard: int, machine: Machine, rooms: list[Room]) -> bool:
         """Whether all on this machine would fit where its images are, on machines in use or
         cheaper, with room left for what is expected."""
@@ -167,8 +172,8 @@
             zones = self._world.zones_of(job)
             zones[machine.zone] -= 1
             spec = job.spec
-            cached = [r for r in rooms if spec.image in r.images]
-            if not assign(spec, 1, cached, Zones(spec, zones)):
+            near = [r for r in rooms if spec.image in r.images or self._quick(spec, r)]
+            if not assign(spec, 1, near, Zones(spec, zones)):
                 return False
         outcome = demand(self._expected(shard, self._clock.wall()), rooms, [], self._limit)
         return outcome.short == 0
--- a/crossmill/jobs/desk.py
+++ b/crossmill/jobs/desk.py
@@ -149,7 +149,13 @@
         await self._writer.submit(intent)
         outcome = await intent.promise.wait(self._s.accept_s)
         if outcome == OK:
-            log.info("job accepted job=%s class=%s tasks=%d", spec.id, spec.job_class, spec.tasks)
+            log.info(
+                "job accepted job=%s class=%s team=%s tasks=%d",
+                spec.id,
+                spec.job_class,
+                spec.team,
+                spec.tasks,
+            )
             return Response(201, wire.status_body(spec.id, "queued"))
         if outcome is None:
             return LATER_PLEASE
--- a/crossmill/jobs/making_room.py
+++ b/crossmill/jobs/making_room.py
@@ -168,7 +168,7 @@
             if all(self._settled(row) for row in machine.rows.values()):
                 by_gain.append((kind.price / len(machine.rows), machine))
         by_gain.sort(key=lambda entry: -entry[0])
-        for _, machine in by_gain[:4]:
+        for _, machine in by_gain[:8]:
             if self._outlook.redundant(shard, machine, rooms):
                 return machine
         return None
--- a/crossmill/jobs/rounds.py
+++ b/crossmill/jobs/rounds.py
@@ -316,6 +316,15 @@
         chunk = job.chunks.get(number)
         attempt = (chunk.next if chunk else 1) + len(edit.starts)
         edit.starts.append(Row(job.id, index, attempt, machine_id, view.session))
+        cached = job.spec is not None and job.spec.image in self._world.machines[machine_id].images
+        log.info(
+            "task placed job=%s task=%d attempt=%d machine=%s cached=%s",
+            job.id,
+            index,
+            attempt,
+            machine_id,
+            cached,
+        )
 
     # -- making it durable -----------------------------------------------------------
 
--- a/crossmill/settings.py
+++ b/crossmill/settings.py
@@ -202,12 +202,12 @@
     @property
     def drain_every_s(self) -> float:
         """A shard empties at most one machine in this time."""
-        return self.lease_s
+        return self.lease_s / 2
 
     @property
     def drain_most(self) -> int:
         """A machine with more tasks than this is not emptied: each move is a short outage."""
-        return 6
+        return 16
 
     @property
     def settled_s(self) -> float:
@@ -227,10 +227,15 @@
         return next((t for t in self.teams if t.name == name), None)
 
     def shard_of_team(self, name: str) -> int:
-        """Teams parted among controllers: a team's jobs are placed by one of them."""
-        for index, team in enumerate(self.teams):
+        """Teams parted among controllers: a team's jobs are placed by one of them. Large
+        guarantees are dealt out first, each to the shard that has least so far."""
+        order = sorted(self.teams, key=lambda t: (-t.gpus, -t.cpus, self.teams.index(t)))
+        loads = [(0.0, 0.0, 0, shard) for shard in range(self.nodes)]
+        for team in order:
+            gpus, cpus, number, shard = min(loads)
             if team.name == name:
-                return index % self.nodes
+                return shard
+            loads[shard] = (gpus + team.gpus, cpus + team.cpus, number + 1, shard)
         return 0
 
 
--- a/crossmill/workers/views.py
+++ b/crossmill/workers/views.py
@@ -1,10 +1,13 @@
 """What this incarnation knows of a machine from its reports."""
 
+import logging
 from dataclasses import dataclass, field
 from enum import Enum
 
 from ..wire.workers import Report, TaskReport
 
+log = logging.getLogger(__name__)
+
 
 class Verdict(Enum):
     STALE = "stale"
@@ -55,6 +58,15 @@
         self.address = report.address
         self.notice_at = None if report.notice_s is None else now + report.notice_s
         old = self.running_since
+        for task in report.tasks:
+            if task.state == "running" and (task.job, task.index) not in old:
+                log.info(
+                    "task running job=%s task=%d attempt=%d machine=%s",
+                    task.job,
+                    task.index,
+                    task.attempt,
+                    self.machine,
+                )
         self.tasks = {(t.job, t.index): t for t in report.tasks}
         self.running_since = {
             key: old.get(key, now) for key, t in self.tasks.items() if t.state == "running"
