--- a/crossmill/jobs/making_room.py
+++ b/crossmill/jobs/making_room.py
@@ -3,6 +3,7 @@
 
 import logging
 from collections.abc import Iterator
+from math import inf
 
 from ..cluster.membership import Owned
 from ..cluster.world import ACTIVE, Job, Machine, Row, World
@@ -30,43 +31,77 @@
         self._outlook = outlook
         # jobs for which room is being made, until when it is waited for
         self._claims: dict[str, float] = {}
+        # what is freed piece by piece would go to small tasks before the large one fits
+        self._reserved: dict[str, tuple[str, float]] = {}
         self.draining: dict[str, float] = {}
         self._drained_at: dict[int, float] = {}
 
     # -- preemption ------------------------------------------------------------------
 
+    def claimed(self, job: Job) -> bool:
+        """Whether room is being made for the job."""
+        return self._claims.get(job.id, 0.0) > self._clock.now()
+
+    def failed(self, job: Job) -> bool:
+        """Whether room was made for the job of late and it still waits."""
+        since = self._clock.now() - self._claims.get(job.id, -inf)
+        return 0 <= since < self._s.fixed_wait_s
+
+    def settle(self) -> None:
+        """Claims end with their jobs' waiting, reservations also with their time."""
+        now = self._clock.now()
+        for job_id in list(self._claims):
+            job = self._world.jobs.get(job_id)
+            if job is None or job.waiting_count() == 0:
+                del self._claims[job_id]
+        for machine, (job_id, until) in list(self._reserved.items()):
+            if job_id not in self._claims or now > until:
+                del self._reserved[machine]
+
+    def open_to(self, room: Room, job: Job) -> bool:
+        holder = self._reserved.get(room.machine)
+        return holder is None or holder[0] == job.id
+
     def preempt(
         self, job: Job, tasks: int, rooms: list[Room], used: dict[str, list[float]]
-    ) -> list[Row]:
-        """Rows to be stopped so that this many tasks of the job find room."""
+    ) -> tuple[list[Row], int]:
+        """Rows to be stopped so that up to this many tasks of the job find room, and how many
+        tasks they make room for."""
         spec, now = job.spec, self._clock.now()
-        if spec is None or self._claims.get(job.id, 0.0) > now:
-            return []
+        if spec is None or self.claimed(job):
+            return [], 0
         zones = Zones(spec, self._world.zones_of(job))
         best: list[tuple[bool, float, Room, list[Row]]] = []
         for room in rooms:
             if not allowed(spec, room.type, room.zone, room.spot):
                 continue
+            if not self.open_to(room, job):
+                continue
             victims = self._victims(spec, room, used)
             if victims is not None:
                 lost = sum(self._lost_s(row) for row in victims)
                 best.append((spec.image not in room.images, lost, room, victims))
         best.sort(key=lambda entry: entry[:2])
         chosen: list[Row] = []
+        machines: list[str] = []
+        covered = 0
         for _, _, room, victims in best:
-            if tasks <= 0:
+            if covered >= tasks:
                 break
             if zones.open(room.zone) <= 0:
                 continue
             zones.take(room.zone, 1)
-            tasks -= 1
+            covered += 1
             chosen.extend(victims)
+            machines.append(room.machine)
         if chosen:
             self._claims[job.id] = (
                 now
                 + 2 * self._s.report_s
                 + 2 * max((self._spec(row).save_s for row in chosen), default=0.0)
             )
+            for machine in machines:
+                self._reserved[machine] = (job.id, self._claims[job.id])
         for row in chosen:
             log.info(
                 "task preempted job=%s task=%d machine=%s for=%s",
@@ -76,7 +111,7 @@
                 job.id,
             )
             self._reports.stopping[row.job, row.index, row.attempt] = "preempted"
-        return chosen
+        return chosen, covered
 
     def _spec(self, row: Row) -> JobSpec:
         spec = self._world.jobs[row.job].spec
@@ -89,7 +124,9 @@
         since = view.running_since.get((row.job, row.index)) if view is not None else None
         ran = 0.0 if since is None else self._clock.now() - since
         spec = self._spec(row)
-        return spec.save_s if 0 < spec.checkpoint_s < ran else ran
+        lost = spec.save_s if 0 < spec.checkpoint_s < ran else ran
+        # a start that is stopped this soon was in vain altogether
+        return lost + (self._s.in_vain_s if ran < self._s.in_vain_s else 0.0)
 
     def _stoppable(self, spec: JobSpec, used: dict[str, list[float]], row: Row) -> bool:
         job = self._world.jobs.get(row.job)
--- a/crossmill/jobs/rounds.py
+++ b/crossmill/jobs/rounds.py
@@ -212,6 +212,7 @@
         machines: list[Machine],
         edits: dict[tuple[str, int], Edit],
     ) -> None:
+        self._making.settle()
         queue = self._queue(shard)
         self.unplaced[shard] = len(queue)
         if not queue:
@@ -275,12 +276,8 @@
             return
         zones = Zones(spec, self._world.zones_of(job))
         bad = trouble.machines if trouble is not None else set()
-        taken = assign(
-            spec, wanted, rooms, zones, lambda room: room.machine in bad, self._s.together
-        )
-        missing = wanted - sum(number for _, number in taken)
-        if missing > 0 and trouble is None:
-            self._stops.extend(self._making.preempt(job, missing, rooms, used))
+        rooms = [r for r in rooms if r.machine not in bad and self._making.open_to(r, job)]
+        taken = self._find_rooms(job, spec, wanted, rooms, zones, used, trouble is None)
         if not taken:
             return
         slots = [room.machine for room, number in taken for _ in range(number)]
@@ -289,6 +286,39 @@
         used[spec.team][0] += len(slots) * spec.cpus
         used[spec.team][1] += len(slots) * spec.gpus
 
+    def _find_rooms(
+        self,
+        job: Job,
+        spec: JobSpec,
+        wanted: int,
+        rooms: list[Room],
+        zones: Zones,
+        used: dict[str, list[float]],
+        may_preempt: bool,
+    ) -> list[tuple[Room, int]]:
+        """Room that is free; but a class that must start soon rather gets the place of lesser
+        work where its image is than a free one where it would wait for the image."""
+        prompt_s = self._s.prompt_s(spec.job_class) if spec.kind == "service" else None
+        taken: list[tuple[Room, int]] = []
+        # a claim that came to nothing is not repeated: then any room will do
+        again = self._making.failed(job)
+        if prompt_s is not None and not again:
+            near = [room for room in rooms if room.delay_s(spec) < 0.75 * prompt_s]
+            taken = assign(spec, wanted, near, zones, self._s.together)
+            wanted -= sum(number for _, number in taken)
+            if wanted and may_preempt:
+                if self._making.claimed(job):
+                    return taken
+                stops, covered = self._making.preempt(job, wanted, near, used)
+                self._stops.extend(stops)
+                wanted -= covered
+        more = assign(spec, wanted, rooms, zones, self._s.together) if wanted else []
+        wanted -= sum(number for _, number in more)
+        if wanted and may_preempt and not again:
+            stops, _ = self._making.preempt(job, wanted, rooms, used)
+            self._stops.extend(stops)
+        return taken + more
+
     def _waiting(self, job: Job, edits: dict[tuple[str, int], Edit]) -> list[int]:
         """Tasks with no attempt in the plan and no outcome, lowest first, bounded."""
         assert job.spec is not None
--- a/crossmill/planning/demand.py
+++ b/crossmill/planning/demand.py
@@ -64,6 +64,7 @@
         kind.price,
         max(kind.gpus, kind.cpus / 8),
         kind.gpus > 0,
+        kind.fetch_gb_per_s,
         partial(slots_on, kind=kind),
     )
 
--- a/crossmill/planning/rooms.py
+++ b/crossmill/planning/rooms.py
@@ -33,6 +33,7 @@
     price: float
     size: float
     accelerated: bool = False
+    fetch_gb_per_s: float = 1.0
     slots: Callable[[JobSpec], int] = lambda spec: 1
     images: dict[str, float] = field(default_factory=dict)
     used: bool = False
@@ -40,6 +41,10 @@
     def fits(self, spec: JobSpec) -> int:
         return tasks_fitting(spec, self.cpus, self.gpus, self.memory_gb)
 
+    def delay_s(self, spec: JobSpec) -> float:
+        """How long a task waits here for its image."""
+        return 0.0 if spec.image in self.images else spec.image_gb / self.fetch_gb_per_s
+
     def price_for(self, spec: JobSpec) -> float:
         """The weight of one task's share: a type short of memory for it gives few slots."""
         return self.price / max(1, self.slots(spec))
@@ -84,34 +89,31 @@
     tasks: int,
     rooms: list[Room],
     zones: Zones,
-    avoid: Callable[[Room], bool] = lambda room: False,
     together: float = 1.0,
 ) -> list[tuple[Room, int]]:
     """Machines for up to this many tasks. Cheapest room for the task first (throughput per
-    price), machines that have the image before those that must fetch it, full ones before
+    price), machines that have the image, or fetch it sooner, before the others, full ones before
     empty ones. Services are dealt out, at most `together` of a job's tasks on one machine,
     so that one loss hurts little, as long as there is other room."""
     fitting = [
         (room, count)
         for room in rooms
-        if allowed(spec, room.type, room.zone, room.spot)
-        and (count := room.fits(spec)) > 0
-        and not avoid(room)
+        if allowed(spec, room.type, room.zone, room.spot) and (count := room.fits(spec)) > 0
     ]
     if spec.one_zone and not any(zones.open(r.zone) == 0 for r, _ in fitting):
         best = max({r.zone for r, _ in fitting}, default="", key=lambda z: _fit(fitting, z))
         fitting = [(r, c) for r, c in fitting if r.zone == best]
 
-    def rank(entry: tuple[Room, int]) -> tuple[bool, bool, bool, float, float]:
+    def rank(entry: tuple[Room, int]) -> tuple[bool, float, bool, float, float]:
         room, _ = entry
-        cached = spec.image in room.images
+        delay_s = round(room.delay_s(spec))
         share = max(spec.gpus and room.gpus / room.size, spec.cpus and room.cpus / room.size)
         # a task without GPUs would keep a GPU machine rented when all else on it has ended
         pins = spec.gpus == 0 and room.accelerated
         if spec.kind == "service":
-            return (pins, not cached, not room.used, room.price_for(spec), share)
+            return (pins, delay_s, not room.used, room.price_for(spec), share)
         # spot room can't serve those who may not use it, so the others go there first
-        return (pins, not cached, not room.spot, room.price_for(spec), share)
+        return (pins, delay_s, not room.spot, room.price_for(spec), share)
 
     fitting.sort(key=rank)
     result: list[tuple[Room, int]] = []
--- a/crossmill/settings.py
+++ b/crossmill/settings.py
@@ -209,6 +209,18 @@
         """A machine with more tasks than this is not emptied: each move is a short outage."""
         return 16
 
+    @property
+    def in_vain_s(self) -> float:
+        """A task stopped sooner after its start has not been of use."""
+        return 3 * self.lease_s
+
+    def prompt_s(self, job_class: str) -> float | None:
+        """What the objectives say of how soon the class's tasks must start."""
+        waits = [
+            o.within_s for o in self.objectives if (o.kind, o.job_class) == ("wait", job_class)
+        ]
+        return min(waits, default=None)
+
     @property
     def settled_s(self) -> float:
         """A replica is not moved sooner after its start."""
