Stop replicas for others only when the cloud is out; work moves out as they will be made

Cause: preemption stopped high and production replicas (20-90 s down each) though machines could be rented; a moved job's second replica was not counted, so it waited 50 s for a boot.

--- a/crossmill/fleet/outlook.py
+++ b/crossmill/fleet/outlook.py
@@ -6,10 +6,10 @@
 
 from ..cluster.world import Job, Machine, World
 from ..net.clock import Clock
-from ..planning.demand import Outcome, Source, Want, demand, room_of
+from ..planning.demand import Outcome, Source, Want, demand, room_of, slots_on
 from ..planning.estimates import Estimates
 from ..planning.queue import budget_end, place_in_queue
-from ..planning.rooms import Room, Zones, assign
+from ..planning.rooms import Room, Zones, allowed, assign
 from ..settings import Settings
 from ..wire.cloud import MachineType
 from ..wire.users import JobSpec
@@ -88,19 +88,42 @@
                 wants.append(Want(spec, number, Zones(spec, {}), inf, 0.0))
         return wants
 
+    def queue_place(self, job: Job) -> tuple[tuple[int, float], int]:
+        """Priority, then budget end, then order of acceptance."""
+        spec = job.spec
+        assert spec is not None
+        return place_in_queue(spec, self.budget_end(job)), job.order
+
+    def budget_end(self, job: Job) -> float:
+        spec = job.spec
+        assert spec is not None
+        margin = self.estimates.margin_s(spec.job_class, spec.estimate_s)
+        return budget_end(spec, job.submitted, margin, self._s.fixed_wait_s)
+
+    def waiting(self, shard: int) -> list[Job]:
+        """Jobs with tasks to be placed, in the queue's order."""
+        jobs = [
+            job
+            for job in self._world.active[shard].values()
+            if job.spec is not None and job.waiting_count() > 0
+        ]
+        jobs.sort(key=self.queue_place)
+        return jobs
+
+    def short(self, spec: JobSpec) -> bool:
+        """Whether the cloud has nothing at present that the job may use."""
+        return not any(
+            self._limit(source) > 0
+            for source in self.sources()
+            if allowed(spec, source.type.name, source.zone, source.spot)
+            and slots_on(spec, source.type) > 0
+        )
+
     def _wants(self, shard: int, wall: float) -> list[Want]:
-        queue: list[tuple[tuple[int, float], int, Job, float]] = []
-        for job in self._world.active[shard].values():
-            if job.spec is None or job.waiting_count() <= 0:
-                continue
-            margin = self.estimates.margin_s(job.spec.job_class, job.spec.estimate_s)
-            end = budget_end(job.spec, job.submitted, margin, self._s.fixed_wait_s)
-            queue.append((place_in_queue(job.spec, end), job.order, job, end))
-        queue.sort(key=lambda entry: entry[:2])
         wants: list[Want] = []
         coming = self._coming_free(shard)
-        for _, _, job, end in queue:
-            spec = job.spec
+        for job in self.waiting(shard):
+            spec, end = job.spec, self.budget_end(job)
             assert spec is not None
             zones = self._world.zones_of(job)
             task_s = self.estimates.task_s(spec.job_class, spec.estimate_s)
@@ -165,15 +188,20 @@
             for r in rooms
             if r.machine != machine.id and (r.used or r.price / r.size < own.price / own.size)
         ]
+        moving: dict[str, int] = {}
         for row in machine.rows.values():
-            job = self._world.jobs.get(row.job)
-            if job is None or job.spec is None or job.spec.kind != "service":
+            moving[row.job] = moving.get(row.job, 0) + 1
+        jobs = [self._world.jobs[job_id] for job_id in moving]
+        # in the order in which the round after the stops will place them
+        for job in sorted(jobs, key=self.queue_place):
+            spec = job.spec
+            if spec is None or spec.kind != "service":
                 return False
             zones = self._world.zones_of(job)
-            zones[machine.zone] -= 1
-            spec = job.spec
+            zones[machine.zone] -= moving[job.id]
             near = [r for r in rooms if spec.image in r.images or self._quick(spec, r)]
-            if not assign(spec, 1, near, Zones(spec, zones)):
+            taken = assign(spec, moving[job.id], near, Zones(spec, zones), self._s.together)
+            if sum(number for _, number in taken) < moving[job.id]:
                 return False
         outcome = demand(self._expected(shard, self._clock.wall()), rooms, [], self._limit)
         return outcome.short == 0
--- a/crossmill/jobs/making_room.py
+++ b/crossmill/jobs/making_room.py
@@ -134,6 +134,9 @@
             return False
         if (row.job, row.index, row.attempt) in self._reports.stopping:
             return False
+        if job.spec.kind == "service" and not self._outlook.short(spec):
+            # a replica stopped costs as much as one started late, while machines can be had
+            return False
         if PRIORITY[job.spec.priority] > PRIORITY[spec.priority]:
             return True
         return (
--- a/crossmill/jobs/rounds.py
+++ b/crossmill/jobs/rounds.py
@@ -15,7 +15,6 @@
 from ..cluster.world import ACTIVE, DONE, Chunk, Job, Machine, Row, World, encode_end
 from ..fleet.outlook import Outlook
 from ..net.clock import Clock
-from ..planning.queue import budget_end, place_in_queue
 from ..planning.rooms import Room, Zones, assign
 from ..settings import Settings
 from ..state.writer import LATER, OK, OUTCOME, PLACE, Intent, Writer
@@ -195,16 +194,6 @@
             rooms.append(self._outlook.room(machine, kind))
         return rooms
 
-    def _queue(self, shard: int) -> list[Job]:
-        waiting: list[tuple[tuple[int, float], int, Job]] = []
-        for job in self._world.active[shard].values():
-            if job.spec is not None and job.waiting_count() > 0:
-                margin = self.estimates.margin_s(job.spec.job_class, job.spec.estimate_s)
-                end = budget_end(job.spec, job.submitted, margin, self._s.fixed_wait_s)
-                waiting.append((place_in_queue(job.spec, end), job.order, job))
-        waiting.sort(key=lambda entry: entry[:2])
-        return [job for _, _, job in waiting]
-
     def _place(
         self,
         shard: int,
@@ -213,7 +202,7 @@
         edits: dict[tuple[str, int], Edit],
     ) -> None:
         self._making.settle()
-        queue = self._queue(shard)
+        queue = self._outlook.waiting(shard)
         self.unplaced[shard] = len(queue)
         if not queue:
             self._stops.extend(self._making.drain(shard, own, self._rooms(machines)))
