--- a/crossmill/jobs/desk.py
+++ b/crossmill/jobs/desk.py
@@ -130,7 +130,7 @@
         kinds = [k for n, k in self._world.catalog.items() if spec.types is None or n in spec.types]
         if not any(slots_on(spec, kind) for kind in kinds):
             return "a task fits no allowed machine type"
-        tasks = spec.tasks if spec.kind == "service" else 1
+        tasks = 1 if spec.kind == "array" else spec.tasks
         for most, each in ((team.cpus_max, spec.cpus), (team.gpus_max, spec.gpus)):
             if most > 0 and tasks * each > most + 1e-6:
                 return "more than the team's limit"
--- a/crossmill/jobs/rounds.py
+++ b/crossmill/jobs/rounds.py
@@ -4,7 +4,7 @@
 transactions that carry the stamps of all they rest on. Starts are sent only from durable plans."""
 
 import logging
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from functools import partial
 from typing import Any
 
@@ -266,6 +266,8 @@
         zones = Zones(spec, self._world.zones_of(job))
         bad = trouble.machines if trouble is not None else set()
         rooms = [r for r in rooms if r.machine not in bad and self._making.open_to(r, job)]
+        if spec.kind == "gang" and not self._whole(job, spec, wanted, rooms):
+            return
         taken = self._find_rooms(job, spec, wanted, rooms, zones, used, trouble is None)
         if not taken:
             return
@@ -275,6 +277,15 @@
         used[spec.team][0] += len(slots) * spec.cpus
         used[spec.team][1] += len(slots) * spec.gpus
 
+    def _whole(self, job: Job, spec: JobSpec, wanted: int, rooms: list[Room]) -> bool:
+        """A gang's tasks wait for one another, so they are placed together or not at all."""
+        if job.row_count():
+            return False
+        trial = [replace(room, images=dict(room.images)) for room in rooms]
+        zones = Zones(spec, self._world.zones_of(job))
+        found = sum(n for _, n in assign(spec, wanted, trial, zones))
+        return found == job.waiting_count()
+
     def _find_rooms(
         self,
         job: Job,
@@ -333,7 +344,10 @@
         if view is None or len({r.machine for r in edit.starts}) >= self._s.machines_per_txn:
             return
         chunk = job.chunks.get(number)
-        attempt = (chunk.next if chunk else 1) + len(edit.starts)
+        attempt = chunk.next if chunk else 1
+        if job.spec is not None and job.spec.kind != "gang":
+            # a gang's tasks find one another by a common attempt number
+            attempt += len(edit.starts)
         edit.starts.append(Row(job.id, index, attempt, machine_id, view.session))
         cached = job.spec is not None and job.spec.image in self._world.machines[machine_id].images
         log.info(
@@ -370,7 +384,7 @@
             for row in edit.starts:
                 machine = self._world.machines[row.machine]
                 txn.conditions[keys.machine(machine.id)] = machine.version
-        finished = job.end == ACTIVE and spec.kind == "array" and self._all_done(job, edit, new)
+        finished = job.end == ACTIVE and spec.kind != "service" and self._all_done(job, edit, new)
         if finished:
             txn.conditions[keys.job(job.id)] = job.version
             txn.puts.append(Put(keys.job(job.id), encode_end(DONE, spec)))
--- a/crossmill/wire/users.py
+++ b/crossmill/wire/users.py
@@ -11,7 +11,8 @@
 
 MAX_TASKS = 100_000
 JOB_ID = re.compile(r"wk-[0-9]{6,18}\Z")
-KINDS = {"array": "array", "service": "service"}
+# gangs stand in the sites' wire tables, though not in the protocol's text: see questions.md
+KINDS = {"array": "array", "service": "service", "gang": "gang"}
 PRIORITIES = {"production": "production", "high": "high", "standard": "normal", "idle": "low"}
 JOBS_PATH = "/v1/jobs"
 WITHDRAW = "withdraw"
--- a/crossmill/wire/workers.py
+++ b/crossmill/wire/workers.py
@@ -10,6 +10,8 @@
 REPORT_PATH = "/agent/beat"
 COMMANDS_PATH = "/commands"
 STATES = {s: s for s in ("fetching", "running", "saving", "exited")}
+# a gang's task that has its image and waits for the others
+STATES["gathering"] = "fetching"
 CAUSES = {
     "done": "done",
     "halted": "stopped",
@@ -17,6 +19,8 @@
     "full": "no_room",
     "in_use": "busy",
     "no_such": "unknown",
+    "peers": "peers",
+    "incomplete": "peers",
 }
 
 
--- /dev/null
+++ b/tests/test_planning.py
@@ -0,0 +1,137 @@
+"""Pure decisions, on the paper's own worked examples where there are any."""
+
+import pytest
+
+from crossmill.fleet.cloud import stored_catalog
+from crossmill.planning.demand import Source, Want, demand, room_of
+from crossmill.planning.estimates import Estimates
+from crossmill.planning.fill import Offer, fill
+from crossmill.planning.queue import budget_end, place_in_queue
+from crossmill.planning.rooms import Zones, assign
+from crossmill.planning.split import Option, Stage, split
+from crossmill.wire.cloud import parse_catalog
+
+from .standins import CATALOG, make_settings, make_spec
+
+KINDS = parse_catalog(CATALOG)
+
+
+def _options(name: str, finishes: list[float], rates: list[float]) -> tuple[Option, ...]:
+    pairs = zip(finishes, rates, strict=True)
+    return tuple(Option(f"{name}/{i}", 1.0, t, f) for i, (f, t) in enumerate(pairs))
+
+
+def test_split_prefers_efficiency_over_throughput() -> None:
+    # module M_1 of Table I at 100 requests a second: batch 20 gains 2.50 a second, batch 100
+    # only 0.54; with room for one switch the first is taken
+    options = _options("m1", [0.15, 0.45, 2.0], [50, 80, 100])
+    old, mid, big = options
+    gain = (old.cost(100) - mid.cost(100)) / (mid.finish_s - old.finish_s)
+    assert gain == pytest.approx(2.5)
+    assert (old.cost(100) - big.cost(100)) / (2.0 - 0.15) == pytest.approx(0.54, abs=0.01)
+    assert split([Stage(100, options)], 1.0)[0].option is mid
+    assert split([Stage(100, options)], 2.0)[0].option is big
+    assert split([Stage(100, options)], 0.1)[0].option is old
+
+
+def test_split_of_two_modules_in_sequence() -> None:
+    # Table II: of the three strategies for 0.9 s the second costs least, 4.00 machines
+    stages = [
+        Stage(50, _options("m2", [0.25, 0.40, 0.55], [16, 25, 30])),
+        Stage(40, _options("m3", [0.35, 0.50, 0.65], [12, 20, 25]), after=(0,)),
+    ]
+    shares = split(stages, 0.9)
+    assert [s.option.name for s in shares] == ["m2/1", "m3/1"]
+    cost = sum(s.option.cost(st.tasks) for s, st in zip(shares, stages, strict=True))
+    assert cost == pytest.approx(4.0)
+    assert [s.budget_s for s in shares] == pytest.approx([0.4, 0.5])
+    # with more time, budgets are resized in proportion to the finish times
+    assert sum(s.budget_s for s in split(stages, 3.0)) == pytest.approx(3.0)
+
+
+def test_fill_takes_whole_machines_of_the_best_value_first() -> None:
+    # T = 285 of section II as tasks: machines of 100, 80 and 50 a unit of time at one price
+    offers = [
+        Offer("big", 1.0, 100, 0.0, 1.0, 9),
+        Offer("mid", 0.85, 80, 0.0, 1.0, 9),
+        Offer("small", 0.6, 50, 0.0, 1.0, 9),
+    ]
+    plan = fill(285, offers, 1.0)
+    # the rest of 85 on a third big one costs 1.0; two middle ones would cost 1.7
+    assert sum(number for offer, number in plan if offer.name == "big") == 3
+    assert sum(offer.price * number for offer, number in plan) == 3.0
+    # a rest that a smaller one takes goes there
+    assert [(o.name, n) for o, n in fill(240, offers, 1.0)] == [("big", 2), ("small", 1)]
+    # one that can't meet the budget is left out; if none can, the soonest takes all
+    slow = Offer("slow", 0.1, 100, 5.0, 1.0, 9)
+    assert all(o.name != "slow" for o, _ in fill(100, [*offers, slow], 2.0))
+    assert [o.name for o, _ in fill(10, [slow], 2.0)] == ["slow"]
+
+
+def test_margin_follows_recent_errors() -> None:
+    estimates = Estimates()
+    before = estimates.margin_s("chat", 100.0)
+    for ratio in [1.0] * 6 + [1.5] * 4:
+        estimates.saw("chat", 100.0, 100.0 * ratio)
+    assert before == pytest.approx(30.0)
+    assert estimates.task_s("chat", 10.0) == pytest.approx(10.0)
+    assert estimates.margin_s("chat", 10.0) == pytest.approx(5.0)
+
+
+def test_queue_goes_by_priority_and_budget_end() -> None:
+    urgent = make_spec(dueS=50.0)
+    late = make_spec(dueS=500.0)
+    free = make_spec(dueS=None)
+    ends = [budget_end(s, 100.0, 10.0, 33.0) for s in (urgent, late, free)]
+    assert ends == [140.0, 590.0, 133.0]
+    first = place_in_queue(make_spec(precedence="production"), 999.0)
+    assert first < place_in_queue(urgent, 0.0)
+
+
+def test_assign_keeps_spread_and_prefers_the_image() -> None:
+    spec = make_spec(cut="service", sacks=5, spread=True, cards=1.0)
+    rooms = [room_of(m, KINDS["g4"], z, False) for m, z in (("a", "north"), ("b", "south"))]
+    taken = assign(spec, 5, rooms, Zones(spec, {}))
+    by_zone = {room.zone: 0 for room in rooms}
+    for room, number in taken:
+        by_zone[room.zone] += number
+    assert sorted(by_zone.values()) == [2, 3]
+    one = make_spec(sacks=1)
+    rooms = [room_of(m, KINDS["g4"], "north", False) for m in ("a", "b")]
+    rooms[1].images["img-1"] = 10.0
+    assert [r.machine for r, _ in assign(one, 1, rooms, Zones(one, {}))] == ["b"]
+    spot = [room_of("s", KINDS["g4"], "north", True)]
+    assert assign(one, 1, spot, Zones(one, {})) == []
+    bound = make_spec(yard="south")
+    assert assign(bound, 1, rooms, Zones(bound, {})) == []
+
+
+def test_one_zone_is_kept() -> None:
+    spec = make_spec(sacks=6, oneZone=True)
+    rooms = [room_of(f"m{i}", KINDS["g4"], z, False) for i, z in enumerate(["north", "south"] * 2)]
+    zones = {room.zone for room, _ in assign(spec, 6, rooms, Zones(spec, {}))}
+    assert len(zones) == 1
+    assert assign(spec, 1, rooms, Zones(spec, {"south": 1}))[0][0].zone == "south"
+
+
+def test_demand_asks_for_machines_only_beyond_what_there_is() -> None:
+    spec = make_spec(sacks=6, dueS=None)
+    sources = [Source(KINDS["g4"], "north", False)]
+
+    def want() -> Want:
+        return Want(spec, 6, Zones(spec, {}), float("inf"), 40.0)
+
+    outcome = demand([want()], [], sources, lambda s: 50)
+    assert [need.number for need in outcome.needs.values()] == [2]
+    rooms = [room_of("a", KINDS["g4"], "north", False), room_of("b", KINDS["g4"], "north", False)]
+    spare = room_of("c", KINDS["g4"], "north", False)
+    outcome = demand([want()], [*rooms, spare], sources, lambda s: 50)
+    assert outcome.needs == {} and len(outcome.spare) == 1
+    assert demand([want()], [], sources, lambda s: 0).short == 6
+
+
+def test_teams_are_parted_by_guarantee() -> None:
+    settings = make_settings()
+    shards = [settings.shard_of_team(t.name) for t in settings.teams]
+    assert sorted(shards) == [0, 1, 2] and shards[0] == 0
+    assert stored_catalog(KINDS)[0]["name"] == "g4"
--- /dev/null
+++ b/tests/test_work.py
@@ -0,0 +1,178 @@
+"""Placing, preempting, retrying, returning machines: what the rounds decide."""
+
+import orjson
+
+from crossmill.cluster import keys
+
+from .harness import Node, add_job, add_machine, play, seed
+from .standins import FakeClock, StateService, on
+
+Nodes = dict[str, Node]
+
+
+async def _ready(
+    state: StateService, clock: FakeClock, nodes: Nodes, machines: int, **job: object
+) -> Node:
+    seed(state, clock, machines=machines)
+    add_job(state, clock, **job)
+    node = Node(state, clock, nodes)
+    await node.boot()
+    for number in range(machines):
+        node.report(f"n-{number}", 1, 1, node.token())
+    await node.round()
+    return node
+
+
+def test_a_service_takes_the_place_of_lesser_work_and_nobody_else_does() -> None:
+    async def story(state: StateService, clock: FakeClock, nodes: Nodes) -> None:
+        node = await _ready(state, clock, nodes, 1, sacks=4)
+        running = [on("wk-000001", i, i + 1, "running") for i in range(4)]
+        node.report("n-0", 1, 2, node.token(), *running)
+        add_job(
+            state, clock, nameId="wk-000002", cut="service", precedence="production",
+            sacks=1, cards=2.0, grindS=0.0, dueS=None,
+        )  # fmt: skip
+        await node.sync()
+        await node.round()
+        assert len(node.reports.stopping) == 2
+        orders = node.report("n-0", 1, 3, node.token(), *running).commands
+        stopped = [c.task for c in orders if c.op == "stop"]
+        assert len(stopped) == 2
+        # one of the two has ended: its room must not go back to the array
+        left = [r for r in running if r["sack"] != stopped[0]]
+        index = int(stopped[0].rpartition("/")[2])
+        gone = on("wk-000001", index, index + 1, "exited", "halted")
+        node.report("n-0", 1, 4, node.token(), *left, gone)
+        await node.round()
+        await node.round()
+        assert node.world.jobs["wk-000001"].row_count() == 3
+        index = int(stopped[1].rpartition("/")[2])
+        gone = on("wk-000001", index, index + 1, "exited", "halted")
+        node.report("n-0", 1, 5, node.token(), *left[:-1], gone)
+        await node.round()
+        await node.round()
+        assert node.world.jobs["wk-000002"].row_count() == 1
+
+    play(story)
+
+
+def test_equal_priority_is_never_preempted() -> None:
+    async def story(state: StateService, clock: FakeClock, nodes: Nodes) -> None:
+        node = await _ready(state, clock, nodes, 1, sacks=4)
+        add_job(state, clock, nameId="wk-000002", sacks=1)
+        await node.sync()
+        await node.round()
+        assert not node.reports.stopping
+
+    play(story)
+
+
+def test_a_job_that_fails_everywhere_backs_off_and_condemns_no_machine() -> None:
+    async def story(state: StateService, clock: FakeClock, nodes: Nodes) -> None:
+        node = await _ready(state, clock, nodes, 4, sacks=1)
+        starts = 0
+        for seq in range(2, 240):
+            clock.time += 0.5
+            await node.keeper.step()
+            for number in range(4):
+                machine = f"n-{number}"
+                rows = node.world.machines[machine].rows.values()
+                tasks = [on(r.job, r.index, r.attempt, "exited", "error") for r in rows]
+                starts += len(tasks)
+                node.report(machine, 1, seq, node.token(), *tasks)
+            await node.round()
+        assert 4 <= starts <= 14
+        assert not any(m.retiring == "faulty" for m in node.world.machines.values())
+
+    play(story)
+
+
+def test_a_faulty_machine_is_given_up() -> None:
+    async def story(state: StateService, clock: FakeClock, nodes: Nodes) -> None:
+        node = await _ready(state, clock, nodes, 1, sacks=1)
+        add_job(state, clock, nameId="wk-000002", sacks=1)
+        await node.sync()
+        await node.round()
+        rows = node.world.machines["n-0"].rows.values()
+        tasks = [on(r.job, r.index, r.attempt, "exited", "error") for r in rows]
+        assert len(tasks) == 2
+        node.report("n-0", 1, 3, node.token(), *tasks)
+        clock.time += node.settings.worker_end_s + 1
+        await node.keeper.step()
+        node.report("n-0", 1, 4, node.token())
+        await node.round()
+        await node.round()
+        assert node.world.machines["n-0"].retiring == "faulty"
+
+    play(story)
+
+
+def test_an_idle_machine_is_returned_and_never_used_again() -> None:
+    async def story(state: StateService, clock: FakeClock, nodes: Nodes) -> None:
+        seed(state, clock, machines=1)
+        node = Node(state, clock, nodes)
+        await node.boot()
+        for seq in range(1, 60):
+            clock.time += 1.0
+            await node.keeper.step()
+            node.report("n-0", 1, seq, node.token())
+            await node.round()
+        assert node.world.machines["n-0"].retiring == "idle"
+        add_job(state, clock, sacks=1)
+        await node.sync()
+        node.report("n-0", 1, 99, node.token())
+        await node.round()
+        assert node.world.jobs["wk-000001"].row_count() == 0
+
+    play(story)
+
+
+def test_a_notice_stops_new_starts_and_saves_in_time() -> None:
+    async def story(state: StateService, clock: FakeClock, nodes: Nodes) -> None:
+        node = await _ready(state, clock, nodes, 1, sacks=1, baggingS=10.0, sealS=3.0)
+        running = on("wk-000001", 0, 1, "running")
+        node.report("n-0", 1, 2, node.token(), running)
+        view = node.reports.peek("n-0")
+        assert view is not None
+        for left, stops in ((20.0, 0), (5.0, 1)):
+            view.notice_at = clock.now() + left
+            orders = node.reports._orders(node.world.machines["n-0"], view)
+            assert [c.op for c in orders].count("stop") == stops
+        add_job(state, clock, nameId="wk-000002", sacks=1)
+        await node.sync()
+        await node.round()
+        assert node.world.jobs["wk-000002"].row_count() == 0
+
+    play(story)
+
+
+def test_large_jobs_plans_fit_the_value_limit() -> None:
+    async def story(state: StateService, clock: FakeClock, nodes: Nodes) -> None:
+        # the team of this job has no limit and sits on another shard
+        node = Node(state, clock, nodes)
+        await node.boot()
+        shard = node.settings.shard_of_team("blue")
+        seed(state, clock, machines=0)
+        for number in range(40):
+            add_machine(state, clock, f"n-{number}", shard)
+        add_job(state, clock, crew="blue", sacks=2000, cpus=0.5, cards=0.1, ramGb=1.0)
+        await node.sync()
+        await node.membership.step()
+        if shard not in node.membership.owned:
+            clock.time += node.settings.hold_ttl_s * 3
+            await node.keeper.step()
+            await node.keeper.step()
+            for _ in range(8):
+                clock.time += node.settings.hold_ttl_s / 2
+                await node.keeper.step()
+                await node.membership.step()
+        for number in range(40):
+            node.report(f"n-{number}", 1, 1, node.token(shard))
+        for _ in range(4):
+            await node.round(shard)
+        assert node.world.jobs["wk-000001"].row_count() > 1000
+        for key, (value, _, _) in state.keys.items():
+            if key.startswith(keys.PLAN):
+                assert len(orjson.dumps(value)) < 32 * 1024
+
+    play(story)
