Keep the zone that offers fewer types for replicas that must be spread

Cause: at nadi suva-east offers one of two types; single replicas and arrays filled it, and second replicas of spread services waited 100 s and more (log: no capacity, all machines full).

--- a/crossmill/fleet/outlook.py
+++ b/crossmill/fleet/outlook.py
@@ -42,8 +42,16 @@
             return None
         return self.room(machine, kind)
 
-    @staticmethod
-    def room(machine: Machine, kind: MachineType) -> Room:
+    def narrow(self, zone: str) -> bool:
+        """Whether the zone offers fewer of the types than another does, so that replicas that
+        are spread find least there."""
+        offered = {z: 0 for z in self._s.zones}
+        for kind in self._world.catalog.values():
+            for name in kind.zones:
+                offered[name] = offered.get(name, 0) + 1
+        return offered.get(zone, 0) < max(offered.values(), default=0)
+
+    def room(self, machine: Machine, kind: MachineType) -> Room:
         """What the plan leaves free on a machine."""
         room = room_of(machine.id, kind, machine.zone, machine.spot)
         room.cpus -= machine.cpus
@@ -51,6 +59,7 @@
         room.memory_gb -= machine.memory_gb
         room.images = dict(machine.images)
         room.used = bool(machine.rows)
+        room.narrow = self.narrow(machine.zone)
         return room
 
     def _note_arrivals(self, wall: float) -> None:
@@ -147,10 +156,11 @@
         )
 
     def sources(self) -> list[Source]:
+        """Ties between zones go to the one that offers more."""
         return [
             Source(kind, zone, spot)
             for kind in self._world.catalog.values()
-            for zone in kind.zones
+            for zone in sorted(kind.zones, key=self.narrow)
             for spot in (False, True)
         ]
 
--- a/crossmill/planning/demand.py
+++ b/crossmill/planning/demand.py
@@ -65,7 +65,7 @@
         max(kind.gpus, kind.cpus / 8),
         kind.gpus > 0,
         kind.fetch_gb_per_s,
-        partial(slots_on, kind=kind),
+        slots=partial(slots_on, kind=kind),
     )
 
 
--- a/crossmill/planning/rooms.py
+++ b/crossmill/planning/rooms.py
@@ -34,6 +34,7 @@
     size: float
     accelerated: bool = False
     fetch_gb_per_s: float = 1.0
+    narrow: bool = False
     slots: Callable[[JobSpec], int] = lambda spec: 1
     images: dict[str, float] = field(default_factory=dict)
     used: bool = False
@@ -104,16 +105,17 @@
         best = max({r.zone for r, _ in fitting}, default="", key=lambda z: _fit(fitting, z))
         fitting = [(r, c) for r, c in fitting if r.zone == best]
 
-    def rank(entry: tuple[Room, int]) -> tuple[bool, float, bool, float, float]:
+    def rank(entry: tuple[Room, int]) -> tuple[bool, bool, float, bool, float, float]:
         room, _ = entry
         delay_s = round(room.delay_s(spec))
         share = max(spec.gpus and room.gpus / room.size, spec.cpus and room.cpus / room.size)
+        # a zone that offers fewer types is kept for the replicas that must go there
         # a task without GPUs would keep a GPU machine rented when all else on it has ended
         pins = spec.gpus == 0 and room.accelerated
         if spec.kind == "service":
-            return (pins, delay_s, not room.used, room.price_for(spec), share)
+            return (pins, room.narrow, delay_s, not room.used, room.price_for(spec), share)
         # spot room can't serve those who may not use it, so the others go there first
-        return (pins, delay_s, not room.spot, room.price_for(spec), share)
+        return (pins, room.narrow, delay_s, not room.spot, room.price_for(spec), share)
 
     fitting.sort(key=rank)
     result: list[tuple[Room, int]] = []
