Use room made for a prompt job at once, also where its image is not

Cause (log): a freed place stood empty for the 8 s of the claim, since only cached places counted meanwhile.

--- a/crossmill/jobs/making_room.py
+++ b/crossmill/jobs/making_room.py
@@ -62,6 +62,10 @@
         holder = self._reserved.get(room.machine)
         return holder is None or holder[0] == job.id
 
+    def made_for(self, room: Room, job: Job) -> bool:
+        holder = self._reserved.get(room.machine)
+        return holder is not None and holder[0] == job.id
+
     def preempt(
         self, job: Job, tasks: int, rooms: list[Room], used: dict[str, list[float]]
     ) -> tuple[list[Row], int]:
--- a/crossmill/jobs/rounds.py
+++ b/crossmill/jobs/rounds.py
@@ -303,7 +303,13 @@
         # a claim that came to nothing is not repeated: then any room will do
         again = self._making.failed(job)
         if prompt_s is not None and not again:
-            near = [room for room in rooms if room.delay_s(spec) < 0.75 * prompt_s]
+            # room made for the job counts wherever it is, or it would stand empty until the
+            # claim ends
+            near = [
+                room
+                for room in rooms
+                if room.delay_s(spec) < 0.75 * prompt_s or self._making.made_for(room, job)
+            ]
             taken = assign(spec, wanted, near, zones, self._s.together)
             wanted -= sum(number for _, number in taken)
             if wanted and may_preempt:
--- a/tests/test_work.py
+++ b/tests/test_work.py
@@ -56,6 +56,28 @@
     play(story)
 
 
+def test_room_made_where_the_image_is_not_is_used_at_once() -> None:
+    async def story(state: StateService, clock: FakeClock, nodes: Nodes) -> None:
+        node = await _ready(state, clock, nodes, 1, sacks=4)
+        running = [on("wk-000001", i, i + 1, "running") for i in range(4)]
+        node.report("n-0", 1, 2, node.token(), *running)
+        add_job(
+            state, clock, nameId="wk-000002", cut="service", precedence="production",
+            sacks=1, grindS=0.0, dueS=None, recipe="img-2", pullGb=90.0,
+        )  # fmt: skip
+        await node.sync()
+        await node.round()
+        (attempt,) = node.reports.stopping
+        gone = on(attempt[0], attempt[1], attempt[2], "exited", "halted")
+        left = [r for r in running if r["turn"] != attempt[2]]
+        node.report("n-0", 1, 3, node.token(), *left, gone)
+        await node.round()
+        await node.round()
+        assert node.world.jobs["wk-000002"].row_count() == 1
+
+    play(story)
+
+
 def test_equal_priority_is_never_preempted() -> None:
     async def story(state: StateService, clock: FakeClock, nodes: Nodes) -> None:
         node = await _ready(state, clock, nodes, 1, sacks=4)
