--- a/crossmill/jobs/rounds.py
+++ b/crossmill/jobs/rounds.py
@@ -75,7 +75,6 @@
         self._stops: list[Row] = []
         self._making = MakingRoom(settings, clock, world, reports, outlook)
         self.wake = curio.Event()
-        self.unplaced: dict[int, int] = {}
 
     async def run(self) -> None:
         while True:
@@ -203,7 +202,6 @@
     ) -> None:
         self._making.settle()
         queue = self._outlook.waiting(shard)
-        self.unplaced[shard] = len(queue)
         if not queue:
             self._stops.extend(self._making.drain(shard, own, self._rooms(machines)))
             return
--- a/crossmill/state/follower.py
+++ b/crossmill/state/follower.py
@@ -5,7 +5,7 @@
 
 import curio
 
-from ..net.actor import Promise
+from ..net.promise import Promise
 from ..settings import Settings
 from .client import Compacted, Doubt, Refused, StateClient
 from .mirror import Mirror
--- a/crossmill/state/writer.py
+++ b/crossmill/state/writer.py
@@ -7,9 +7,9 @@
 import curio
 import orjson
 
-from ..net.actor import Promise
 from ..net.clock import Clock
 from ..net.pacer import Pacer
+from ..net.promise import Promise
 from ..settings import Settings
 from ..wire.state import Txn
 from .client import Doubt, NoLease, Outcome, Refused, StateClient
--- a/crossmill/wire/state.py
+++ b/crossmill/wire/state.py
@@ -100,7 +100,3 @@
 
 def renew_path(lease: int) -> str:
     return f"/holds/{lease}/renew"
-
-
-def hold_path(lease: int) -> str:
-    return f"/holds/{lease}"
