--- a/crossmill/cluster/keys.py
+++ b/crossmill/cluster/keys.py
@@ -9,12 +9,18 @@
 LEADER = ROOT + "leader"
 TOKEN = ROOT + "token"
 CATALOG = ROOT + "catalog"
+# outside ROOT, so that neither the watch nor a start reads what has long been over
+ARCHIVE = "ca/"
 
 
 def job(job_id: str) -> str:
     return JOB + job_id
 
 
+def archived(job_id: str) -> str:
+    return ARCHIVE + job_id
+
+
 def plan(job_id: str, chunk: int) -> str:
     return f"{PLAN}{job_id}/{chunk}"
 
--- a/crossmill/cluster/world.py
+++ b/crossmill/cluster/world.py
@@ -81,6 +81,10 @@
     return {"end": end, "spec": asdict(spec)}
 
 
+def encode_archived(job: Job) -> dict[str, Any]:
+    return {"end": job.end, "done": job.done_count()}
+
+
 def decode_spec(value: dict[str, Any]) -> JobSpec:
     types = value["types"]
     return JobSpec(**{**value, "types": None if types is None else tuple(types)})
@@ -130,6 +134,8 @@
         self.active: dict[int, dict[str, Job]] = {k: {} for k in range(settings.nodes)}
         # ended jobs whose plans are not yet cleared away
         self.ended: dict[int, dict[str, Job]] = {k: {} for k in range(settings.nodes)}
+        # ended jobs with nothing left to clear, oldest first
+        self.over: dict[int, dict[str, Job]] = {k: {} for k in range(settings.nodes)}
         self.machines: dict[str, Machine] = {}
         self.shards: dict[int, Shard] = {}
         self.nodes: dict[str, Any] = {}
@@ -171,7 +177,10 @@
 
     def _on_job(self, job_id: str, value: Any, version: int) -> None:
         if value is None:
-            self.jobs.pop(job_id, None)
+            gone = self.jobs.pop(job_id, None)
+            if gone is not None and gone.shard >= 0:
+                for index in (self.active, self.ended, self.over):
+                    index[gone.shard].pop(job_id, None)
             return
         job = self._job(job_id)
         job.version, job.end = version, value["end"]
@@ -195,6 +204,7 @@
                 ended[job.id] = job
             else:
                 ended.pop(job.id, None)
+                self.over[job.shard].setdefault(job.id, job)
         self.changed_jobs.add(job.shard)
 
     def _recount(self, job: Job, sign: int) -> None:
--- a/crossmill/jobs/desk.py
+++ b/crossmill/jobs/desk.py
@@ -10,7 +10,7 @@
 from ..net.server import Request, Response
 from ..planning.demand import slots_on
 from ..settings import Settings
-from ..state.client import StateClient
+from ..state.client import Doubt, Refused, StateClient
 from ..state.follower import Follower
 from ..state.writer import OK, URGENT, Intent, Writer
 from ..wire import users as wire
@@ -80,9 +80,19 @@
                 return LATER_PLEASE
             job = self._known(job_id)
         if job is None:
-            return Response(404, wire.error_body("no such job"))
+            return await self._archived(job_id)
         return Response(200, self._status(job))
 
+    async def _archived(self, job_id: str) -> Response:
+        """A job that is not at hand: long over, or never accepted."""
+        try:
+            row = await self._client.get(keys.archived(job_id))
+        except (Refused, Doubt):
+            return LATER_PLEASE
+        if row is None:
+            return Response(404, wire.error_body("no such job"))
+        return Response(200, wire.status_body(job_id, row.value["end"], row.value["done"]))
+
     async def _submit(self, request: Request) -> Response:
         try:
             if request.too_large:
@@ -109,20 +119,14 @@
             refusal = None if why is None else Response(422, wire.error_body(why))
         if refusal is not None:
             # a repeat of an accepted job gets its state, whatever the rest of it says
-            return (
-                refusal
-                if not self._client_down() and await self._absent(job_id)
-                else (await self._show(job_id))
-            )
+            known = await self._show(job_id)
+            return refusal if known.status == 404 else known
         assert spec is not None
         return await self._accept(spec)
 
     def _client_down(self) -> bool:
         return self._client.down_for_s() > self._s.renew_s / 2
 
-    async def _absent(self, job_id: str) -> bool:
-        return await self._current() and self._known(job_id) is None
-
     def _never(self, spec: JobSpec) -> str | None:
         team = self._s.team(spec.team)
         if team is None:
@@ -142,7 +146,7 @@
         key = keys.job(spec.id)
         value = encode_job(spec, self._clock.wall())
         intent = Intent(
-            Txn({key: 0}, [Put(key, orjson.loads(orjson.dumps(value)))]),
+            Txn({key: 0, keys.archived(spec.id): 0}, [Put(key, orjson.loads(orjson.dumps(value)))]),
             URGENT,
             until=self._clock.now() + self._s.accept_s,
         )
@@ -172,7 +176,7 @@
                 return LATER_PLEASE
             job = self._known(job_id)
             if job is None:
-                return Response(404, wire.error_body("no such job"))
+                return await self._archived(job_id)
             if job.end != ACTIVE or job.spec is None:
                 continue
             key = keys.job(job_id)
--- a/crossmill/jobs/rounds.py
+++ b/crossmill/jobs/rounds.py
@@ -6,13 +6,24 @@
 import logging
 from dataclasses import dataclass, field, replace
 from functools import partial
+from itertools import islice
 from typing import Any
 
 import curio
 
 from ..cluster import keys
 from ..cluster.membership import Membership, Owned
-from ..cluster.world import ACTIVE, DONE, Chunk, Job, Machine, Row, World, encode_end
+from ..cluster.world import (
+    ACTIVE,
+    DONE,
+    Chunk,
+    Job,
+    Machine,
+    Row,
+    World,
+    encode_archived,
+    encode_end,
+)
 from ..fleet.outlook import Outlook
 from ..net.clock import Clock
 from ..planning.rooms import Room, Zones, assign
@@ -415,6 +426,23 @@
                 )
             if not job.chunks:
                 self._troubles.pop(job.id, None)
+        return intents + self._archive(shard, own)
+
+    def _archive(self, shard: int, own: Owned) -> list[Intent]:
+        """What has long been over leaves memory, watch and start, but is never forgotten."""
+        over = self._world.over[shard]
+        intents: list[Intent] = []
+        for job in islice(over.values(), max(0, len(over) - self._s.ended_kept)):
+            if job.spec is None or len(intents) >= self._s.txn_ops // 4:
+                break
+            self._troubles.pop(job.id, None)
+            key = keys.job(job.id)
+            txn = Txn({keys.shard(shard): own.version, key: job.version})
+            txn.puts.append(Put(keys.archived(job.id), encode_archived(job)))
+            txn.deletes.append(key)
+            intents.append(
+                Intent(txn, LATER, holds=partial(self._membership.holds, shard, own.token))
+            )
         return intents
 
     # -- machines --------------------------------------------------------------------
--- a/crossmill/settings.py
+++ b/crossmill/settings.py
@@ -63,6 +63,7 @@
     cloud_rps: float
     list_lag_s: float
     fd_limit: int
+    ram_mb: float
 
     @property
     def nodes(self) -> int:
@@ -130,6 +131,12 @@
         """A plan row takes at most 48 bytes; three quarters of a value leave room to spare."""
         return max(16, int(self.value_bytes * 0.75 / 48))
 
+    @property
+    def ended_kept(self) -> int:
+        """Ended jobs of a shard kept at hand; older ones are archived and read when asked for.
+        With all controllers' shares, some 4 KB each, that is a tenth of the memory."""
+        return max(100, int(self.ram_mb * 0.1 * 1e6 / 4096 / self.nodes))
+
     @property
     def fixed_wait_s(self) -> float:
         """Where a job without a deadline stands in the queue: arrival plus this."""
@@ -328,6 +335,7 @@
         cloud_rps=cloud.number("rps", 0.01),
         list_lag_s=cloud.number("list_lag_s", 0),
         fd_limit=int(limits.number("fd_limit", 32)),
+        ram_mb=limits.number("ram_mb", 1),
     )
     if len(set(settings.labels)) != settings.nodes:
         raise BadSettings("members: labels must differ from one another and from label")
--- a/tests/test_work.py
+++ b/tests/test_work.py
@@ -5,7 +5,7 @@
 from crossmill.cluster import keys
 
 from .harness import Node, add_job, add_machine, play, seed
-from .standins import FakeClock, StateService, on
+from .standins import FakeClock, StateService, on, submission
 
 Nodes = dict[str, Node]
 
@@ -198,3 +198,29 @@
                 assert len(orjson.dumps(value)) < 32 * 1024
 
     play(story)
+
+
+def test_jobs_long_over_leave_memory_but_are_never_forgotten() -> None:
+    async def story(state: StateService, clock: FakeClock, nodes: Nodes) -> None:
+        seed(state, clock, machines=0)
+        node = Node(state, clock, nodes)
+        await node.boot()
+        kept = node.settings.ended_kept
+        for number in range(kept + 2):
+            job = add_job(state, clock, nameId=f"wk-{number:06d}")
+            state.put(keys.job(job), {**state.keys[keys.job(job)][0], "end": "cancelled"})
+        await node.sync()
+        await node.round()
+        await node.sync()
+        assert len(node.world.jobs) == kept and "wk-000000" not in node.world.jobs
+        answer = await node.ask("GET", "/v1/jobs/wk-000000")
+        assert orjson.loads(answer.body)["stage"] == "withdrawn"
+        answer = await node.ask("POST", "/v1/jobs/wk-000001/withdraw")
+        assert orjson.loads(answer.body)["stage"] == "withdrawn"
+        for change in ({}, {"cpus": -1}):
+            data = orjson.dumps(submission(nameId="wk-000000", **change))
+            answer = await node.ask("POST", "/v1/jobs", data)
+            assert (answer.status, orjson.loads(answer.body)["stage"]) == (200, "withdrawn")
+        assert (await node.ask("GET", "/v1/jobs/wk-999999")).status == 404
+
+    play(story)
