--- a/crossmill/cluster/membership.py
+++ b/crossmill/cluster/membership.py
@@ -124,6 +124,7 @@
             elif known is not None and known.version > own.version:
                 self._drop(shard, f"taken by {known.owner}")
         await self._announce()
+        self._allot()
         missing = [k for k in range(self._s.nodes) if k not in self._world.shards]
         if any(not self._promises.may_start(k) for k in missing):
             await self._promises.inquire()
@@ -151,6 +152,21 @@
         txn = Txn({}, [Put(key, {"lease": lease}, lease)])
         await self._commit(txn)
 
+    def _allot(self) -> None:
+        """The state service's write rate is parted by what there is to do: a controller whose
+        shards have no team takes submissions only, the leader also writes every machine's
+        record. All see the same keys; while they differ, a refusal or two is the worst."""
+        weights = dict.fromkeys(self._world.nodes, 1)
+        if self._s.label not in weights:
+            weights = dict.fromkeys(self._labels, 1)
+        for index, shard in self._world.shards.items():
+            if shard.owner in weights and index in self._s.busy_shards:
+                weights[shard.owner] += 2
+        if self._world.leader in weights:
+            weights[self._world.leader] += 2
+        mine = weights[self._s.label]
+        self._writer.allot(self._s.writes_of(mine, sum(weights.values())))
+
     async def _commit(self, txn: Txn) -> bool:
         epoch = self._keeper.epoch
         intent = Intent(txn, URGENT, holds=lambda: self._keeper.holds(epoch))
--- a/crossmill/fleet/outlook.py
+++ b/crossmill/fleet/outlook.py
@@ -20,6 +20,7 @@
     """Recent submissions of a class to a shard."""
 
     times: list[tuple[float, int]] = field(default_factory=list)
+    work_s: list[tuple[float, float]] = field(default_factory=list)
     spec: JobSpec | None = None
 
 
@@ -92,15 +93,16 @@
                 newest = max(newest, job.order)
                 entry = self._arrivals.setdefault((shard, job.spec.job_class), _Arrivals())
                 entry.times.append((job.submitted, job.spec.tasks))
+                entry.work_s.append((job.submitted, job.spec.tasks * job.spec.estimate_s))
                 entry.spec = job.spec
         self._seen_order = newest
         horizon = wall - self._s.forecast_s
         for entry in self._arrivals.values():
             entry.times = [t for t in entry.times if t[0] >= horizon]
+            entry.work_s = [t for t in entry.work_s if t[0] >= horizon]
 
     def _expected(self, shard: int, wall: float) -> list[Want]:
-        """Tasks likely to come while a machine boots, for which room is kept: those of
-        services. Arrays' room comes free as arrays end."""
+        """Replicas likely to come while a machine boots, for which room is kept."""
         wants: list[Want] = []
         for (where, _), entry in self._arrivals.items():
             spec = entry.spec
@@ -118,6 +120,33 @@
                 wants.append(Want(spec, number, Zones(spec, {}), inf, 0.0))
         return wants
 
+    def _ahead(self, shard: int) -> list[Want]:
+        """Arrays' tasks that would run at a time on average, beyond those at hand. Arrays that
+        find no room can't wait for a cheap machine's boot, so spot machines are rented ahead."""
+        wants: list[Want] = []
+        at_hand = self._array_tasks(shard)
+        for (where, job_class), entry in self._arrivals.items():
+            spec = entry.spec
+            if where != shard or spec is None or spec.kind == "service" or not spec.spot:
+                continue
+            work_s = self.estimates.task_s(job_class, sum(work for _, work in entry.work_s))
+            number = round(work_s / self._s.forecast_s) - at_hand.get(job_class, 0)
+            if number > 0:
+                # any image may be asked for, and the cheapest place is kept
+                anyone = replace(spec, image="", image_gb=0.0, one_zone=False, tasks=number)
+                zones = Zones(anyone, {})
+                wants.append(Want(anyone, number, zones, inf, 0.0, spot_only=True))
+        return wants
+
+    def _array_tasks(self, shard: int) -> dict[str, int]:
+        """Tasks of arrays that run or wait, by class."""
+        tasks: dict[str, int] = {}
+        for job in self._world.active[shard].values():
+            if job.spec is not None and job.spec.kind != "service":
+                left = job.spec.tasks - job.done_count()
+                tasks[job.spec.job_class] = tasks.get(job.spec.job_class, 0) + left
+        return tasks
+
     def queue_place(self, job: Job) -> tuple[tuple[int, float], int]:
         """Priority, then budget end, then order of acceptance."""
         spec = job.spec
@@ -194,7 +223,7 @@
     def look(self, shard: int) -> Outcome:
         wall = self._clock.wall()
         self._note_arrivals(wall)
-        wants = self._wants(shard, wall) + self._expected(shard, wall)
+        wants = self._wants(shard, wall) + self._expected(shard, wall) + self._ahead(shard)
         return demand(wants, self._rooms(shard, wall), self.sources(), self._limit)
 
     def _quick(self, spec: JobSpec, room: Room) -> bool:
--- a/crossmill/net/pacer.py
+++ b/crossmill/net/pacer.py
@@ -16,6 +16,12 @@
         self._tokens = min(self._burst, self._tokens + (now - self._at) * self.rate)
         self._at = now
 
+    def reset(self, rate: float, burst: float) -> None:
+        """Another rate from now on; what was saved up stays, within the new burst."""
+        self._refill()
+        self.rate, self._burst = rate, burst
+        self._tokens = min(self._tokens, burst)
+
     def available(self) -> float:
         self._refill()
         return self._tokens
--- a/crossmill/planning/demand.py
+++ b/crossmill/planning/demand.py
@@ -23,6 +23,7 @@
     budget_s: float
     task_s: float
     covered: int = 0
+    spot_only: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -88,7 +89,8 @@
     real = {room.machine for room in rooms}
     asked: dict[tuple[str, str, bool], int] = {}
     for want in wants:
-        taken = assign(want.spec, want.tasks, rooms, want.zones)
+        open_rooms = [r for r in rooms if r.spot] if want.spot_only else rooms
+        taken = assign(want.spec, want.tasks, open_rooms, want.zones)
         left = want.tasks - sum(n for _, n in taken) - want.covered
         turns = 0
         while left > 0 and turns < 64:
@@ -142,6 +144,8 @@
     offers: dict[str, tuple[Offer, Source]] = {}
     for source in sources:
         open_tasks = want.zones.open(source.zone)
+        if want.spot_only and not source.spot:
+            continue
         if open_tasks <= 0 or not allowed(spec, source.type.name, source.zone, source.spot):
             continue
         key = (source.type.name, source.zone, source.spot)
--- a/crossmill/planning/rooms.py
+++ b/crossmill/planning/rooms.py
@@ -11,11 +11,18 @@
 def tasks_fitting(spec: JobSpec, cpus: float, gpus: float, memory_gb: float) -> int:
     """How many tasks like this fit; not bounded by the job's own number, since a machine
     that one job fills in part is shared with others, and costs each its share."""
+    cpus, gpus, memory_gb = cpus + EPS, gpus + EPS, memory_gb + EPS
+    # most rooms asked about are full; this is asked of every room for every waiting job
+    if gpus < spec.gpus or cpus < spec.cpus or memory_gb < spec.memory_gb:
+        return 0
     count = MAX_TASKS
-    for free, each in ((cpus, spec.cpus), (gpus, spec.gpus), (memory_gb, spec.memory_gb)):
-        if each > 0:
-            count = min(count, int((free + EPS) / each))
-    return max(0, count)
+    if spec.gpus > 0:
+        count = min(count, int(gpus / spec.gpus))
+    if spec.cpus > 0:
+        count = min(count, int(cpus / spec.cpus))
+    if spec.memory_gb > 0:
+        count = min(count, int(memory_gb / spec.memory_gb))
+    return count
 
 
 @dataclass(slots=True)
--- a/crossmill/settings.py
+++ b/crossmill/settings.py
@@ -114,9 +114,19 @@
     def requests_share(self) -> float:
         return 0.9 * self.state_rps / self.nodes
 
+    def writes_of(self, weight: float, total: float) -> float:
+        """A controller's part of the changes a second that all of them together may make."""
+        return 0.92 * self.state_write_rps * weight / total
+
     @property
     def writes_share(self) -> float:
-        return 0.92 * self.state_write_rps / self.nodes
+        """The part of each while nobody is known to have more to do."""
+        return self.writes_of(1, self.nodes)
+
+    @property
+    def busy_shards(self) -> frozenset[int]:
+        """Shards that have a team; with fewer teams than controllers some have none."""
+        return frozenset(self.shard_of_team(t.name) for t in self.teams)
 
     @property
     def cloud_pace(self) -> float:
--- a/crossmill/state/writer.py
+++ b/crossmill/state/writer.py
@@ -67,6 +67,10 @@
         self._flying = 0
         self._wake = curio.Event()
 
+    def allot(self, share: float) -> None:
+        """This controller's changes a second, from now on."""
+        self._pacer.reset(share, max(share, 1.0))
+
     @property
     def backlog(self) -> int:
         return len(self._queue)
--- a/tests/test_work.py
+++ b/tests/test_work.py
@@ -224,3 +224,24 @@
         assert (await node.ask("GET", "/v1/jobs/wk-999999")).status == 404
 
     play(story)
+
+
+def test_spot_room_for_arrays_is_rented_before_they_come() -> None:
+    async def story(state: StateService, clock: FakeClock, nodes: Nodes) -> None:
+        # arrays that come all the time, each done by now: no waiting task asks for a machine
+        node = await _ready(state, clock, nodes, 0)
+        for number in range(2, 11):
+            add_job(state, clock, nameId=f"wk-{number:06d}", sacks=20, loaners=True, grindS=10.0)
+        await node.sync()
+        node.outlook.look(0)
+        for job_id in list(node.world.jobs):
+            state.put(keys.job(job_id), {**state.keys[keys.job(job_id)][0], "end": "done"})
+        await node.sync()
+        needs = node.outlook.look(0).needs
+        # 10 * 20 tasks of 10 s in the span that is looked back on
+        tasks = 10 * 20 * 10.0 / node.settings.forecast_s
+        assert {need.source.spot for need in needs.values()} == {True}
+        machines = sum(n.number for n in needs.values())
+        assert machines == -(-round(tasks) // 4)
+
+    play(story)
