Refused alone, let go; base of spot room; GPU machines kept for GPU tasks; machines given

Also in: machines with nothing on them move to a shard whose tasks find no room, under a token of their own; being measured.

--- a/crossmill/app.py
+++ b/crossmill/app.py
@@ -40,6 +40,7 @@
         self.writer = Writer(client, mirror, clock, settings)
         self.keeper = Keeper(client, clock, settings)
         self.promises = Promises(settings, clock)
+        self.promises.served_ago_s = client.served_ago_s
         self.membership = Membership(
             settings, clock, self.keeper, self.world, self.follower, self.writer, self.promises
         )
@@ -87,7 +88,9 @@
         if request.path == users.JOBS_PATH or request.path.startswith(users.JOBS_PATH + "/"):
             return await self.desk.handle(request)
         if request.path == "/healthz":
+            # users are sent elsewhere while this controller alone can't decide anything
             ready = self.follower.ready.is_set() and bool(self.world.catalog)
+            ready = ready and not self.promises.alone
             return Response(200 if ready else 503)
         return Response(404, users.error_body("no such path"))
 
--- a/crossmill/cluster/membership.py
+++ b/crossmill/cluster/membership.py
@@ -216,16 +216,20 @@
         finally:
             self._promises.taking.discard(shard)
 
+    def next_token(self) -> tuple[int, int]:
+        """The next token, and the counter's version that a write of it rests on."""
+        counter = self._world.mirror.value(keys.TOKEN) or {"n": 0}
+        return int(counter["n"]) + 1, self._world.mirror.version(keys.TOKEN)
+
     async def _take_one(self, shard: int) -> None:
         known = self._world.shards.get(shard)
-        counter = self._world.mirror.value(keys.TOKEN) or {"n": 0}
-        token = int(counter["n"]) + 1
+        token, counted = self.next_token()
         lease, epoch = self._keeper.lease, self._keeper.epoch
         key = keys.shard(shard)
         txn = Txn(
             {
                 key: known.version if known else 0,
-                keys.TOKEN: self._world.mirror.version(keys.TOKEN),
+                keys.TOKEN: counted,
             },
             [
                 Put(key, {"owner": self._s.label, "token": token}, lease),
--- a/crossmill/cluster/promises.py
+++ b/crossmill/cluster/promises.py
@@ -39,6 +39,9 @@
         # set by the membership: shards owned, and those being taken right now
         self.owned: Callable[[], Iterable[int]] = lambda: ()
         self.taking: set[int] = set()
+        # set by the application: how long ago the state service last served this controller
+        self.served_ago_s: Callable[[], float | None] = lambda: None
+        self.alone = False
 
     # -- promises given --------------------------------------------------------------
 
@@ -58,7 +61,7 @@
         until = self._clock.now() + self._s.promise_s * (1 + self._s.drift)
         for shard in claim.shards:
             self._given[shard] = until
-        return Response(200)
+        return Response(200, wire.promise_body(self.served_ago_s()))
 
     def bound(self, shard: int) -> bool:
         """Whether a promise forbids taking this shard now."""
@@ -94,6 +97,7 @@
         """The lease stands again: promises are no longer leaned on."""
         if self._failing_since is not None:
             self._failing_since = None
+            self.alone = False
             self._got.clear()
 
     def extended(self) -> bool:
@@ -107,7 +111,9 @@
     async def ask(self, shards: list[int]) -> None:
         if self._failing_since is None:
             self._failing_since = self._clock.now()
-        if not shards:
+        # once workers are no longer answered, a promise would only keep peers from taking over
+        over = self._clock.now() - self._failing_since > self._s.extension_s
+        if not shards or over or self.alone:
             return
         claim = wire.Claim(self._s.label, tuple(shards))
         async with curio.TaskGroup() as group:
@@ -117,14 +123,25 @@
     async def _ask_one(self, label: str, claim: wire.Claim) -> None:
         sent = self._clock.now()
         try:
-            status, _ = await self._http[label].request(
+            status, data = await self._http[label].request(
                 "POST", wire.PROMISE_PATH, wire.claim_body(claim), self._s.promise_s / 4
             )
-        except (Unreached, Unanswered) as exc:
+            ago_s = wire.parse_promise(data) if status == 200 else None
+        except (Unreached, Unanswered, Malformed) as exc:
             log.debug("no promise peer=%s error=%s", label, exc)
             return
         if status == 200:
             self._got[label] = sent + self._s.promise_s * (1 - self._s.drift)
+            self._compare(label, sent, ago_s)
         else:
             log.info("promise refused peer=%s status=%d", label, status)
             self._got.pop(label, None)
+
+    def _compare(self, label: str, sent: float, ago_s: float | None) -> None:
+        """In an outage nobody has been served since it began; a peer that was, and clearly
+        later than we were first refused, shows that the trouble is ours alone."""
+        if ago_s is None or self._failing_since is None or self.alone:
+            return
+        if sent - ago_s > self._failing_since + self._s.renew_s:
+            log.info("state service refuses us alone peer=%s", label)
+            self.alone = True
--- a/crossmill/cluster/world.py
+++ b/crossmill/cluster/world.py
@@ -100,6 +100,9 @@
     rented: float
     retiring: str
     up: bool
+    # a machine that came from another shard has a token of its own: it is higher than any that
+    # its worker can have seen, and than any that a command still under way can carry
+    token: int = 0
     version: int = 0
     cpus: float = 0.0
     gpus: float = 0.0
@@ -107,12 +110,20 @@
     rows: dict[tuple[str, int], Row] = field(default_factory=dict)
     images: dict[str, float] = field(default_factory=dict)
 
-    def encode(self, retiring: str | None = None, up: bool | None = None) -> dict[str, Any]:
+    def encode(
+        self,
+        retiring: str | None = None,
+        up: bool | None = None,
+        moved: tuple[int, int] | None = None,
+    ) -> dict[str, Any]:
+        """Its record, changed; `moved` is the shard that gets it and its new token."""
+        shard, token = moved or (self.shard, self.token)
         return {
             "type": self.type,
             "zone": self.zone,
             "spot": self.spot,
-            "shard": self.shard,
+            "shard": shard,
+            "token": token,
             "at": self.rented,
             "retiring": self.retiring if retiring is None else retiring,
             "up": self.up if up is None else up,
@@ -302,6 +313,7 @@
             value["at"],
             value["retiring"],
             value["up"],
+            value.get("token", 0),
             version,
         )
         if old is not None:
--- a/crossmill/fleet/outlook.py
+++ b/crossmill/fleet/outlook.py
@@ -9,7 +9,7 @@
 from ..planning.demand import Outcome, Source, Want, demand, room_of, slots_on
 from ..planning.estimates import Estimates
 from ..planning.queue import budget_end, place_in_queue
-from ..planning.rooms import Room, Zones, allowed, assign
+from ..planning.rooms import Room, Share, Zones, allowed, assign
 from ..settings import Settings
 from ..wire.cloud import MachineType
 from ..wire.users import JobSpec
@@ -36,6 +36,8 @@
         self._catalog: object = None
         self._narrow: dict[str, bool] = {}
         self._sources: list[Source] = []
+        self._typical: Share | None = None
+        self._typical_at = -inf
 
     def _room(self, machine: Machine, wall: float) -> Room | None:
         kind = self._world.catalog.get(machine.type)
@@ -82,8 +84,27 @@
         room.images = dict(machine.images)
         room.used = bool(machine.rows)
         room.narrow = self.narrow(machine.zone)
+        room.typical = self._gpu_share()
         return room
 
+    def _gpu_share(self) -> Share | None:
+        """What a task of the class with the most tasks on GPUs takes, looked at now and then."""
+        now = self._clock.now()
+        if now - self._typical_at > self._s.lease_s:
+            self._typical_at = now
+            tasks: dict[str, int] = {}
+            specs: dict[str, JobSpec] = {}
+            for jobs in self._world.active.values():
+                for job in jobs.values():
+                    if job.spec is not None and job.spec.gpus > 0:
+                        name = job.spec.job_class
+                        tasks[name] = tasks.get(name, 0) + job.spec.tasks
+                        specs[name] = job.spec
+            if tasks:
+                spec = specs[max(tasks, key=lambda name: (tasks[name], name))]
+                self._typical = Share(spec.cpus, spec.gpus, spec.memory_gb)
+        return self._typical
+
     def _note_arrivals(self, wall: float) -> None:
         newest = self._seen_order
         for shard, jobs in self._world.active.items():
@@ -121,16 +142,15 @@
         return wants
 
     def _ahead(self, shard: int) -> list[Want]:
-        """Arrays' tasks that would run at a time on average, beyond those at hand. Arrays that
-        find no room can't wait for a cheap machine's boot, so spot machines are rented ahead."""
+        """Arrays' tasks that run at a time on average. Arrays that find no room can't wait for
+        a cheap machine's boot, so a base of spot machines is rented ahead and kept."""
         wants: list[Want] = []
-        at_hand = self._array_tasks(shard)
         for (where, job_class), entry in self._arrivals.items():
             spec = entry.spec
             if where != shard or spec is None or spec.kind == "service" or not spec.spot:
                 continue
             work_s = self.estimates.task_s(job_class, sum(work for _, work in entry.work_s))
-            number = round(work_s / self._s.forecast_s) - at_hand.get(job_class, 0)
+            number = round(work_s / self._s.forecast_s * self._s.array_base)
             if number > 0:
                 # any image may be asked for, and the cheapest place is kept
                 anyone = replace(spec, image="", image_gb=0.0, one_zone=False, tasks=number)
@@ -138,14 +158,25 @@
                 wants.append(Want(anyone, number, zones, inf, 0.0, spot_only=True))
         return wants
 
-    def _array_tasks(self, shard: int) -> dict[str, int]:
-        """Tasks of arrays that run or wait, by class."""
-        tasks: dict[str, int] = {}
-        for job in self._world.active[shard].values():
-            if job.spec is not None and job.spec.kind != "service":
-                left = job.spec.tasks - job.done_count()
-                tasks[job.spec.job_class] = tasks.get(job.spec.job_class, 0) + left
-        return tasks
+    def _base(self, shard: int, wall: float, outcome: Outcome) -> None:
+        """Adds what the base of spot machines needs, each machine counted as if empty."""
+        wants = self._ahead(shard)
+        if not wants:
+            return
+        rooms = [
+            room_of(m.id, kind, m.zone, True)
+            for m in self._world.machines.values()
+            if m.shard == shard
+            and m.spot
+            and (kind := self._world.catalog.get(m.type)) is not None
+            and self._room(m, wall) is not None
+        ]
+        base = demand(wants, rooms, self.sources(), self._limit)
+        kept = {m.id for m in self._world.machines.values() if m.shard == shard and m.spot}
+        outcome.spare -= kept - base.spare
+        for key, need in base.needs.items():
+            known = outcome.needs.setdefault(key, need)
+            known.number = max(known.number, need.number)
 
     def queue_place(self, job: Job) -> tuple[tuple[int, float], int]:
         """Priority, then budget end, then order of acceptance."""
@@ -180,7 +211,7 @@
 
     def _wants(self, shard: int, wall: float) -> list[Want]:
         wants: list[Want] = []
-        coming = self._coming_free(shard)
+        coming, promised = self._coming_free(shard), 0
         for job in self.waiting(shard):
             spec, end = job.spec, self.budget_end(job)
             assert spec is not None
@@ -190,14 +221,25 @@
             budget_s = inf if spec.deadline_s is None else end - wall
             want = Want(spec, job.waiting_count(), Zones(spec, zones), budget_s, task_s)
             if spec.kind == "array" and task_s > 0:
-                # slots of running arrays come free within a task's time, and again after it
-                turns = int(min(want.budget_s - task_s, 2 * task_s) / task_s)
-                take = min(want.tasks, max(0, coming * min(turns, 2)))
-                want.covered = take
-                coming -= (take + 1) // 2 if turns >= 2 else take
+                # slots of running arrays come free one after the other, and again; those that
+                # do by the time the last task has to be there go to the jobs in their order
+                last_s = want.budget_s - task_s - self._fetch_s(spec)
+                span_s = min(max(0.0, last_s), self._s.forecast_s)
+                by_then = int(coming * span_s / task_s)
+                want.covered = max(0, min(want.tasks, by_then - promised))
+                promised += want.covered
             wants.append(want)
         return wants
 
+    def _fetch_s(self, spec: JobSpec) -> float:
+        """How long the image takes where it is fetched soonest."""
+        rates = [
+            k.fetch_gb_per_s
+            for n, k in self._world.catalog.items()
+            if spec.types is None or n in spec.types
+        ]
+        return spec.image_gb / max(rates) if rates else 0.0
+
     def _coming_free(self, shard: int) -> int:
         return sum(
             job.row_count()
@@ -223,8 +265,26 @@
     def look(self, shard: int) -> Outcome:
         wall = self._clock.wall()
         self._note_arrivals(wall)
-        wants = self._wants(shard, wall) + self._expected(shard, wall) + self._ahead(shard)
-        return demand(wants, self._rooms(shard, wall), self.sources(), self._limit)
+        wants = self._wants(shard, wall) + self._expected(shard, wall)
+        outcome = demand(wants, self._rooms(shard, wall), self.sources(), self._limit)
+        self._base(shard, wall, outcome)
+        return outcome
+
+    def unmet(self, shard: int, wall: float) -> list[Want]:
+        """What has waited a while and finds no room in the shard, machines that still boot and
+        slots that come free counted in."""
+        old = wall - self._s.give_every_s
+        waiting = self._world.active[shard].values()
+        if not any(j.submitted < old and j.waiting_count() > 0 for j in waiting):
+            return []
+        rooms = self._rooms(shard, wall)
+        result: list[Want] = []
+        for want in self._wants(shard, wall):
+            taken = assign(want.spec, want.tasks, rooms, want.zones)
+            left = want.tasks - sum(number for _, number in taken) - want.covered
+            if left > 0 and self._world.jobs[want.spec.id].submitted < old:
+                result.append(replace(want, tasks=left, covered=0))
+        return result
 
     def _quick(self, spec: JobSpec, room: Room) -> bool:
         """Whether the image is there as soon as the machine's next report."""
--- /dev/null
+++ b/crossmill/jobs/giving.py
@@ -0,0 +1,130 @@
+"""Machines given to another shard, whose tasks find no room while the cloud has none.
+
+Every controller sees the same durable facts, so each works out by itself what the others lack
+and which shard has most to give; only a machine's present owner moves it (docs/safety.md)."""
+
+import logging
+from collections.abc import Iterator
+
+from ..cluster.world import Machine, Row, World
+from ..fleet.outlook import Outlook
+from ..net.clock import Clock
+from ..planning.demand import Want, slots_on
+from ..planning.queue import PRIORITY
+from ..planning.rooms import allowed
+from ..settings import Settings
+from ..workers.reports import Reports
+
+log = logging.getLogger(__name__)
+
+
+class Giving:
+    def __init__(
+        self, settings: Settings, clock: Clock, world: World, reports: Reports, outlook: Outlook
+    ) -> None:
+        self._s = settings
+        self._clock = clock
+        self._world = world
+        self._reports = reports
+        self._outlook = outlook
+        # machines that go to another shard once they are empty, and until when that is tried
+        self.going: dict[str, tuple[int, float]] = {}
+        self._promised: dict[str, float] = {}
+        self._looked_at: dict[int, float] = {}
+
+    def target(self, machine: Machine) -> int | None:
+        """The shard that the machine is to go to now: nothing is on it or may come to it."""
+        entry = self.going.get(machine.id)
+        view = self._reports.peek(machine.id)
+        if entry is None or view is None or machine.rows or view.tasks or machine.retiring:
+            return None
+        return None if self._reports.doubts.get(machine.id) else entry[0]
+
+    def look(self, shard: int, machines: list[Machine]) -> Iterator[Row]:
+        """Chooses machines to give; yields the attempts to be stopped for it."""
+        now = self._clock.now()
+        for machine_id, (to, until) in list(self.going.items()):
+            machine = self._world.machines.get(machine_id)
+            if machine is None or machine.shard == to or machine.retiring or now > until:
+                del self.going[machine_id]
+        if now - self._looked_at.get(shard, 0.0) < self._s.give_every_s:
+            return
+        self._looked_at[shard] = now
+        wall = self._clock.wall()
+        for other in range(self._s.nodes):
+            if other == shard or other not in self._world.shards:
+                continue
+            for want in self._outlook.unmet(other, wall):
+                yield from self._give(shard, other, want, machines, wall)
+
+    def _give(
+        self, shard: int, other: int, want: Want, machines: list[Machine], wall: float
+    ) -> Iterator[Row]:
+        now, job = self._clock.now(), self._world.jobs[want.spec.id]
+        if self._promised.get(job.id, 0.0) > now:
+            return
+        # an idle machine is better moved than rented; running work is stopped only for
+        # replicas, and only when the cloud has had its time
+        busy = want.spec.kind == "service" and wall - job.submitted > self._s.lease_s
+        for stop in (False, True) if busy else (False,):
+            mine = self._suiting(shard, want, stop)
+            if not mine or any(
+                (-len(self._suiting(k, want, stop)), k) < (-len(mine), shard)
+                for k in range(self._s.nodes)
+                if k not in (shard, other)
+            ):
+                continue
+            left = want.tasks
+            for machine in mine[: self._s.give_most]:
+                if left <= 0:
+                    break
+                if machine.id in self.going or not self._idle(machine, stop):
+                    continue
+                left -= min(slots_on(want.spec, self._world.catalog[machine.type]), left)
+                self.going[machine.id] = (other, now + self._s.lease_s)
+                log.info(
+                    "machine to be given machine=%s shard=%d for=%s tasks=%d",
+                    machine.id,
+                    other,
+                    job.id,
+                    len(machine.rows),
+                )
+                for row in machine.rows.values():
+                    self._reports.stopping[row.job, row.index, row.attempt] = "given"
+                    yield row
+            if left < want.tasks:
+                self._promised[job.id] = now + self._s.lease_s
+                return
+
+    def _idle(self, machine: Machine, stop: bool) -> bool:
+        view = self._reports.peek(machine.id)
+        if view is None or not view.fresh(self._clock.now(), self._s.suspect_s):
+            return False
+        if view.notice_at is not None:
+            return False
+        since = view.idle_since
+        return stop or (since is not None and self._clock.now() - since > 2 * self._s.report_s)
+
+    def _suiting(self, shard: int, want: Want, stop: bool) -> list[Machine]:
+        """Machines of the shard that could serve: empty ones, or such as only run lesser work
+        that is done again elsewhere; those with the least of it first."""
+        spec = want.spec
+        result = []
+        for machine in self._world.machines.values():
+            kind = self._world.catalog.get(machine.type)
+            if machine.shard != shard or kind is None or machine.retiring or not machine.up:
+                continue
+            if bool(machine.rows) is not stop or want.zones.open(machine.zone) <= 0:
+                continue
+            if not allowed(spec, machine.type, machine.zone, machine.spot):
+                continue
+            if slots_on(spec, kind) and all(self._lesser(want, r) for r in machine.rows.values()):
+                result.append(machine)
+        result.sort(key=lambda m: len(m.rows))
+        return result
+
+    def _lesser(self, want: Want, row: Row) -> bool:
+        job = self._world.jobs.get(row.job)
+        if job is None or job.spec is None or job.spec.kind == "service":
+            return False
+        return PRIORITY[job.spec.priority] > PRIORITY[want.spec.priority]
--- a/crossmill/jobs/making_room.py
+++ b/crossmill/jobs/making_room.py
@@ -191,9 +191,12 @@
 
     # -- emptying machines -----------------------------------------------------------
 
-    def drain(self, shard: int, own: Owned, rooms: list[Room]) -> Iterator[Row]:
+    def drain(
+        self, shard: int, own: Owned, rooms: list[Room], wanted: bool = False
+    ) -> Iterator[Row]:
         """At most one machine at a time is emptied, when its replicas would stand within a
-        moment on machines that are kept anyway."""
+        moment on machines that are kept anyway. While arrays wait, its room is wanted: then it
+        is kept, and only tasks without GPUs are moved out of the way of those that use them."""
         now = self._clock.now()
         for machine_id in list(self.draining):
             machine = self._world.machines.get(machine_id)
@@ -204,16 +207,19 @@
         ):
             return
         self._drained_at[shard] = now
-        machine = self._emptiest(shard, rooms)
+        machine = self._emptiest(shard, rooms, wanted)
         if machine is None:
             return
-        self.draining[machine.id] = now + 2 * self._s.lease_s
-        log.info("machine drained machine=%s tasks=%d", machine.id, len(machine.rows))
+        if not wanted:
+            self.draining[machine.id] = now + 2 * self._s.lease_s
+        log.info(
+            "machine drained machine=%s tasks=%d kept=%s", machine.id, len(machine.rows), wanted
+        )
         for row in machine.rows.values():
             self._reports.stopping[row.job, row.index, row.attempt] = "drained"
             yield row
 
-    def _emptiest(self, shard: int, rooms: list[Room]) -> Machine | None:
+    def _emptiest(self, shard: int, rooms: list[Room], wanted: bool) -> Machine | None:
         """The machine whose going saves most for each replica moved."""
         by_gain: list[tuple[float, Machine]] = []
         for room in rooms:
@@ -221,6 +227,10 @@
             kind = self._world.catalog.get(machine.type)
             if kind is None or not machine.rows or len(machine.rows) > self._s.drain_most:
                 continue
+            if wanted and (
+                kind.gpus == 0 or any(self._spec(row).gpus > 0 for row in machine.rows.values())
+            ):
+                continue
             if all(self._settled(row) for row in machine.rows.values()):
                 by_gain.append((kind.price / len(machine.rows), machine))
         by_gain.sort(key=lambda entry: -entry[0])
--- a/crossmill/jobs/rounds.py
+++ b/crossmill/jobs/rounds.py
@@ -33,6 +33,7 @@
 from ..wire.users import JobSpec
 from ..workers.direct import Direct
 from ..workers.reports import Finding, Reports
+from .giving import Giving
 from .making_room import MakingRoom
 
 log = logging.getLogger(__name__)
@@ -85,6 +86,7 @@
         self._again = False
         self._stops: list[Row] = []
         self._making = MakingRoom(settings, clock, world, reports, outlook)
+        self._giving = Giving(settings, clock, world, reports, outlook)
         self.wake = curio.Event()
 
     async def run(self) -> None:
@@ -114,6 +116,7 @@
         self._gather(shard, edits)
         self._stops = []
         self._place(shard, own, machines, edits)
+        self._stops.extend(self._giving.look(shard, machines))
         if self._stops:
             await self._direct.send([], self._stops)
         starts: dict[int, list[Row]] = {}
@@ -125,8 +128,19 @@
                 starts[id(intent)] = edit.starts
         intents += self._clear_ended(shard, own)
         intents += self._give_up_machines(shard, own, machines)
-        for intent in intents:
-            await self._writer.submit(intent)
+        moves = self._move_intents(shard, own, machines)
+        intents += moves.values()
+        self._reports.leaving.update(moves)
+        try:
+            for intent in intents:
+                await self._writer.submit(intent)
+            for machine_id, intent in moves.items():
+                if await intent.promise.wait() == OK:
+                    self._reports.moved(machine_id)
+                    self._giving.going.pop(machine_id, None)
+                    log.info("machine given machine=%s", machine_id)
+        finally:
+            self._reports.leaving.difference_update(moves)
         for intent in intents:
             if await intent.promise.wait() == OK:
                 await self._direct.send(starts.get(id(intent), []), [])
@@ -192,6 +206,8 @@
             and view.notice_at is None
             and len(self._machine_errors.get(machine.id, ())) < 2
             and machine.id not in self._making.draining
+            and machine.id not in self._giving.going
+            and machine.id not in self._reports.leaving
         )
 
     def _rooms(self, machines: list[Machine]) -> list[Room]:
@@ -213,8 +229,10 @@
     ) -> None:
         self._making.settle()
         queue = self._outlook.waiting(shard)
+        if all(job.spec is not None and job.spec.kind == "array" for job in queue):
+            rooms = self._rooms(machines)
+            self._stops.extend(self._making.drain(shard, own, rooms, wanted=bool(queue)))
         if not queue:
-            self._stops.extend(self._making.drain(shard, own, self._rooms(machines)))
             return
         started = self._clock.now()
         rooms = self._rooms(machines)
@@ -471,6 +489,21 @@
                 intents.append(self._machine_intent(shard, own, machine, machine.encode(why, True)))
         return intents
 
+    def _move_intents(self, shard: int, own: Owned, machines: list[Machine]) -> dict[str, Intent]:
+        """Empty machines go to the shard they are given to under a token drawn for them alone,
+        so that nothing said by this shard's owner is obeyed afterwards. One at a time: each
+        raises the counter that all tokens come from."""
+        for machine in machines:
+            target = self._giving.target(machine)
+            if target is not None:
+                token, version = self._membership.next_token()
+                value = machine.encode(moved=(target, token))
+                intent = self._machine_intent(shard, own, machine, value)
+                intent.txn.conditions[keys.TOKEN] = version
+                intent.txn.puts.append(Put(keys.TOKEN, {"n": token}))
+                return {machine.id: intent}
+        return {}
+
     def _machine_intent(
         self, shard: int, own: Owned, machine: Machine, value: dict[str, Any]
     ) -> Intent:
--- a/crossmill/planning/demand.py
+++ b/crossmill/planning/demand.py
@@ -88,37 +88,61 @@
         room.used = False
     real = {room.machine for room in rooms}
     asked: dict[tuple[str, str, bool], int] = {}
+    plain = [source for source in sources if source.type.gpus == 0]
     for want in wants:
-        open_rooms = [r for r in rooms if r.spot] if want.spot_only else rooms
-        taken = assign(want.spec, want.tasks, open_rooms, want.zones)
-        left = want.tasks - sum(n for _, n in taken) - want.covered
-        turns = 0
-        while left > 0 and turns < 64:
-            turns += 1
-            picked = _pick(want, left, sources, asked, limit)
-            if picked is None:
-                outcome.short += left
-                break
-            source, number = picked
-            key = (source.type.name, source.zone, source.spot)
-            need = outcome.needs.setdefault(key, Need(source))
-            before = left
-            for _ in range(number):
-                need.number += 1
-                asked[key] = asked.get(key, 0) + 1
-                room = room_of(f"new/{len(rooms)}", source.type, source.zone, source.spot)
-                rooms.append(room)
-                placed = sum(n for _, n in assign(want.spec, left, [room], want.zones))
-                left -= max(placed, 0) * _rounds(want, source)
-                if left <= 0:
-                    break
-            if left == before:
-                outcome.short += left
-                break
+        left = want.tasks - want.covered
+        if want.spec.gpus == 0 and plain:
+            # these are started wherever there is room; a machine without GPUs must be asked
+            # for as soon as they would take GPU tasks' places, or it never is
+            left -= _fit(want, left, rooms, harmless_only=True)
+            left = _ask(want, left, rooms, plain, asked, limit, outcome)
+        left -= _fit(want, left, rooms)
+        outcome.short += max(0, _ask(want, left, rooms, sources, asked, limit, outcome))
     outcome.spare = {r.machine for r in rooms if r.machine in real and not r.used}
     return outcome
 
 
+def _fit(want: Want, tasks: int, rooms: list[Room], harmless_only: bool = False) -> int:
+    if tasks <= 0:
+        return 0
+    taken = assign(want.spec, tasks, rooms, want.zones, harmless_only=harmless_only)
+    return sum(number for _, number in taken)
+
+
+def _ask(
+    want: Want,
+    left: int,
+    rooms: list[Room],
+    sources: Sequence[Source],
+    asked: dict[tuple[str, str, bool], int],
+    limit: Callable[[Source], int],
+    outcome: Outcome,
+) -> int:
+    """Adds to the needs what these tasks take; how many of them find no source."""
+    turns = 0
+    while left > 0 and turns < 64:
+        turns += 1
+        picked = _pick(want, left, sources, asked, limit)
+        if picked is None:
+            break
+        source, number = picked
+        key = (source.type.name, source.zone, source.spot)
+        need = outcome.needs.setdefault(key, Need(source))
+        before = left
+        for _ in range(number):
+            need.number += 1
+            asked[key] = asked.get(key, 0) + 1
+            room = room_of(f"new/{len(rooms)}", source.type, source.zone, source.spot)
+            rooms.append(room)
+            placed = _fit(want, left, [room])
+            left -= placed * _rounds(want, source)
+            if left <= 0:
+                break
+        if left == before:
+            break
+    return left
+
+
 def _setup_s(want: Want, source: Source) -> float:
     return source.type.boot_s + want.spec.image_gb / source.type.fetch_gb_per_s
 
--- a/crossmill/planning/rooms.py
+++ b/crossmill/planning/rooms.py
@@ -25,6 +25,15 @@
     return count
 
 
+@dataclass(frozen=True, slots=True)
+class Share:
+    """What a typical task that uses GPUs takes of its machine."""
+
+    cpus: float
+    gpus: float
+    memory_gb: float
+
+
 @dataclass(slots=True)
 class Room:
     """What is free on a machine; `price` is its type's, whole, and `slots` tells how many
@@ -45,6 +54,21 @@
     slots: Callable[[JobSpec], int] = lambda spec: 1
     images: dict[str, float] = field(default_factory=dict)
     used: bool = False
+    typical: Share | None = None
+
+    def harmless(self, spec: JobSpec) -> int:
+        """How many tasks without GPUs fit beside the GPU tasks that the machine still has room
+        for. Filled up with small tasks, its GPUs would be paid for and serve nobody."""
+        share = self.typical
+        if not self.accelerated or share is None or spec.gpus > 0:
+            return MAX_TASKS
+        slots = int((self.gpus + EPS) / share.gpus)
+        if share.cpus > 0:
+            slots = min(slots, int((self.cpus + EPS) / share.cpus))
+        if share.memory_gb > 0:
+            slots = min(slots, int((self.memory_gb + EPS) / share.memory_gb))
+        cpus, memory_gb = self.cpus - slots * share.cpus, self.memory_gb - slots * share.memory_gb
+        return tasks_fitting(spec, cpus, 0.0, memory_gb)
 
     def fits(self, spec: JobSpec) -> int:
         return tasks_fitting(spec, self.cpus, self.gpus, self.memory_gb)
@@ -98,6 +122,7 @@
     rooms: list[Room],
     zones: Zones,
     together: float = 1.0,
+    harmless_only: bool = False,
 ) -> list[tuple[Room, int]]:
     """Machines for up to this many tasks. Cheapest room for the task first (throughput per
     price), machines that have the image, or fetch it sooner, before the others, full ones before
@@ -128,16 +153,22 @@
     result: list[tuple[Room, int]] = []
     left = tasks
     cap = max(1, int(spec.tasks * together + 0.999)) if spec.kind == "service" else tasks
-    for limit in (cap, tasks) if cap < tasks else (tasks,):
-        for room, _ in fitting:
-            number = min(room.fits(spec), left, limit, max(0, zones.open(room.zone)))
-            if number > 0:
-                room.take(spec, number)
-                zones.take(room.zone, number)
-                result.append((room, number))
-                left -= number
-            if left <= 0:
-                return result
+    limits = (cap, tasks) if cap < tasks else (tasks,)
+    # tasks without GPUs first go where they take no GPU task's place
+    passes = (True,) if harmless_only else (True, False) if spec.gpus == 0 else (False,)
+    for gentle in passes:
+        for limit in limits:
+            for room, _ in fitting:
+                number = min(room.fits(spec), left, limit, max(0, zones.open(room.zone)))
+                if gentle and number > 0:
+                    number = min(number, room.harmless(spec))
+                if number > 0:
+                    room.take(spec, number)
+                    zones.take(room.zone, number)
+                    result.append((room, number))
+                    left -= number
+                if left <= 0:
+                    return result
     return result
 
 
--- a/crossmill/settings.py
+++ b/crossmill/settings.py
@@ -207,6 +207,11 @@
         """Room kept for expected tasks, in parts of those expected while a machine boots."""
         return 1.0
 
+    @property
+    def array_base(self) -> float:
+        """Spot room kept for arrays, in parts of what runs of them at a time on average."""
+        return 1.25
+
     @property
     def blocked_s(self) -> float:
         """A type and zone that was refused is left alone for this long."""
@@ -221,6 +226,16 @@
         """A shard empties at most one machine in this time."""
         return self.lease_s / 2
 
+    @property
+    def give_every_s(self) -> float:
+        """How often a shard looks whether others lack what it could give."""
+        return self.lease_s / 4
+
+    @property
+    def give_most(self) -> int:
+        """Machines given for one job at a time."""
+        return 3
+
     @property
     def drain_most(self) -> int:
         """A machine with more tasks than this is not emptied: each move is a short outage."""
--- a/crossmill/state/client.py
+++ b/crossmill/state/client.py
@@ -41,6 +41,11 @@
         self._timeout_s = settings.hold_ttl_s / 3
         self._bad = 0
         self._bad_since = 0.0
+        self._served_at: float | None = None
+
+    def served_ago_s(self) -> float | None:
+        """How long ago the state service last served this controller."""
+        return None if self._served_at is None else self._clock.now() - self._served_at
 
     def down_for_s(self) -> float:
         """How long the state service has refused or not answered; 0 while it serves."""
@@ -49,6 +54,7 @@
     def _note(self, ok: bool) -> None:
         if ok:
             self._bad = 0
+            self._served_at = self._clock.now()
         else:
             if self._bad == 0:
                 self._bad_since = self._clock.now()
--- a/crossmill/wire/peers.py
+++ b/crossmill/wire/peers.py
@@ -34,6 +34,15 @@
     return Claim(checks.text(data, "label"), _shards(data))
 
 
+def promise_body(served_ago_s: float | None) -> bytes:
+    """How long ago the state service last served whoever promises, if it ever did."""
+    return orjson.dumps({"servedAgoS": served_ago_s})
+
+
+def parse_promise(body: bytes) -> float | None:
+    return checks.optional_amount(checks.load_object(body), "servedAgoS")
+
+
 def acting_body(shards: list[int]) -> bytes:
     return orjson.dumps({"shards": shards})
 
--- a/crossmill/workers/direct.py
+++ b/crossmill/workers/direct.py
@@ -67,10 +67,13 @@
             return
         commands = [self._reports.stop(r) for r in stops]
         commands += [Command("start", f"{r.job}/{r.index}", r.attempt) for r in rows]
-        body = direct_body(own.token, view.session, commands)
+        if machine_id in self._reports.leaving:
+            return
+        token = self._reports.token(machine, own)
+        body = direct_body(token, view.session, commands)
         doubts = self._reports.doubts.setdefault(machine_id, {})
         for row in rows:
-            doubts[row.job, row.index, row.attempt] = own.token
+            doubts[row.job, row.index, row.attempt] = token
         self._sending += 1
         try:
             status, data = await client.request("POST", COMMANDS_PATH, body, self._s.report_s)
--- a/crossmill/workers/reports.py
+++ b/crossmill/workers/reports.py
@@ -52,6 +52,9 @@
         # starts sent straight to a worker and not answered, with the token they carried: they
         # may still be executed until the worker has seen a higher token or begun a new session
         self.doubts: dict[str, dict[tuple[str, int, int], int]] = {}
+        # machines whose move to another shard is being written: whoever gets one counts on
+        # nobody else answering it, so it is not answered from before the write is sent
+        self.leaving: set[str] = set()
         membership.on_lost.append(self._forget)
 
     def _forget(self, shard: int) -> None:
@@ -65,10 +68,12 @@
 
     def view(self, machine: Machine, own: Owned) -> View:
         """Before the first answer of ours an earlier owner may have answered, at the latest
-        when we took over, and no worker was ours before we knew its machine."""
+        when we took over, and no worker was ours before we knew its machine. One that was
+        given away and came back is begun anew."""
         view = self._views.get(machine.id)
-        if view is None:
-            view = self._views[machine.id] = View(machine.id, self._clock.now())
+        if view is None or view.move != machine.token:
+            view = View(machine.id, self._clock.now(), move=machine.token)
+            self._views[machine.id] = view
         return view
 
     def peek(self, machine_id: str) -> View | None:
@@ -79,29 +84,42 @@
         if machine is None:
             return Answer(421)
         standing = self._membership.answering(machine.shard)
+        if machine.id in self.leaving:
+            return Answer(421)
         if standing is None:
             known = self._world.shards.get(machine.shard)
             elsewhere = known is not None and known.owner != self._s.label
             return Answer(421, redirect=known.owner if known and elsewhere else None)
         own, entitled = standing
-        if report.token > own.token:
+        token = self.token(machine, own)
+        if report.token > token:
             # the worker would drop our answer, and its lease would run out meanwhile
             self._membership.raise_token(machine.shard)
             return Answer(503)
         view = self.view(machine, own)
-        verdict = view.beat(report, own.token, self._clock.now())
+        verdict = view.beat(report, token, self._clock.now())
         if verdict is Verdict.STALE:
-            return Answer(200, own.token)
+            return Answer(200, token)
         view.answered_at = self._clock.now()
         view.answered = True
         if verdict is Verdict.GREETED:
-            return Answer(200, own.token)
+            return Answer(200, token)
         self._settle_doubts(machine.id, report)
         orders = self._orders(machine, view)
         if not entitled:
             # kept alive on the peers' promises; nothing is begun or ended meanwhile
             orders = []
-        return Answer(200, own.token, tuple(orders))
+        return Answer(200, token, tuple(orders))
+
+    @staticmethod
+    def token(machine: Machine, own: Owned) -> int:
+        """The token under which its shard's owner speaks to the machine."""
+        return max(own.token, machine.token)
+
+    def moved(self, machine_id: str) -> None:
+        """The machine is another shard's: what was believed of it ends."""
+        self._views.pop(machine_id, None)
+        self.doubts.pop(machine_id, None)
 
     def learn(self, report: Report) -> None:
         """The answer to a direct command: a report, but one that renews no lease."""
@@ -110,7 +128,9 @@
         if machine is None or own is None:
             return
         view = self.view(machine, own)
-        if view.take(report, own.token, self._clock.now()):
+        if machine.id in self.leaving:
+            return
+        if view.take(report, self.token(machine, own), self._clock.now()):
             self._settle_doubts(machine.id, report)
             self._orders(machine, view)
 
--- a/crossmill/workers/views.py
+++ b/crossmill/workers/views.py
@@ -35,6 +35,8 @@
     running_since: dict[tuple[str, int], float] = field(default_factory=dict)
     errors: set[str] = field(default_factory=set)
     idle_since: float | None = None
+    # the machine's own token when this began: another one means that it has come anew
+    move: int = 0
 
     def beat(self, report: Report, token: int, now: float) -> Verdict:
         """A report that came to us (answers to direct commands are only taken)."""
--- a/tests/harness.py
+++ b/tests/harness.py
@@ -100,6 +100,7 @@
             return PeerLine(nodes, peer.label)
 
         self.promises = Promises(s, clock, line)
+        self.promises.served_ago_s = self.client.served_ago_s
         self.membership = Membership(
             s, clock, self.keeper, self.world, self.follower, self.writer, self.promises
         )
--- a/tests/test_planning.py
+++ b/tests/test_planning.py
@@ -7,7 +7,7 @@
 from crossmill.planning.estimates import Estimates
 from crossmill.planning.fill import Offer, fill
 from crossmill.planning.queue import budget_end, place_in_queue
-from crossmill.planning.rooms import Zones, assign
+from crossmill.planning.rooms import Room, Share, Zones, assign
 from crossmill.planning.split import Option, Stage, split
 from crossmill.wire.cloud import parse_catalog
 
@@ -135,3 +135,18 @@
     shards = [settings.shard_of_team(t.name) for t in settings.teams]
     assert sorted(shards) == [0, 1, 2] and shards[0] == 0
     assert stored_catalog(KINDS)[0]["name"] == "g4"
+
+
+def test_tasks_without_gpus_leave_room_beside_gpus_for_tasks_that_use_them() -> None:
+    """They filled GPU machines up, and the GPUs served nobody while more were rented."""
+    small = make_spec(cut="service", sacks=12, cards=0.0, cpus=4.0, ramGb=2.0)
+    rooms = [
+        Room(name, "g4", "north", False, 32, 4, 256, 12.0, 4, accelerated=True,
+             typical=Share(5.0, 1.0, 35.0))
+        for name in ("a", "b")
+    ]  # fmt: skip
+    taken = assign(small, 6, rooms, Zones(small, {}))
+    # 32 CPUs less 4 GPU tasks' 20 leave room for three on each
+    assert [(room.machine, number) for room, number in taken] == [("a", 3), ("b", 3)]
+    more = assign(small, 6, rooms, Zones(small, {}))
+    assert sum(number for _, number in more) == 6
--- a/tests/test_safety.py
+++ b/tests/test_safety.py
@@ -375,6 +375,54 @@
     play(story)
 
 
+def test_a_controller_refused_alone_lets_its_promises_end() -> None:
+    """It went on asking, so that no peer took its shards, and its workers' leases ended."""
+
+    async def story(state: StateService, clock: FakeClock, nodes: Nodes) -> None:
+        node = await _placed(state, clock, nodes)
+        peers = [Node(state, clock, nodes, label) for label in ("node-1", "node-2")]
+        for peer in peers:
+            await peer.boot()
+        state.down = True
+        await node.keeper.step()
+        state.down = False
+        for _ in range(6):
+            clock.time += node.settings.renew_s / 2
+            for peer in peers:
+                await peer.keeper.step()
+            await node.promises.ask(sorted(node.membership.owned))
+        assert node.promises.alone
+        clock.time += node.settings.promise_s * 1.1
+        await node.promises.ask(sorted(node.membership.owned))
+        assert not peers[0].promises.bound(0)
+        assert not node.promises.extended()
+
+    play(story)
+
+
+def test_in_an_outage_for_all_nobody_believes_to_be_alone() -> None:
+    async def story(state: StateService, clock: FakeClock, nodes: Nodes) -> None:
+        node = await _placed(state, clock, nodes)
+        peers = [Node(state, clock, nodes, label) for label in ("node-1", "node-2")]
+        for peer in peers:
+            await peer.boot()
+        state.down = True
+        while not node.promises.alone and clock.now() < 2000:
+            clock.time += node.settings.renew_s
+            for each in (node, *peers):
+                await each.keeper.step()
+            await node.promises.ask(sorted(node.membership.owned))
+            since = node.promises._failing_since
+            assert since is not None
+            if clock.now() - since > node.settings.extension_s + node.settings.promise_s * 1.1:
+                break
+        assert not node.promises.alone
+        # and once the workers are no longer answered, nobody is kept from taking over
+        assert not peers[0].promises.bound(0)
+
+    play(story)
+
+
 def test_a_restarted_controller_waits_out_promises_it_has_forgotten() -> None:
     async def story(state: StateService, clock: FakeClock, nodes: Nodes) -> None:
         first = Node(state, clock, nodes, "node-0")
@@ -430,3 +478,80 @@
         assert view.answered_at == clock.now()
 
     play(story)
+
+
+def test_a_machine_given_to_another_shard_obeys_only_its_new_owner() -> None:
+    async def story(state: StateService, clock: FakeClock, nodes: Nodes) -> None:
+        seed(state, clock, machines=1)
+        node = Node(state, clock, nodes)
+        await node.boot()
+        other = node.settings.shard_of_team("blue")
+        for _ in range(12):
+            clock.time += node.settings.hold_ttl_s / 3
+            await node.keeper.step()
+            await node.membership.step()
+        assert other in node.membership.owned and other != 0
+        # shard 0 has an idle machine; the job waits in the other shard, and no cloud is there
+        add_job(state, clock, crew="blue", sacks=1)
+        await node.sync()
+        old = node.token()
+        for seq in range(1, 30):
+            clock.time += 0.4
+            await node.keeper.step()
+            if node.world.machines["n-0"].shard != other:
+                answer = node.report("n-0", 1, seq, old)
+                assert (answer.status, answer.token) == (200, old)
+                await node.round()
+        machine = node.world.machines["n-0"]
+        assert machine.shard == other
+        assert machine.token > max(old, node.token(other))
+        # what the worker said under the old token is not believed, nor anything begun on it
+        answer = node.report("n-0", 1, 50, old)
+        assert (answer.token, answer.commands) == (machine.token, ())
+        await node.round(other)
+        assert not machine.rows
+        node.report("n-0", 1, 51, machine.token)
+        await node.round(other)
+        commands = node.report("n-0", 1, 52, machine.token).commands
+        assert [c.op for c in commands] == ["start"]
+
+    play(story)
+
+
+def test_a_machine_is_not_answered_while_its_move_is_written() -> None:
+    """Its new owner counts the worker's lease from when it learns of the move."""
+
+    async def story(state: StateService, clock: FakeClock, nodes: Nodes) -> None:
+        seed(state, clock, machines=1)
+        node = Node(state, clock, nodes)
+        await node.boot()
+        node.report("n-0", 1, 1, node.token())
+        await node.round()
+        node.rounds._giving.going["n-0"] = (1, clock.now() + 9)
+        state.script["/txn"] = ["refuse"] * 2
+        task = await curio.spawn(node.round)
+        await curio.sleep(0)
+        assert node.report("n-0", 1, 2, node.token()).status == 421
+        await task.join()
+        assert node.world.machines["n-0"].shard == 1
+        # an older view must not be believed again if the machine comes back
+        assert node.reports.peek("n-0") is None
+
+    play(story)
+
+
+def test_a_machine_with_anything_on_it_or_on_its_way_is_not_given() -> None:
+    async def story(state: StateService, clock: FakeClock, nodes: Nodes) -> None:
+        node = await _placed(state, clock, nodes)
+        giving = node.rounds._giving
+        machine = node.world.machines["n-0"]
+        giving.going["n-0"] = (1, clock.now() + 9)
+        assert giving.target(machine) is None
+        machine.rows.clear()
+        assert giving.target(machine) is None, "the worker still reports a task"
+        node.report("n-0", 1, 5, node.token())
+        assert giving.target(machine) == 1
+        node.reports.doubts["n-0"] = {("wk-000001", 0, 1): node.token()}
+        assert giving.target(machine) is None, "a start sent to it may still arrive"
+
+    play(story)
