--- a/crossmill/cli.py
+++ b/crossmill/cli.py
@@ -22,6 +22,13 @@
     return None if name in LEVELS else name
 
 
+def _name_lines(label: str) -> None:
+    """Every line of a controller says whose it is, so that logs can be read together."""
+    for handler in logging.getLogger().handlers:
+        line = f"%(asctime)s {label.replace('%', '%%')} %(levelname)s %(name)s %(message)s"
+        handler.setFormatter(logging.Formatter(line))
+
+
 def _parser() -> argparse.ArgumentParser:
     parser = argparse.ArgumentParser(
         prog="crossmill",
@@ -72,6 +79,7 @@
             for name in ("hold_ttl_s", "renew_s", "worker_end_s", "writes_share", "cloud_pace"):
                 print(f"  {name} = {getattr(settings, name):.3f}")
             return 0
+        _name_lines(settings.label)
         from .app import serve
 
         serve(settings)
--- a/crossmill/jobs/making_room.py
+++ b/crossmill/jobs/making_room.py
@@ -3,6 +3,7 @@
 
 import logging
 from collections.abc import Iterator
+from dataclasses import replace
 from math import inf
 
 from ..cluster.membership import Owned
@@ -10,7 +11,7 @@
 from ..fleet.outlook import Outlook
 from ..net.clock import Clock
 from ..planning.queue import PRIORITY
-from ..planning.rooms import Room, Zones, allowed
+from ..planning.rooms import Room, Zones, allowed, assign
 from ..settings import Settings
 from ..wire.users import JobSpec
 from ..workers.reports import Reports
@@ -77,6 +78,7 @@
         stoppable = self._stoppable_jobs(job, used)
         if not stoppable:
             return [], 0
+        beyond = {name: self._beyond(name, used) for name in set(stoppable.values())}
         zones = Zones(spec, self._world.zones_of(job))
         best: list[tuple[bool, float, Room, list[Row]]] = []
         for room in rooms:
@@ -84,7 +86,7 @@
                 continue
             if not self.open_to(room, job):
                 continue
-            victims = self._victims(spec, room, stoppable)
+            victims = self._victims(spec, room, set(stoppable))
             if victims is not None:
                 lost = sum(self._lost_s(row) for row in victims)
                 best.append((spec.image not in room.images, lost, room, victims))
@@ -95,7 +97,7 @@
         for _, _, room, victims in best:
             if covered >= tasks:
                 break
-            if zones.open(room.zone) <= 0:
+            if zones.open(room.zone) <= 0 or not self._draw(victims, stoppable, beyond):
                 continue
             zones.take(room.zone, 1)
             covered += 1
@@ -135,34 +137,62 @@
         # a start that is stopped this soon was in vain altogether
         return lost + (self._s.in_vain_s if ran < self._s.in_vain_s else 0.0)
 
-    def _stoppable_jobs(self, job: Job, used: dict[str, list[float]]) -> set[str]:
-        """The jobs whose tasks may be stopped for this one. Asked once for a job, not for each
-        task on each machine: that took two thirds of a controller's time on a large fleet."""
+    def _stoppable_jobs(self, job: Job, used: dict[str, list[float]]) -> dict[str, str]:
+        """The jobs whose tasks may be stopped for this one, each with the team from whose use
+        beyond its guarantee that is drawn ("" for lesser work). Asked once for a job, not for
+        each task on each machine: that took two thirds of a controller's time on a large fleet."""
         spec = job.spec
         assert spec is not None
         # a replica stopped costs as much as one started late, while machines can be had
         replicas = self._outlook.short(spec)
-        within = self._within(spec, used)
+        within = self._guaranteed(job)
         rank = PRIORITY[spec.priority]
-        result: set[str] = set()
+        result: dict[str, str] = {}
         for other in self._world.active[job.shard].values():
             victim = other.spec
             if victim is None or not other.chunks or (victim.kind == "service" and not replicas):
                 continue
-            lesser = PRIORITY[victim.priority] > rank
-            if lesser or (within and victim.team != spec.team and self._beyond(victim.team, used)):
-                result.add(other.id)
+            if PRIORITY[victim.priority] > rank:
+                result[other.id] = ""
+            elif within and victim.team != spec.team and self._beyond(victim.team, used) > 0:
+                result[other.id] = victim.team
         return result
 
-    def _beyond(self, team_name: str, used: dict[str, list[float]]) -> bool:
+    def _beyond(self, team_name: str, used: dict[str, list[float]]) -> float:
+        """GPUs that the team uses beyond its guarantee."""
         team = self._s.team(team_name)
-        cpus, gpus = used.get(team_name, [0.0, 0.0])
-        return team is not None and team.gpus > 0 and gpus > team.gpus
+        _, gpus = used.get(team_name, [0.0, 0.0])
+        return gpus - team.gpus if team is not None and team.gpus > 0 else 0.0
 
-    def _within(self, spec: JobSpec, used: dict[str, list[float]]) -> bool:
-        team = self._s.team(spec.team)
-        _, gpus = used.get(spec.team, [0.0, 0.0])
-        return team is not None and team.gpus > 0 and gpus + spec.gpus <= team.gpus
+    def _guaranteed(self, job: Job) -> bool:
+        """Whether the job fits into its team's guarantee together with the team's earlier ones:
+        only then does the guarantee speak for it."""
+        spec = job.spec
+        team = self._s.team(spec.team) if spec is not None else None
+        if spec is None or team is None or team.gpus <= 0:
+            return False
+        gpus = 0.0
+        for other in self._world.active[job.shard].values():
+            theirs = other.spec
+            if theirs is not None and theirs.team == spec.team and other.order <= job.order:
+                gpus += theirs.gpus * (theirs.tasks - other.done_count())
+        return gpus <= team.gpus
+
+    def _draw(
+        self, victims: list[Row], stoppable: dict[str, str], beyond: dict[str, float]
+    ) -> bool:
+        """Takes the victims' GPUs off what their teams use beyond their guarantees; false if
+        a team would be left with less than its guarantee."""
+        drawn: dict[str, float] = {}
+        for row in victims:
+            team = stoppable[row.job]
+            if team:
+                drawn[team] = drawn.get(team, 0.0) + self._spec(row).gpus
+        if any(gpus > beyond[team] for team, gpus in drawn.items()):
+            return False
+        for team, gpus in drawn.items():
+            beyond[team] -= gpus
+        return True
 
     def _victims(self, spec: JobSpec, room: Room, stoppable: set[str]) -> list[Row] | None:
         """The rows whose end lets one task in, least work lost first; None if there are none."""
@@ -195,31 +225,62 @@
         self, shard: int, own: Owned, rooms: list[Room], wanted: bool = False
     ) -> Iterator[Row]:
         """At most one machine at a time is emptied, when its replicas would stand within a
-        moment on machines that are kept anyway. While arrays wait, its room is wanted: then it
-        is kept, and only tasks without GPUs are moved out of the way of those that use them."""
+        moment on machines that are kept anyway. While arrays wait, room is wanted: then only
+        tasks without GPUs are moved, out of the way of those that use them."""
         now = self._clock.now()
         for machine_id in list(self.draining):
             machine = self._world.machines.get(machine_id)
             if machine is None or machine.retiring or now > self.draining[machine_id]:
                 del self.draining[machine_id]
+        if wanted:
+            yield from self._relieve(shard, own, rooms)
+            return
         if self.draining or now - max(own.acquired_at, self._drained_at.get(shard, 0.0)) < (
             self._s.drain_every_s
         ):
             return
         self._drained_at[shard] = now
-        machine = self._emptiest(shard, rooms, wanted)
+        machine = self._emptiest(shard, rooms)
         if machine is None:
             return
-        if not wanted:
-            self.draining[machine.id] = now + 2 * self._s.lease_s
-        log.info(
-            "machine drained machine=%s tasks=%d kept=%s", machine.id, len(machine.rows), wanted
-        )
+        self.draining[machine.id] = now + 2 * self._s.lease_s
+        log.info("machine drained machine=%s tasks=%d", machine.id, len(machine.rows))
         for row in machine.rows.values():
             self._reports.stopping[row.job, row.index, row.attempt] = "drained"
             yield row
 
-    def _emptiest(self, shard: int, rooms: list[Room], wanted: bool) -> Machine | None:
+    def _relieve(self, shard: int, own: Owned, rooms: list[Room]) -> Iterator[Row]:
+        """Small tasks that keep GPUs from arrays that wait go to machines without GPUs, a few
+        at a time, where they would stand again within a moment."""
+        now = self._clock.now()
+        if now - max(own.acquired_at, self._drained_at.get(shard, 0.0)) < self._s.drain_every_s:
+            return
+        self._drained_at[shard] = now
+        plain = [r for r in rooms if not r.accelerated]
+        moved = 0
+        for machine, rows, places in self._outlook.stranding(shard):
+            if moved + len(rows) > self._s.drain_most:
+                break
+            if not all(self._settled(row) for row in rows):
+                continue
+            trial = [replace(r, images=dict(r.images)) for r in plain]
+            if not all(self._moves(row, machine, trial) for row in rows):
+                continue
+            plain, moved = trial, moved + len(rows)
+            log.info(
+                "machine relieved machine=%s tasks=%d places=%d", machine.id, len(rows), places
+            )
+            for row in rows:
+                self._reports.stopping[row.job, row.index, row.attempt] = "relieved"
+                yield row
+
+    def _moves(self, row: Row, machine: Machine, rooms: list[Room]) -> bool:
+        """Whether the task finds another place in the zone at once, which is taken then."""
+        spec = self._spec(row)
+        near = [r for r in rooms if r.zone == machine.zone and r.delay_s(spec) < self._s.report_s]
+        return bool(assign(spec, 1, near, Zones(spec, {})))
+
+    def _emptiest(self, shard: int, rooms: list[Room]) -> Machine | None:
         """The machine whose going saves most for each replica moved."""
         by_gain: list[tuple[float, Machine]] = []
         for room in rooms:
@@ -227,10 +288,6 @@
             kind = self._world.catalog.get(machine.type)
             if kind is None or not machine.rows or len(machine.rows) > self._s.drain_most:
                 continue
-            if wanted and (
-                kind.gpus == 0 or any(self._spec(row).gpus > 0 for row in machine.rows.values())
-            ):
-                continue
             if all(self._settled(row) for row in machine.rows.values()):
                 by_gain.append((kind.price / len(machine.rows), machine))
         by_gain.sort(key=lambda entry: -entry[0])
--- a/crossmill/planning/rooms.py
+++ b/crossmill/planning/rooms.py
@@ -33,6 +33,14 @@
     gpus: float
     memory_gb: float
 
+    def fits(self, cpus: float, gpus: float, memory_gb: float) -> int:
+        """How many of them a machine with this much free has room for."""
+        count = MAX_TASKS
+        for free, each in ((gpus, self.gpus), (cpus, self.cpus), (memory_gb, self.memory_gb)):
+            if each > 0:
+                count = min(count, int((free + EPS) / each))
+        return max(0, count)
+
 
 @dataclass(slots=True)
 class Room:
@@ -62,11 +70,7 @@
         share = self.typical
         if not self.accelerated or share is None or spec.gpus > 0:
             return MAX_TASKS
-        slots = int((self.gpus + EPS) / share.gpus)
-        if share.cpus > 0:
-            slots = min(slots, int((self.cpus + EPS) / share.cpus))
-        if share.memory_gb > 0:
-            slots = min(slots, int((self.memory_gb + EPS) / share.memory_gb))
+        slots = share.fits(self.cpus, self.gpus, self.memory_gb)
         cpus, memory_gb = self.cpus - slots * share.cpus, self.memory_gb - slots * share.memory_gb
         return tasks_fitting(spec, cpus, 0.0, memory_gb)
 
--- a/crossmill/wire/workers.py
+++ b/crossmill/wire/workers.py
@@ -8,6 +8,8 @@
 from . import checks
 
 REPORT_PATH = "/agent/beat"
+# an order takes at most 128 bytes, and a line or body at most 64 KiB
+MAX_ORDERS = 64 * 1024 // 128 - 8
 COMMANDS_PATH = "/commands"
 STATES = {s: s for s in ("fetching", "running", "saving", "exited")}
 # a gang's task that has its image and waits for the others
--- a/crossmill/workers/direct.py
+++ b/crossmill/workers/direct.py
@@ -13,7 +13,7 @@
 from ..net.client import Client, Http, Unanswered, Unreached
 from ..settings import Endpoint, Settings
 from ..wire.checks import Malformed, load_object
-from ..wire.workers import COMMANDS_PATH, Command, direct_body, parse_report
+from ..wire.workers import COMMANDS_PATH, MAX_ORDERS, Command, direct_body, parse_report
 from .reports import Reports
 
 log = logging.getLogger(__name__)
@@ -65,7 +65,8 @@
         rows = [r for r in rows if r.session == view.session]
         if own is None or client is None or not (rows or stops) or not view.trusted:
             return
-        commands = [self._reports.stop(r) for r in stops]
+        commands = [self._reports.stop(r) for r in stops[:MAX_ORDERS]]
+        rows = rows[: MAX_ORDERS - len(commands)]
         commands += [Command("start", f"{r.job}/{r.index}", r.attempt) for r in rows]
         if machine_id in self._reports.leaving:
             return
--- a/crossmill/workers/reports.py
+++ b/crossmill/workers/reports.py
@@ -10,7 +10,7 @@
 from ..cluster.world import ACTIVE, Machine, Row, World
 from ..net.clock import Clock
 from ..settings import Settings
-from ..wire.workers import Command, Report, TaskReport
+from ..wire.workers import MAX_ORDERS, Command, Report, TaskReport
 from .views import Verdict, View
 
 log = logging.getLogger(__name__)
@@ -178,7 +178,8 @@
                     self._found(Finding(row, "not started"))
                 else:
                     orders.append(Command("start", f"{row.job}/{row.index}", row.attempt))
-        return orders
+        # orders follow from comparing report and plan: what is left out now comes next time
+        return orders[:MAX_ORDERS]
 
     def _unwanted(self, row: Row, machine: Machine) -> bool:
         job = self._world.jobs.get(row.job)
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -4,7 +4,13 @@
 
 from crossmill.wire.checks import Malformed, load_object
 from crossmill.wire.users import parse_submission
-from crossmill.wire.workers import Command, answer_body, parse_report
+from crossmill.wire.workers import (
+    MAX_ORDERS,
+    Command,
+    answer_body,
+    direct_body,
+    parse_report,
+)
 
 from .standins import beat, on, submission
 
@@ -66,3 +72,10 @@
         "warrant": 41,
         "orders": [{"verb": "reap", "sack": "wk-1/3", "turn": 2}],
     }
+
+
+def test_the_largest_answer_fits_the_line_limit() -> None:
+    """Answers to a worker may have no line over 64 KiB."""
+    longest = Command("stop", "wk-" + "9" * 18 + "/99999", 2**64 - 1, 123456.789)
+    assert len(answer_body(2**64 - 1, [longest] * MAX_ORDERS)) < 64 * 1024
+    assert len(direct_body(2**64 - 1, 2**64 - 1, [longest] * MAX_ORDERS)) < 64 * 1024
