--- a/crossmill/fleet/outlook.py
+++ b/crossmill/fleet/outlook.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass, field, replace
 from math import inf
 
-from ..cluster.world import Job, Machine, Row, World
+from ..cluster.world import Job, Machine, World
 from ..net.clock import Clock
 from ..planning.demand import Outcome, Source, Want, demand, room_of, slots_on
 from ..planning.estimates import Estimates
@@ -265,62 +265,11 @@
     def look(self, shard: int) -> Outcome:
         wall = self._clock.wall()
         self._note_arrivals(wall)
-        wants = self._wants(shard, wall) + self._expected(shard, wall) + self._in_the_way(shard)
+        wants = self._wants(shard, wall) + self._expected(shard, wall)
         outcome = demand(wants, self._rooms(shard, wall), self.sources(), self._limit)
         self._base(shard, wall, outcome)
         return outcome
 
-    def stranding(self, shard: int) -> list[tuple[Machine, list[Row], int]]:
-        """Machines whose free GPUs can't be used since tasks without GPUs take the processors or
-        the memory beside them: which tasks would have to go, and how many places that makes;
-        most places for each task moved first."""
-        share = self._gpu_share()
-        result: list[tuple[Machine, list[Row], int]] = []
-        if share is None:
-            return result
-        for machine in self._world.machines.values():
-            kind = self._world.catalog.get(machine.type)
-            if machine.shard != shard or kind is None or kind.gpus == 0 or machine.retiring:
-                continue
-            cpus, gpus = kind.cpus - machine.cpus, kind.gpus - machine.gpus
-            memory_gb = kind.memory_gb - machine.memory_gb
-            if gpus < share.gpus:
-                continue
-            before = best = share.fits(cpus, gpus, memory_gb)
-            taken: list[Row] = []
-            enough = 0
-            for row in machine.rows.values():
-                job = self._world.jobs.get(row.job)
-                if job is None or job.spec is None or job.spec.gpus > 0:
-                    continue
-                taken.append(row)
-                cpus, memory_gb = cpus + job.spec.cpus, memory_gb + job.spec.memory_gb
-                if (now := share.fits(cpus, gpus, memory_gb)) > best:
-                    best, enough = now, len(taken)
-            if best > before:
-                result.append((machine, taken[:enough], best - before))
-        result.sort(key=lambda entry: len(entry[1]) / entry[2])
-        return result
-
-    def _in_the_way(self, shard: int) -> list[Want]:
-        """Room on machines without GPUs for the tasks that keep GPUs from being used, each in
-        its zone: replicas that are spread can't change it."""
-        tasks: dict[str, int] = {}
-        specs: dict[str, JobSpec] = {}
-        for machine, rows, _ in self.stranding(shard):
-            tasks[machine.zone] = tasks.get(machine.zone, 0) + len(rows)
-            spec = self._world.jobs[rows[0].job].spec
-            if spec is not None:
-                specs[machine.zone] = spec
-        wants: list[Want] = []
-        for zone, spec in specs.items():
-            anyone = replace(
-                spec, zone=zone, spread=False, one_zone=False, types=None, tasks=tasks[zone]
-            )
-            zones = Zones(anyone, {})
-            wants.append(Want(anyone, tasks[zone], zones, inf, 0.0, plain_only=True))
-        return wants
-
     def unmet(self, shard: int, wall: float) -> list[Want]:
         """What has waited a while and finds no room in the shard, machines that still boot and
         slots that come free counted in."""
--- a/crossmill/jobs/making_room.py
+++ b/crossmill/jobs/making_room.py
@@ -3,7 +3,6 @@
 
 import logging
 from collections.abc import Iterator
-from dataclasses import replace
 from math import inf
 
 from ..cluster.membership import Owned
@@ -11,10 +10,11 @@
 from ..fleet.outlook import Outlook
 from ..net.clock import Clock
 from ..planning.queue import PRIORITY
-from ..planning.rooms import Room, Zones, allowed, assign
+from ..planning.rooms import Room, Zones, allowed
 from ..settings import Settings
 from ..wire.users import JobSpec
 from ..workers.reports import Reports
+from .guarantees import Guarantees, Use
 
 log = logging.getLogger(__name__)
 
@@ -23,13 +23,20 @@
 
 class MakingRoom:
     def __init__(
-        self, settings: Settings, clock: Clock, world: World, reports: Reports, outlook: Outlook
+        self,
+        settings: Settings,
+        clock: Clock,
+        world: World,
+        reports: Reports,
+        outlook: Outlook,
+        guarantees: Guarantees,
     ) -> None:
         self._s = settings
         self._clock = clock
         self._world = world
         self._reports = reports
         self._outlook = outlook
+        self._guarantees = guarantees
         # jobs for which room is being made, until when it is waited for
         self._claims: dict[str, float] = {}
         # what is freed piece by piece would go to small tasks before the large one fits
@@ -67,9 +74,7 @@
         holder = self._reserved.get(room.machine)
         return holder is not None and holder[0] == job.id
 
-    def preempt(
-        self, job: Job, tasks: int, rooms: list[Room], used: dict[str, list[float]]
-    ) -> tuple[list[Row], int]:
+    def preempt(self, job: Job, tasks: int, rooms: list[Room], used: Use) -> tuple[list[Row], int]:
         """Rows to be stopped so that up to this many tasks of the job find room, and how many
         tasks they make room for."""
         spec, now = job.spec, self._clock.now()
@@ -78,7 +83,7 @@
         stoppable = self._stoppable_jobs(job, used)
         if not stoppable:
             return [], 0
-        beyond = {name: self._beyond(name, used) for name in set(stoppable.values())}
+        beyond = {name: self._guarantees.beyond(name, used) for name in set(stoppable.values())}
         zones = Zones(spec, self._world.zones_of(job))
         best: list[tuple[bool, float, Room, list[Row]]] = []
         for room in rooms:
@@ -137,7 +142,7 @@
         # a start that is stopped this soon was in vain altogether
         return lost + (self._s.in_vain_s if ran < self._s.in_vain_s else 0.0)
 
-    def _stoppable_jobs(self, job: Job, used: dict[str, list[float]]) -> dict[str, str]:
+    def _stoppable_jobs(self, job: Job, used: Use) -> dict[str, str]:
         """The jobs whose tasks may be stopped for this one, each with the team from whose use
         beyond its guarantee that is drawn ("" for lesser work). Asked once for a job, not for
         each task on each machine: that took two thirds of a controller's time on a large fleet."""
@@ -145,7 +150,7 @@
         assert spec is not None
         # a replica stopped costs as much as one started late, while machines can be had
         replicas = self._outlook.short(spec)
-        within = self._guaranteed(job)
+        within = self._guarantees.speaks_for(job)
         rank = PRIORITY[spec.priority]
         result: dict[str, str] = {}
         for other in self._world.active[job.shard].values():
@@ -154,30 +159,14 @@
                 continue
             if PRIORITY[victim.priority] > rank:
                 result[other.id] = ""
-            elif within and victim.team != spec.team and self._beyond(victim.team, used) > 0:
+            elif (
+                within
+                and victim.team != spec.team
+                and self._guarantees.beyond(victim.team, used) > 0
+            ):
                 result[other.id] = victim.team
         return result
 
-    def _beyond(self, team_name: str, used: dict[str, list[float]]) -> float:
-        """GPUs that the team uses beyond its guarantee."""
-        team = self._s.team(team_name)
-        _, gpus = used.get(team_name, [0.0, 0.0])
-        return gpus - team.gpus if team is not None and team.gpus > 0 else 0.0
-
-    def _guaranteed(self, job: Job) -> bool:
-        """Whether the job fits into its team's guarantee together with the team's earlier ones:
-        only then does the guarantee speak for it."""
-        spec = job.spec
-        team = self._s.team(spec.team) if spec is not None else None
-        if spec is None or team is None or team.gpus <= 0:
-            return False
-        gpus = 0.0
-        for other in self._world.active[job.shard].values():
-            theirs = other.spec
-            if theirs is not None and theirs.team == spec.team and other.order <= job.order:
-                gpus += theirs.gpus * (theirs.tasks - other.done_count())
-        return gpus <= team.gpus
-
     def _draw(
         self, victims: list[Row], stoppable: dict[str, str], beyond: dict[str, float]
     ) -> bool:
@@ -221,20 +210,14 @@
 
     # -- emptying machines -----------------------------------------------------------
 
-    def drain(
-        self, shard: int, own: Owned, rooms: list[Room], wanted: bool = False
-    ) -> Iterator[Row]:
+    def drain(self, shard: int, own: Owned, rooms: list[Room]) -> Iterator[Row]:
         """At most one machine at a time is emptied, when its replicas would stand within a
-        moment on machines that are kept anyway. While arrays wait, room is wanted: then only
-        tasks without GPUs are moved, out of the way of those that use them."""
+        moment on machines that are kept anyway."""
         now = self._clock.now()
         for machine_id in list(self.draining):
             machine = self._world.machines.get(machine_id)
             if machine is None or machine.retiring or now > self.draining[machine_id]:
                 del self.draining[machine_id]
-        if wanted:
-            yield from self._relieve(shard, own, rooms)
-            return
         if self.draining or now - max(own.acquired_at, self._drained_at.get(shard, 0.0)) < (
             self._s.drain_every_s
         ):
@@ -249,37 +232,6 @@
             self._reports.stopping[row.job, row.index, row.attempt] = "drained"
             yield row
 
-    def _relieve(self, shard: int, own: Owned, rooms: list[Room]) -> Iterator[Row]:
-        """Small tasks that keep GPUs from arrays that wait go to machines without GPUs, a few
-        at a time, where they would stand again within a moment."""
-        now = self._clock.now()
-        if now - max(own.acquired_at, self._drained_at.get(shard, 0.0)) < self._s.drain_every_s:
-            return
-        self._drained_at[shard] = now
-        plain = [r for r in rooms if not r.accelerated]
-        moved = 0
-        for machine, rows, places in self._outlook.stranding(shard):
-            if moved + len(rows) > self._s.drain_most:
-                break
-            if not all(self._settled(row) for row in rows):
-                continue
-            trial = [replace(r, images=dict(r.images)) for r in plain]
-            if not all(self._moves(row, machine, trial) for row in rows):
-                continue
-            plain, moved = trial, moved + len(rows)
-            log.info(
-                "machine relieved machine=%s tasks=%d places=%d", machine.id, len(rows), places
-            )
-            for row in rows:
-                self._reports.stopping[row.job, row.index, row.attempt] = "relieved"
-                yield row
-
-    def _moves(self, row: Row, machine: Machine, rooms: list[Room]) -> bool:
-        """Whether the task finds another place in the zone at once, which is taken then."""
-        spec = self._spec(row)
-        near = [r for r in rooms if r.zone == machine.zone and r.delay_s(spec) < self._s.report_s]
-        return bool(assign(spec, 1, near, Zones(spec, {})))
-
     def _emptiest(self, shard: int, rooms: list[Room]) -> Machine | None:
         """The machine whose going saves most for each replica moved."""
         by_gain: list[tuple[float, Machine]] = []
--- a/crossmill/jobs/rounds.py
+++ b/crossmill/jobs/rounds.py
@@ -34,6 +34,7 @@
 from ..workers.direct import Direct
 from ..workers.reports import Finding, Reports
 from .giving import Giving
+from .guarantees import Guarantees, Use
 from .making_room import MakingRoom
 
 log = logging.getLogger(__name__)
@@ -85,8 +86,9 @@
         self._machine_errors: dict[str, set[str]] = {}
         self._again = False
         self._stops: list[Row] = []
-        self._making = MakingRoom(settings, clock, world, reports, outlook)
-        self._giving = Giving(settings, clock, world, reports, outlook)
+        self._guarantees = Guarantees(settings, world)
+        self._making = MakingRoom(settings, clock, world, reports, outlook, self._guarantees)
+        self._giving = Giving(settings, clock, world, reports, outlook, self._guarantees)
         self.wake = curio.Event()
 
     async def run(self) -> None:
@@ -229,14 +231,12 @@
     ) -> None:
         self._making.settle()
         queue = self._outlook.waiting(shard)
-        if all(job.spec is not None and job.spec.kind == "array" for job in queue):
-            rooms = self._rooms(machines)
-            self._stops.extend(self._making.drain(shard, own, rooms, wanted=bool(queue)))
         if not queue:
+            self._stops.extend(self._making.drain(shard, own, self._rooms(machines)))
             return
         started = self._clock.now()
         rooms = self._rooms(machines)
-        used = self._team_use(shard)
+        used = self._guarantees.use(shard)
         # a round that ran out of time goes on where it stopped
         resume = self._resume.pop(shard, None)
         if resume is not None:
@@ -249,17 +249,7 @@
                 break
             self._place_job(job, rooms, used, edits)
 
-    def _team_use(self, shard: int) -> dict[str, list[float]]:
-        """What each team's tasks hold, those in doubt included."""
-        used: dict[str, list[float]] = {}
-        for job in (*self._world.active[shard].values(), *self._world.ended[shard].values()):
-            if job.spec is not None and (count := job.row_count()):
-                entry = used.setdefault(job.spec.team, [0.0, 0.0])
-                entry[0] += count * job.spec.cpus
-                entry[1] += count * job.spec.gpus
-        return used
-
-    def _within_limit(self, spec: JobSpec, used: dict[str, list[float]]) -> int:
+    def _within_limit(self, spec: JobSpec, used: Use) -> int:
         team = self._s.team(spec.team)
         now = used.setdefault(spec.team, [0.0, 0.0])
         count = spec.tasks
@@ -277,7 +267,7 @@
         self,
         job: Job,
         rooms: list[Room],
-        used: dict[str, list[float]],
+        used: Use,
         edits: dict[tuple[str, int], Edit],
     ) -> None:
         spec = job.spec
@@ -320,7 +310,7 @@
         wanted: int,
         rooms: list[Room],
         zones: Zones,
-        used: dict[str, list[float]],
+        used: Use,
         may_preempt: bool,
     ) -> list[tuple[Room, int]]:
         """Room that is free; but a class that must start soon rather gets the place of lesser
--- a/crossmill/planning/demand.py
+++ b/crossmill/planning/demand.py
@@ -24,8 +24,6 @@
     task_s: float
     covered: int = 0
     spot_only: bool = False
-    # only machines without GPUs will do
-    plain_only: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -93,10 +91,6 @@
     plain = [source for source in sources if source.type.gpus == 0]
     for want in wants:
         left = want.tasks - want.covered
-        if want.plain_only:
-            left -= _fit(want, left, [r for r in rooms if not r.accelerated])
-            _ask(want, left, rooms, plain, asked, limit, outcome)
-            continue
         if want.spec.gpus == 0 and plain:
             # these are started wherever there is room; a machine without GPUs must be asked
             # for as soon as they would take GPU tasks' places, or it never is
