--- a/crossmill/jobs/rounds.py
+++ b/crossmill/jobs/rounds.py
@@ -116,9 +116,10 @@
             if job is not None and job.shard == shard:
                 self._reports.findings.setdefault((row.job, row.index), Finding(row, "released"))
         self._gather(shard, edits)
-        self._stops = []
+        # machines to be given are chosen before tasks are placed: a start planned in the same
+        # round would follow its machine to a shard that knows nothing of the job
+        self._stops = list(self._giving.look(shard, machines))
         self._place(shard, own, machines, edits)
-        self._stops.extend(self._giving.look(shard, machines))
         if self._stops:
             await self._direct.send([], self._stops)
         starts: dict[int, list[Row]] = {}
@@ -285,7 +286,10 @@
         rooms = [r for r in rooms if r.machine not in bad and self._making.open_to(r, job)]
         if spec.kind == "gang" and not self._whole(job, spec, wanted, rooms):
             return
-        taken = self._find_rooms(job, spec, wanted, rooms, zones, used, trouble is None)
+        # an attempt that ended with its machine says nothing against the job: only failures of
+        # its own keep it from taking others' room
+        blameless = trouble is None or trouble.failures == 0
+        taken = self._find_rooms(job, spec, wanted, rooms, zones, used, blameless)
         if not taken:
             return
         slots = [room.machine for room, number in taken for _ in range(number)]
--- a/tests/test_safety.py
+++ b/tests/test_safety.py
@@ -555,3 +555,37 @@
         assert giving.target(machine) is None, "a start sent to it may still arrive"
 
     play(story)
+
+
+def test_no_start_is_planned_on_a_machine_in_the_round_that_gives_it() -> None:
+    """The start's write rests on the machine's stamp but leaves it: both would be carried out."""
+
+    async def story(state: StateService, clock: FakeClock, nodes: Nodes) -> None:
+        seed(state, clock, machines=1)
+        node = Node(state, clock, nodes)
+        await node.boot()
+        other = node.settings.shard_of_team("blue")
+        for _ in range(12):
+            clock.time += node.settings.hold_ttl_s / 3
+            await node.keeper.step()
+            await node.membership.step()
+        add_job(state, clock, crew="blue", sacks=1)
+        await node.sync()
+        for seq in range(1, 30):
+            clock.time += 0.4
+            await node.keeper.step()
+            if seq == 8:
+                # all is ready for the machine to be given; now its own shard gets a task too
+                node.rounds._giving._looked_at[0] = 0.0
+                add_job(state, clock, nameId="wk-000002", sacks=1)
+                await node.sync()
+            node.report("n-0", 1, seq, node.token())
+            if 1 < seq < 8:
+                node.rounds._giving._looked_at[0] = clock.now()
+            await node.round()
+            machine = node.world.machines["n-0"]
+            if machine.shard == other:
+                break
+        assert machine.shard == other and not machine.rows
+
+    play(story)
--- a/tests/test_work.py
+++ b/tests/test_work.py
@@ -266,3 +266,29 @@
         assert not node.rounds._guarantees.speaks_for(node.world.jobs[job])
 
     play(story)
+
+
+def test_a_replica_lost_with_its_machine_may_take_lesser_works_room_again() -> None:
+    """It waited for a free machine for minutes, since any end of an attempt counted against it."""
+
+    async def story(state: StateService, clock: FakeClock, nodes: Nodes) -> None:
+        node = await _ready(
+            state, clock, nodes, 2, cut="service", precedence="production", sacks=1, cards=4.0,
+            grindS=0.0, dueS=None,
+        )  # fmt: skip
+        (row,) = node.world.jobs["wk-000001"].rows()
+        other = "n-1" if row.machine == "n-0" else "n-0"
+        add_job(state, clock, nameId="wk-000002", sacks=4)
+        await node.sync()
+        await node.round()
+        assert len(node.world.machines[other].rows) == 4
+        running = [on("wk-000002", i, i + 1, "running") for i in range(4)]
+        node.report(row.machine, 1, 2, node.token(), on("wk-000001", 0, 1, "running"))
+        for seq in range(2, 60):
+            clock.time += node.settings.report_s / 2
+            await node.keeper.step()
+            node.report(other, 1, seq, node.token(), *running)
+            await node.round()
+        assert len(node.reports.stopping) == 4
+
+    play(story)
