--- a/crossmill/jobs/giving.py
+++ b/crossmill/jobs/giving.py
@@ -14,27 +14,19 @@
 from ..planning.rooms import allowed
 from ..settings import Settings
 from ..workers.reports import Reports
-from .guarantees import Guarantees, Use
 
 log = logging.getLogger(__name__)
 
 
 class Giving:
     def __init__(
-        self,
-        settings: Settings,
-        clock: Clock,
-        world: World,
-        reports: Reports,
-        outlook: Outlook,
-        guarantees: Guarantees,
+        self, settings: Settings, clock: Clock, world: World, reports: Reports, outlook: Outlook
     ) -> None:
         self._s = settings
         self._clock = clock
         self._world = world
         self._reports = reports
         self._outlook = outlook
-        self._guarantees = guarantees
         # machines that go to another shard once they are empty, and until when that is tried
         self.going: dict[str, tuple[int, float]] = {}
         self._promised: dict[str, float] = {}
@@ -72,14 +64,12 @@
         if self._promised.get(job.id, 0.0) > now:
             return
         # an idle machine is better moved than rented; running work is stopped only for
-        # replicas, when the cloud has had its time, or where a guarantee speaks for the job
+        # replicas, and only when the cloud has had its time
         busy = want.spec.kind == "service" and wall - job.submitted > self._s.lease_s
-        guaranteed = self._guarantees.speaks_for(job)
-        busy = busy or guaranteed
         for stop in (False, True) if busy else (False,):
-            mine = self._suiting(shard, want, stop, guaranteed)
+            mine = self._suiting(shard, want, stop)
             if not mine or any(
-                (-len(self._suiting(k, want, stop, guaranteed)), k) < (-len(mine), shard)
+                (-len(self._suiting(k, want, stop)), k) < (-len(mine), shard)
                 for k in range(self._s.nodes)
                 if k not in (shard, other)
             ):
@@ -115,11 +105,10 @@
         since = view.idle_since
         return stop or (since is not None and self._clock.now() - since > 2 * self._s.report_s)
 
-    def _suiting(self, shard: int, want: Want, stop: bool, guaranteed: bool) -> list[Machine]:
-        """Machines of the shard that could serve: empty ones, or such as only run work that may
-        be stopped and is done again elsewhere; those with the least of it first."""
+    def _suiting(self, shard: int, want: Want, stop: bool) -> list[Machine]:
+        """Machines of the shard that could serve: empty ones, or such as only run lesser work
+        that is done again elsewhere; those with the least of it first."""
         spec = want.spec
-        used = self._guarantees.use(shard) if stop and guaranteed else {}
         result = []
         for machine in self._world.machines.values():
             kind = self._world.catalog.get(machine.type)
@@ -129,21 +118,13 @@
                 continue
             if not allowed(spec, machine.type, machine.zone, machine.spot):
                 continue
-            if slots_on(spec, kind) and self._may_stop(want, machine, used):
+            if slots_on(spec, kind) and all(self._lesser(want, r) for r in machine.rows.values()):
                 result.append(machine)
         result.sort(key=lambda m: len(m.rows))
         return result
 
-    def _may_stop(self, want: Want, machine: Machine, used: Use) -> bool:
-        """Whether all on the machine is arrays' lesser work, or, for a job that its guarantee
-        speaks for, what other teams use beyond theirs."""
-        drawn: dict[str, float] = {}
-        for row in machine.rows.values():
-            job = self._world.jobs.get(row.job)
-            if job is None or job.spec is None or job.spec.kind == "service":
-                return False
-            if PRIORITY[job.spec.priority] <= PRIORITY[want.spec.priority]:
-                if not used or job.spec.gpus <= 0:
-                    return False
-                drawn[job.spec.team] = drawn.get(job.spec.team, 0.0) + job.spec.gpus
-        return all(self._guarantees.beyond(team, used) >= gpus for team, gpus in drawn.items())
+    def _lesser(self, want: Want, row: Row) -> bool:
+        job = self._world.jobs.get(row.job)
+        if job is None or job.spec is None or job.spec.kind == "service":
+            return False
+        return PRIORITY[job.spec.priority] > PRIORITY[want.spec.priority]
--- a/crossmill/jobs/making_room.py
+++ b/crossmill/jobs/making_room.py
@@ -149,7 +149,7 @@
         spec = job.spec
         assert spec is not None
         # a replica stopped costs as much as one started late, while machines can be had
-        replicas = self._outlook.short(spec)
+        replicas = spec.kind == "service" and self._outlook.short(spec)
         within = self._guarantees.speaks_for(job)
         rank = PRIORITY[spec.priority]
         result: dict[str, str] = {}
--- a/crossmill/jobs/rounds.py
+++ b/crossmill/jobs/rounds.py
@@ -88,7 +88,7 @@
         self._stops: list[Row] = []
         self._guarantees = Guarantees(settings, world)
         self._making = MakingRoom(settings, clock, world, reports, outlook, self._guarantees)
-        self._giving = Giving(settings, clock, world, reports, outlook, self._guarantees)
+        self._giving = Giving(settings, clock, world, reports, outlook)
         self.wake = curio.Event()
 
     async def run(self) -> None:
@@ -286,9 +286,10 @@
         rooms = [r for r in rooms if r.machine not in bad and self._making.open_to(r, job)]
         if spec.kind == "gang" and not self._whole(job, spec, wanted, rooms):
             return
-        # an attempt that ended with its machine says nothing against the job: only failures of
-        # its own keep it from taking others' room
-        blameless = trouble is None or trouble.failures == 0
+        # a replica that ended with its machine says nothing against the job: only failures of
+        # its own keep it from taking others' room. Arrays take it once, for their guarantee:
+        # for each task anew they would stop one another's work over and over
+        blameless = trouble is None or (spec.kind == "service" and trouble.failures == 0)
         taken = self._find_rooms(job, spec, wanted, rooms, zones, used, blameless)
         if not taken:
             return
