--- a/tests/standins.py
+++ b/tests/standins.py
@@ -44,7 +44,10 @@
                 {"name": "blue", "cpus": 0, "cpus_max": 0, "gpus": 0, "gpus_max": 0},
                 {"name": "green", "cpus": 0, "cpus_max": 0, "gpus": 0, "gpus_max": 0},
             ],
-            "objectives": [{"kind": "wait", "class": "chat", "within_s": 20.0, "share": 0.9}],
+            "objectives": [
+                {"kind": "wait", "class": "chat", "within_s": 20.0, "share": 0.9},
+                {"kind": "guarantee", "within_s": 5.0, "share": 0.9},
+            ],
             "workers": {"report_s": 1.0, "lease_s": 10.0, "cancel_s": 30.0},
             "state": {"rps": 100.0, "write_rps": 60.0, "value_kb": 32.0, "txn_ops": 20},
             "cloud": {"rps": 4.0, "list_lag_s": 4.0},
