--- a/crossmill/fleet/outlook.py
+++ b/crossmill/fleet/outlook.py
@@ -222,10 +222,11 @@
             want = Want(spec, job.waiting_count(), Zones(spec, zones), budget_s, task_s)
             if spec.kind == "array" and task_s > 0:
                 # slots of running arrays come free one after the other, and again; those that
-                # do by the time the last task has to be there go to the jobs in their order
-                last_s = want.budget_s - task_s - self._fetch_s(spec)
-                span_s = min(max(0.0, last_s), self._s.forecast_s)
-                by_then = int(coming * span_s / task_s)
+                # do by the time the last task has to be there go to the jobs in their order.
+                # A slot is taken for the image's fetch as well, unless it is there by chance
+                turn_s = task_s + self._fetch_s(spec)
+                span_s = min(max(0.0, want.budget_s - turn_s), self._s.forecast_s)
+                by_then = int(coming * span_s / turn_s)
                 want.covered = max(0, min(want.tasks, by_then - promised))
                 promised += want.covered
             wants.append(want)
--- a/crossmill/jobs/rounds.py
+++ b/crossmill/jobs/rounds.py
@@ -320,7 +320,7 @@
     ) -> list[tuple[Room, int]]:
         """Room that is free; but a class that must start soon rather gets the place of lesser
         work where its image is than a free one where it would wait for the image."""
-        prompt_s = self._prompt_s(job, spec)
+        prompt_s = self._s.prompt_s(spec.job_class) if spec.kind == "service" else None
         taken: list[tuple[Room, int]] = []
         # a claim that came to nothing is not repeated: then any room will do
         again = self._making.failed(job)
@@ -347,16 +347,6 @@
             self._stops.extend(stops)
         return taken + more
 
-    def _prompt_s(self, job: Job, spec: JobSpec) -> float | None:
-        """How soon a replica must start, if anything is said of it: by its class, or by its
-        team's guarantee where that speaks for the job."""
-        if spec.kind != "service":
-            return None
-        spans = [self._s.prompt_s(spec.job_class)]
-        if self._guarantees.speaks_for(job):
-            spans.append(self._s.guarantee_s)
-        return min((span for span in spans if span is not None), default=None)
-
     def _waiting(self, job: Job, edits: dict[tuple[str, int], Edit]) -> list[int]:
         """Tasks with no attempt in the plan and no outcome, lowest first, bounded."""
         assert job.spec is not None
--- a/crossmill/settings.py
+++ b/crossmill/settings.py
@@ -253,11 +253,6 @@
         ]
         return min(waits, default=None)
 
-    @property
-    def guarantee_s(self) -> float | None:
-        """What the objectives say of how soon work within a guarantee must start."""
-        return min((o.within_s for o in self.objectives if o.kind == "guarantee"), default=None)
-
     @property
     def settled_s(self) -> float:
         """A replica is not moved sooner after its start."""
--- a/tests/test_work.py
+++ b/tests/test_work.py
@@ -292,32 +292,3 @@
         assert len(node.reports.stopping) == 4
 
     play(story)
-
-
-def test_a_guaranteed_replica_takes_the_place_where_its_image_is() -> None:
-    """A free place whose fetch its class allows is too slow for what the guarantee promises."""
-
-    async def story(state: StateService, clock: FakeClock, nodes: Nodes) -> None:
-        node = await _ready(state, clock, nodes, 2, sacks=3, recipe="img-9")
-        (busy,) = [m for m in node.world.machines.values() if m.rows]
-        assert "img-9" in busy.images
-        # 10 s of fetch would do for the class (20 s), not for the guarantee (5 s)
-        for number, sacks in ((2, 1), (3, 2)):
-            add_job(
-                state, clock, nameId=f"wk-{number:06d}", cut="service", precedence="production",
-                sacks=sacks, cards=2.0, grindS=0.0, dueS=None, recipe="img-9",
-            )  # fmt: skip
-        await node.sync()
-        assert node.settings.guarantee_s == 5.0
-        first, second = (node.world.jobs[f"wk-{n:06d}"] for n in (2, 3))
-        speaks = node.rounds._guarantees.speaks_for
-        spec = first.spec
-        assert spec is not None
-        # red is guaranteed 4 GPUs, and the array holds three of them
-        assert not speaks(first) and node.rounds._prompt_s(first, spec) == 20.0
-        state.put(keys.job("wk-000001"), {**state.keys[keys.job("wk-000001")][0], "end": "done"})
-        await node.sync()
-        assert speaks(first) and node.rounds._prompt_s(first, spec) == 5.0
-        assert not speaks(second)
-
-    play(story)
