--- a/tests/test_work.py
+++ b/tests/test_work.py
@@ -3,6 +3,7 @@
 import orjson
 
 from crossmill.cluster import keys
+from crossmill.wire.users import JobSpec
 
 from .harness import Node, add_job, add_machine, play, seed
 from .standins import FakeClock, StateService, on, submission
@@ -292,3 +293,31 @@
         assert len(node.reports.stopping) == 4
 
     play(story)
+
+
+def test_what_may_be_stopped_is_asked_once_for_a_job() -> None:
+    """Asked for each task on each machine it took two thirds of a controller's time, and days of
+    300 machines did not end within the processor time they are given."""
+
+    async def story(state: StateService, clock: FakeClock, nodes: Nodes) -> None:
+        node = await _ready(state, clock, nodes, 3, sacks=12)
+        assert node.world.jobs["wk-000001"].row_count() == 12
+        asked: list[str] = []
+        short = node.outlook.short
+
+        def counting(spec: JobSpec) -> bool:
+            asked.append(spec.id)
+            return short(spec)
+
+        node.outlook.short = counting  # type: ignore[method-assign]
+        add_job(
+            state, clock, nameId="wk-000002", cut="service", precedence="production",
+            sacks=1, grindS=0.0, dueS=None,
+        )  # fmt: skip
+        await node.sync()
+        await node.round()
+        assert len(node.reports.stopping) == 1
+        # once where its image is, at most once more anywhere
+        assert 1 <= len(asked) <= 2
+
+    play(story)
