--- a/crossmill/app.py
+++ b/crossmill/app.py
@@ -5,6 +5,7 @@
 
 import curio
 
+from .cluster.deputies import Deputies
 from .cluster.keeper import Keeper
 from .cluster.keys import ROOT
 from .cluster.membership import Membership
@@ -22,7 +23,7 @@
 from .state.follower import Follower
 from .state.mirror import Mirror
 from .state.writer import Writer
-from .wire import users, workers
+from .wire import peers, users, workers
 from .wire.checks import Malformed, load_object
 from .workers.direct import Direct
 from .workers.reports import Reports
@@ -44,7 +45,9 @@
         self.membership = Membership(
             settings, clock, self.keeper, self.world, self.follower, self.writer, self.promises
         )
-        self.reports = Reports(settings, clock, self.world, self.membership)
+        self.deputies = Deputies(settings, clock, self.world, self.keeper)
+        self.deputies.sync = self.follower.sync
+        self.reports = Reports(settings, clock, self.world, self.membership, self.deputies)
         self.outlook = Outlook(settings, clock, self.world)
         direct = Direct(settings, self.world, self.membership, self.reports)
         self.rounds = Rounds(
@@ -69,7 +72,9 @@
             self.writer,
             lambda: secrets.token_hex(8),
         )
-        self.desk = Desk(settings, clock, self.world, self.follower, self.writer, client)
+        self.desk = Desk(
+            settings, clock, self.world, self.follower, self.writer, client, self.deputies
+        )
         self.server = Server(
             settings.bind, self._handle, settings.server_sockets, 6 * settings.lease_s
         )
@@ -78,6 +83,8 @@
         )
 
     async def _handle_peer(self, request: Request) -> Response:
+        if request.path in (peers.QUIET_PATH, peers.ENDING_PATH):
+            return self.deputies.handle(request)
         return self.promises.handle(request)
 
     async def _handle(self, request: Request) -> Response:
@@ -118,6 +125,7 @@
             self.follower.run_syncs,
             self.writer.run,
             self.membership.run,
+            self.deputies.run,
             self.rounds.run,
             self.leader.run,
         ):
--- /dev/null
+++ b/crossmill/cluster/deputies.py
@@ -0,0 +1,236 @@
+"""Keeping a zone's workers alive while the zone is cut off from everything else.
+
+A controller in such a zone (a deputy) answers the zone's workers with the token they report and
+no orders but the end of withdrawn tasks, so that what runs goes on running. Whoever owns a
+machine therefore can't conclude from silence alone that its worker's lease has ended: each
+controller of the machine's zone has to say that it has not answered it, and that it will not
+(docs/safety.md, "Deputies")."""
+
+import logging
+from collections.abc import Awaitable, Callable, Iterable
+
+import curio
+
+from ..net.client import Client, Http, Unanswered, Unreached
+from ..net.clock import Clock
+from ..net.server import Request, Response
+from ..settings import Peer, Settings
+from ..wire import peers as wire
+from ..wire.checks import Malformed
+from ..wire.workers import Command, Report
+from .keeper import Keeper
+from .world import ACTIVE, Machine, World
+
+log = logging.getLogger(__name__)
+
+
+class Deputies:
+    def __init__(
+        self,
+        settings: Settings,
+        clock: Clock,
+        world: World,
+        keeper: Keeper,
+        connect: Callable[[Peer], Http] = lambda peer: Client(peer.endpoint, max_sockets=2),
+    ) -> None:
+        self._s = settings
+        self._clock = clock
+        self._world = world
+        self._keeper = keeper
+        self._http = {peer.label: connect(peer) for peer in settings.peers}
+        self._of_zone: dict[str, list[str]] = {}
+        for peer in settings.peers:
+            self._of_zone.setdefault(peer.zone, []).append(peer.label)
+        self._elsewhere = [p.label for p in settings.peers if p.zone != settings.zone]
+        self._started = clock.now()
+        # set by the application: shows that the mirror holds all that is durable
+        self.sync: Callable[[float], Awaitable[bool]] | None = None
+        # as a deputy: when all that was durable was known, whom we answered, whom we must not,
+        # and the jobs that are being withdrawn
+        self._synced_at: float | None = None
+        self._answered: dict[str, float] = {}
+        self._barred: dict[str, float] = {}
+        self._ending: dict[str, float] = {}
+        self._heard: dict[str, float] = {}
+        self._failing_since: float | None = None
+        # as an owner: what the controllers of a zone said of its silent machines
+        self._asked: dict[str, str] = {}
+        self._quiet: dict[tuple[str, str], tuple[float, float]] = {}
+        self._absent: dict[str, float] = {}
+
+    # -- being a deputy --------------------------------------------------------------
+
+    def synced(self, sent: float) -> None:
+        """All that was durable at `sent` is known. It counts while our key stands in the state
+        service, so that its going bounds for others how long we may answer; and not soon after
+        the start, since the process before this one may have promised something."""
+        mine = self._world.nodes.get(self._s.label)
+        announced = mine is not None and mine["lease"] == self._keeper.lease
+        if announced and self._keeper.authority() and sent - self._started > self._s.quiet_s:
+            self._synced_at = sent
+
+    def _cut_off(self) -> bool:
+        """Neither the state service nor any controller of another zone has answered."""
+        since = self._failing_since
+        if not self._keeper.failing or since is None or not self._elsewhere:
+            return False
+        return all(self._heard.get(label, -1.0) < since for label in self._elsewhere)
+
+    def keep_alive(self, machine: Machine, report: Report) -> list[Command] | None:
+        """The orders with which a machine is kept alive, or None if it may not be."""
+        now, machine_id = self._clock.now(), machine.id
+        if machine.zone != self._s.zone or self._synced_at is None:
+            return None
+        if now > self._synced_at + self._s.deputy_s * (1 - self._s.drift):
+            return None
+        if now < self._barred.get(machine_id, 0.0):
+            return None
+        shard = self._world.shards.get(machine.shard)
+        # a token we don't know: somebody else acts for the machine, and it can be reached
+        if report.token > max(machine.token, shard.token if shard is not None else 0):
+            return None
+        if self._failing_since is None and self._keeper.failing:
+            self._failing_since = now
+            # who answers is not asked for nothing: until then this looks like a cut
+        if not self._cut_off():
+            return None
+        self._answered[machine_id] = now
+        return [
+            Command("stop", f"{task.job}/{task.index}", task.attempt, 0.0)
+            for task in report.tasks
+            if task.state != "exited" and self._ended(task.job)
+        ]
+
+    def _ended(self, job_id: str) -> bool:
+        job = self._world.jobs.get(job_id)
+        return job_id in self._ending or (job is not None and job.end != ACTIVE)
+
+    def handle(self, request: Request) -> Response:
+        """What owners of this zone's machines ask, and what is being withdrawn."""
+        now = self._clock.now()
+        try:
+            if request.path == wire.QUIET_PATH:
+                return Response(200, wire.quiet_body(self._bar(wire.parse_machines(request.body))))
+            for job_id in wire.parse_ending(request.body):
+                self._ending[job_id] = now
+        except Malformed:
+            return Response(400)
+        if len(self._ending) > 1000:
+            over = now - 2 * (self._s.deputy_s + self._s.cancel_s)
+            self._ending = {j: at for j, at in self._ending.items() if at > over}
+        return Response(200)
+
+    def _bar(self, machines: Iterable[str]) -> list[float]:
+        now = self._clock.now()
+        self._barred = {m: until for m, until in self._barred.items() if until > now}
+        spans = []
+        for machine in machines:
+            self._barred[machine] = now + self._s.quiet_s
+            # before our start the process before us may have answered it
+            spans.append(now - max(self._started, self._answered.get(machine, 0.0)))
+        return spans
+
+    # -- being an owner --------------------------------------------------------------
+
+    def lease_over(self, machine: Machine, answered_at: float) -> bool:
+        """Whether the worker's lease has ended, when we answered it last at `answered_at`."""
+        now = self._clock.now()
+        for label in self._of_zone.get(machine.zone, ()):
+            bound, until = self._quiet.get((label, machine.id), (0.0, 0.0))
+            if now >= until:
+                gone = self._absent.get(label)
+                # it knew nothing durable after its key was gone
+                bound = now if gone is None else gone + self._s.deputy_s * (1 + self._s.drift)
+            answered_at = max(answered_at, bound)
+        return now - answered_at > self._s.worker_end_s
+
+    def wonder(self, machine: Machine) -> None:
+        """A silent machine: the controllers of its zone are asked, well before it matters."""
+        now = self._clock.now()
+        for label in self._of_zone.get(machine.zone, ()):
+            if now >= self._quiet.get((label, machine.id), (0.0, 0.0))[1]:
+                self._asked[machine.id] = machine.zone
+
+    def known_ending(self, label: str) -> bool:
+        """Whether a controller that can't be asked has long stopped keeping anything alive
+        that would not end in time by itself."""
+        gone = self._absent.get(label)
+        span = self._s.deputy_s + self._s.worker_end_s + self._s.report_s - self._s.cancel_s
+        return gone is not None and self._clock.now() > gone + span * (1 + self._s.drift)
+
+    async def announce_end(self, job_id: str, zones: Iterable[str]) -> bool:
+        """Before a job is called withdrawn: every controller that may be cut off together with
+        tasks of it must know, or they might be kept alive for too long."""
+        labels = [label for zone in zones for label in self._of_zone.get(zone, ())]
+        if self._s.deputy_s + self._s.worker_end_s + self._s.report_s <= self._s.cancel_s:
+            return True
+        known: dict[str, bool] = {}
+
+        async def tell(label: str) -> None:
+            body = wire.ending_body(job_id)
+            answer = await self._call(label, "POST", wire.ENDING_PATH, body)
+            known[label] = answer is not None or self.known_ending(label)
+
+        async with curio.TaskGroup() as group:
+            for label in labels:
+                await group.spawn(tell, label)
+        return all(known.values())
+
+    # -- the loop --------------------------------------------------------------------
+
+    async def _call(self, label: str, method: str, path: str, body: bytes = b"") -> bytes | None:
+        try:
+            status, data = await self._http[label].request(
+                method, path, body, self._s.promise_s / 4
+            )
+        except (Unreached, Unanswered) as exc:
+            log.debug("peer not heard peer=%s error=%s", label, exc)
+            return None
+        self._heard[label] = self._clock.now()
+        return data if status == 200 else None
+
+    async def _ask(self, label: str, machines: list[str]) -> None:
+        sent = self._clock.now()
+        data = await self._call(label, "POST", wire.QUIET_PATH, wire.machines_body(machines))
+        if data is None:
+            return
+        try:
+            spans = wire.parse_quiet(data)
+        except Malformed as exc:
+            log.info("odd answer peer=%s error=%s", label, exc)
+            return
+        now = self._clock.now()
+        until = sent + self._s.quiet_s * (1 - self._s.drift)
+        for machine, span in zip(machines, spans, strict=False):
+            self._quiet[label, machine] = (now - span * (1 - self._s.drift), until)
+
+    async def step(self) -> None:
+        now = self._clock.now()
+        for label in self._http:
+            if label in self._world.nodes:
+                self._absent.pop(label, None)
+            else:
+                self._absent.setdefault(label, now)
+        self._quiet = {k: v for k, v in self._quiet.items() if v[1] > now}
+        async with curio.TaskGroup() as group:
+            if self._keeper.failing:
+                if self._failing_since is None:
+                    self._failing_since = now
+                for label in self._elsewhere:
+                    await group.spawn(self._call, label, "GET", wire.ACTING_PATH)
+            else:
+                self._failing_since = None
+            asked, self._asked = self._asked, {}
+            for zone, labels in self._of_zone.items():
+                machines = [m for m, z in asked.items() if z == zone]
+                for label in labels if machines else ():
+                    await group.spawn(self._ask, label, machines)
+        if self.sync is not None and not self._keeper.failing:
+            sent = self._clock.now()
+            if await self.sync(self._s.renew_s):
+                self.synced(sent)
+
+    async def run(self) -> None:
+        while True:
+            await self.step()
+            await curio.sleep(self._s.renew_s)
--- a/crossmill/jobs/desk.py
+++ b/crossmill/jobs/desk.py
@@ -5,6 +5,7 @@
 import orjson
 
 from ..cluster import keys
+from ..cluster.deputies import Deputies
 from ..cluster.world import ACTIVE, CANCELLED, Job, World, encode_end, encode_job
 from ..net.clock import Clock
 from ..net.server import Request, Response
@@ -32,6 +33,7 @@
         follower: Follower,
         writer: Writer,
         client: StateClient,
+        deputies: Deputies,
     ) -> None:
         self._s = settings
         self._clock = clock
@@ -39,6 +41,7 @@
         self._follower = follower
         self._writer = writer
         self._client = client
+        self._deputies = deputies
 
     async def handle(self, request: Request) -> Response:
         parts = request.path.strip("/").split("/")[2:]
@@ -179,6 +182,8 @@
                 return await self._archived(job_id)
             if job.end != ACTIVE or job.spec is None:
                 continue
+            if not await self._deputies.announce_end(job_id, self._zones(job)):
+                return LATER_PLEASE
             key = keys.job(job_id)
             intent = Intent(
                 Txn({key: job.version}, [Put(key, encode_end(CANCELLED, job.spec))]),
@@ -191,6 +196,13 @@
                 return Response(200, wire.status_body(job_id, CANCELLED))
         return LATER_PLEASE
 
+    def _zones(self, job: Job) -> set[str]:
+        """Where tasks of the job are, or may be before its end is durable."""
+        zones = {z for z, number in self._world.zones_of(job).items() if number}
+        if job.waiting_count() and job.spec is not None:
+            zones.update((job.spec.zone,) if job.spec.zone else self._s.zones)
+        return zones
+
 
 def _wrong_method() -> Response:
     return Response(405, wire.error_body("wrong method"))
--- a/crossmill/jobs/rounds.py
+++ b/crossmill/jobs/rounds.py
@@ -4,6 +4,7 @@
 transactions that carry the stamps of all they rest on. Starts are sent only from durable plans."""
 
 import logging
+from collections import Counter
 from dataclasses import dataclass, field, replace
 from functools import partial
 from itertools import islice
@@ -467,23 +468,34 @@
             for m in machines
             if not m.up and (v := self._reports.peek(m.id)) is not None and v.trusted
         ]
-        silent = 0
-        for machine in machines:
-            view = self._reports.peek(machine.id)
-            if view is not None and view.trusted and not view.fresh(now, self._s.worker_end_s):
-                silent += 1
-        # many silent at once is a cut or our own trouble, not the machines': wait longer
-        patience = self._s.worker_end_s * (1 if silent * 3 <= len(machines) else 3)
-        if now - own.acquired_at < patience:
-            return intents
+        cut = self._silent_zones(machines, now)
         spare = self._spare(shard, machines, now)
         for machine in machines:
-            why = "" if machine.retiring else self._fault(machine, now, patience, spare)
+            # many silent at once is a cut or our own trouble, not the machines': in a zone that
+            # is cut off its workers may be kept alive, and are worth waiting for
+            patience = self._s.worker_end_s
+            if machine.zone in cut:
+                patience += self._s.deputy_s
+            if machine.retiring or now - own.acquired_at < patience:
+                continue
+            why = self._fault(machine, now, patience, spare)
             if why:
                 log.info("machine given up machine=%s why=%s", machine.id, why)
                 intents.append(self._machine_intent(shard, own, machine, machine.encode(why, True)))
         return intents
 
+    def _silent_zones(self, machines: list[Machine], now: float) -> set[str]:
+        """Zones of which most machines that have been up are not heard."""
+        up: Counter[str] = Counter()
+        silent: Counter[str] = Counter()
+        for machine in machines:
+            if machine.up:
+                view = self._reports.peek(machine.id)
+                up[machine.zone] += 1
+                if view is None or not view.fresh(now, self._s.worker_end_s):
+                    silent[machine.zone] += 1
+        return {zone for zone, number in silent.items() if number > 1 and 2 * number > up[zone]}
+
     def _move_intents(self, shard: int, own: Owned, machines: list[Machine]) -> dict[str, Intent]:
         """Empty machines go to the shard they are given to under a token drawn for them alone,
         so that nothing said by this shard's owner is obeyed afterwards. One at a time: each
@@ -522,9 +534,14 @@
         if view is None or kind is None:
             return ""
         if not view.trusted:
+            if now - view.answered_at <= patience:
+                return ""
+            if machine.up or view.answered:
+                # an earlier owner has heard it: half a fleet was once taken for never come up
+                # by whoever took over while its zone was cut off
+                return "silent"
             age = self._clock.wall() - machine.rented
-            late = age > self._s.boot_patience * kind.boot_s and not view.answered
-            return "never-up" if late and now - view.answered_at > patience else ""
+            return "never-up" if age > self._s.boot_patience * kind.boot_s else ""
         if not view.fresh(now, patience):
             return "silent"
         if len(self._machine_errors.get(machine.id, ())) >= 2:
--- a/crossmill/settings.py
+++ b/crossmill/settings.py
@@ -95,6 +95,18 @@
         must still end its tasks in time, by the end of the workers' lease if need be."""
         return max(0.0, 0.9 * self.cancel_s - self.worker_end_s - self.report_s)
 
+    @property
+    def deputy_s(self) -> float:
+        """How long after it last knew all that was durable a controller in a zone that is cut
+        off keeps the zone's workers alive."""
+        return 3 * self.lease_s
+
+    @property
+    def quiet_s(self) -> float:
+        """How long a controller that was asked about a silent machine leaves it unanswered:
+        until its lease must have ended, and a while for whoever asked to conclude it."""
+        return 1.5 * self.worker_end_s
+
     @property
     def drift(self) -> float:
         """Two steady clocks, each up to 0.05% off, doubled for safety."""
--- a/crossmill/wire/peers.py
+++ b/crossmill/wire/peers.py
@@ -8,6 +8,8 @@
 
 PROMISE_PATH = "/v1/promise"
 ACTING_PATH = "/v1/acting"
+QUIET_PATH = "/v1/quiet"
+ENDING_PATH = "/v1/ending"
 
 
 @dataclass(frozen=True, slots=True)
@@ -49,3 +51,40 @@
 
 def parse_acting(body: bytes) -> tuple[int, ...]:
     return _shards(checks.load_object(body))
+
+
+def _names(body: bytes, field: str) -> tuple[str, ...]:
+    names = checks.load_object(body).get(field)
+    if type(names) is not list or not all(type(n) is str for n in names):
+        raise checks.Malformed(f"{field}: a list of names is needed")
+    return tuple(names)
+
+
+def machines_body(machines: list[str]) -> bytes:
+    """Machines not heard of: who has kept them alive, and will it be left?"""
+    return orjson.dumps({"machines": machines})
+
+
+def parse_machines(body: bytes) -> tuple[str, ...]:
+    return _names(body, "machines")
+
+
+def quiet_body(quiet_s: list[float]) -> bytes:
+    """For each machine asked about, how long it has not been answered for certain."""
+    return orjson.dumps({"quietS": quiet_s})
+
+
+def parse_quiet(body: bytes) -> list[float]:
+    spans = checks.load_object(body).get("quietS")
+    if type(spans) is not list or not all(type(s) in (int, float) and s >= 0 for s in spans):
+        raise checks.Malformed("quietS: a list of times is needed")
+    return [float(s) for s in spans]
+
+
+def ending_body(job: str) -> bytes:
+    """A job about to be withdrawn."""
+    return orjson.dumps({"jobs": [job]})
+
+
+def parse_ending(body: bytes) -> tuple[str, ...]:
+    return _names(body, "jobs")
--- a/crossmill/workers/reports.py
+++ b/crossmill/workers/reports.py
@@ -6,6 +6,7 @@
 import logging
 from dataclasses import dataclass
 
+from ..cluster.deputies import Deputies
 from ..cluster.membership import Membership, Owned
 from ..cluster.world import ACTIVE, Machine, Row, World
 from ..net.clock import Clock
@@ -39,12 +40,18 @@
     """The views of all machines of the shards this controller acts for."""
 
     def __init__(
-        self, settings: Settings, clock: Clock, world: World, membership: Membership
+        self,
+        settings: Settings,
+        clock: Clock,
+        world: World,
+        membership: Membership,
+        deputies: Deputies,
     ) -> None:
         self._s = settings
         self._clock = clock
         self._world = world
         self._membership = membership
+        self._deputies = deputies
         self._views: dict[str, View] = {}
         self.findings: dict[Key, Finding] = {}
         # tasks to be stopped to make room or to drain, by attempt
@@ -87,6 +94,9 @@
         if machine.id in self.leaving:
             return Answer(421)
         if standing is None:
+            kept = self._deputies.keep_alive(machine, report)
+            if kept is not None:
+                return Answer(200, report.token, tuple(kept[:MAX_ORDERS]))
             known = self._world.shards.get(machine.shard)
             elsewhere = known is not None and known.owner != self._s.label
             return Answer(421, redirect=known.owner if known and elsewhere else None)
@@ -221,7 +231,10 @@
     def expire(self, machine: Machine, own: Owned) -> None:
         """A worker that nobody can have answered for a lease has killed its tasks."""
         view = self.view(machine, own)
-        if machine.rows and view.lease_over(self._clock.now(), self._s.worker_end_s):
+        if not machine.rows or self._clock.now() - view.answered_at <= self._s.suspect_s:
+            return
+        self._deputies.wonder(machine)
+        if self._deputies.lease_over(machine, view.answered_at):
             for row in machine.rows.values():
                 if row.session <= view.session or not view.trusted:
                     self._found(Finding(row, "lease over"))
--- a/crossmill/workers/views.py
+++ b/crossmill/workers/views.py
@@ -77,6 +77,3 @@
 
     def fresh(self, now: float, within_s: float) -> bool:
         return self.trusted and self.heard_at is not None and now - self.heard_at <= within_s
-
-    def lease_over(self, now: float, lease_s: float) -> bool:
-        return now - self.answered_at > lease_s
--- a/tests/harness.py
+++ b/tests/harness.py
@@ -7,6 +7,7 @@
 import orjson
 
 from crossmill.cluster import keys
+from crossmill.cluster.deputies import Deputies
 from crossmill.cluster.keeper import Keeper
 from crossmill.cluster.membership import Membership
 from crossmill.cluster.promises import Promises
@@ -23,6 +24,7 @@
 from crossmill.state.follower import Follower
 from crossmill.state.mirror import Mirror
 from crossmill.state.writer import Writer
+from crossmill.wire import peers
 from crossmill.wire.checks import load_object
 from crossmill.wire.cloud import parse_catalog
 from crossmill.wire.workers import parse_report
@@ -53,7 +55,9 @@
         node = self._nodes.get(self._label)
         if node is None or node.cut:
             raise Unreached(self._label)
-        response = node.promises.handle(Request(method, path, body))
+        request = Request(method, path, body)
+        asked = path in (peers.QUIET_PATH, peers.ENDING_PATH)
+        response = (node.deputies if asked else node.promises).handle(request)
         return response.status, response.body
 
 
@@ -104,7 +108,9 @@
         self.membership = Membership(
             s, clock, self.keeper, self.world, self.follower, self.writer, self.promises
         )
-        self.reports = Reports(s, clock, self.world, self.membership)
+        self.deputies = Deputies(s, clock, self.world, self.keeper, line)
+        self.deputies.sync = self.follower.sync
+        self.reports = Reports(s, clock, self.world, self.membership, self.deputies)
         self.outlook = Outlook(s, clock, self.world)
         self.worker = WorkerLine()
         self.direct = Direct(s, self.world, self.membership, self.reports)
@@ -130,7 +136,9 @@
             self.writer,
             lambda: "once",
         )
-        self.desk = Desk(s, clock, self.world, self.follower, self.writer, self.client)
+        self.desk = Desk(
+            s, clock, self.world, self.follower, self.writer, self.client, self.deputies
+        )
 
     async def boot(self, waited: bool = True) -> None:
         """Started, and long enough ago to take shards that have no owner."""
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -24,15 +24,19 @@
         return self.time + 1e9
 
 
+# the machines of most stories stand in node-0's zone, where it is the only controller
+ZONES = {"node-0": "north", "node-1": "south", "node-2": "south"}
+
+
 def settings_table(label: str = "node-0", **changes: Any) -> dict[str, Any]:
     labels = [f"node-{i}" for i in range(3)]
     table: dict[str, Any] = {
         "label": label,
-        "site": "north",
+        "site": ZONES.get(label, "north"),
         "bind": "127.0.0.1:8080",
         "peer_listen": "127.0.0.1:8081",
         "members": [
-            {"label": x, "site": "north", "endpoint": f"127.0.0.1:{9000 + i}"}
+            {"label": x, "site": ZONES[x], "endpoint": f"127.0.0.1:{9000 + i}"}
             for i, x in enumerate(labels)
             if x != label
         ],
