--- a/crossmill/app.py
+++ b/crossmill/app.py
@@ -59,6 +59,7 @@
             self.writer,
             self.outlook,
             direct,
+            self.deputies,
         )
         direct.on_news = self.rounds.wake.set
         self.follower.on_change = self.rounds.wake.set
--- a/crossmill/cluster/deputies.py
+++ b/crossmill/cluster/deputies.py
@@ -144,6 +144,12 @@
             answered_at = max(answered_at, bound)
         return now - answered_at > self._s.worker_end_s
 
+    def zone_lost(self, zone: str) -> bool:
+        """Whether the zone has other controllers and none has answered for a lease."""
+        since = self._clock.now() - self._s.lease_s
+        labels = self._of_zone.get(zone, ())
+        return bool(labels) and all(self._heard.get(x, since) <= since for x in labels)
+
     def wonder(self, machine: Machine) -> None:
         """A silent machine: the controllers of its zone are asked, well before it matters."""
         now = self._clock.now()
--- a/crossmill/jobs/rounds.py
+++ b/crossmill/jobs/rounds.py
@@ -13,6 +13,7 @@
 import curio
 
 from ..cluster import keys
+from ..cluster.deputies import Deputies
 from ..cluster.membership import Membership, Owned
 from ..cluster.world import (
     ACTIVE,
@@ -72,6 +73,7 @@
         writer: Writer,
         outlook: Outlook,
         direct: Direct,
+        deputies: Deputies,
     ) -> None:
         self._s = settings
         self._clock = clock
@@ -81,6 +83,7 @@
         self._writer = writer
         self._outlook = outlook
         self._direct = direct
+        self._deputies = deputies
         self.estimates = outlook.estimates
         self._troubles: dict[str, Trouble] = {}
         self._resume: dict[int, str] = {}
@@ -494,7 +497,11 @@
                 up[machine.zone] += 1
                 if view is None or not view.fresh(now, self._s.worker_end_s):
                     silent[machine.zone] += 1
-        return {zone for zone, number in silent.items() if number > 1 and 2 * number > up[zone]}
+        return {
+            zone
+            for zone, number in silent.items()
+            if 2 * number > up[zone] and (number > 1 or self._deputies.zone_lost(zone))
+        }
 
     def _move_intents(self, shard: int, own: Owned, machines: list[Machine]) -> dict[str, Intent]:
         """Empty machines go to the shard they are given to under a token drawn for them alone,
--- a/tests/harness.py
+++ b/tests/harness.py
@@ -97,6 +97,8 @@
         self.mirror = Mirror()
         self.world = World(self.mirror, s)
         self.follower = Follower(self.client, self.mirror, keys.ROOT, s)
+        # the held clock does not move in it
+        self.follower._pause_s = 0.0
         self.writer = Writer(self.client, self.mirror, clock, s)
         self.keeper = Keeper(self.client, clock, s)
 
@@ -124,6 +126,7 @@
             self.writer,
             self.outlook,
             self.direct,
+            self.deputies,
         )
         self.cloud = cloud or CloudService()
         self.leader = Leader(
--- /dev/null
+++ b/tests/test_deputies.py
@@ -0,0 +1,228 @@
+"""A zone that is cut off: its controllers keep its workers alive, and nobody says otherwise."""
+
+from crossmill.net.client import Unreached
+from crossmill.wire import peers
+from crossmill.wire.workers import Command
+
+from .harness import Node, add_job, add_machine, play, seed
+from .standins import FakeClock, StateService, on
+
+Nodes = dict[str, Node]
+RUNNING = on("wk-000001", 0, 1, "running")
+
+
+class Nobody:
+    async def request(
+        self, method: str, path: str, body: bytes = b"", timeout_s: float = 2.0
+    ) -> tuple[int, bytes]:
+        raise Unreached(path)
+
+
+class Story:
+    """node-1 (south) owns machine n-0 (north), which runs a task; node-0 stands in the north."""
+
+    def __init__(self, state: StateService, clock: FakeClock, nodes: Nodes) -> None:
+        self.state, self.clock, self.nodes = state, clock, nodes
+        self.seq = 10
+
+    async def begin(self) -> None:
+        seed(self.state, self.clock, machines=1)
+        self.job = add_job(self.state, self.clock, sacks=1, cut="service", grindS=0.0, dueS=None)
+        self.owner = Node(self.state, self.clock, self.nodes, "node-1")
+        await self.owner.boot()
+        for _ in range(12):
+            self.clock.time += self.owner.settings.hold_ttl_s / 3
+            await self.owner.keeper.step()
+            await self.owner.membership.step()
+        token = self.token = self.owner.token()
+        self.owner.report("n-0", 1, 1, 0)
+        self.owner.report("n-0", 1, 2, token)
+        await self.owner.round()
+        assert [c.op for c in self.owner.report("n-0", 1, 3, token).commands] == ["start"]
+        self.deputy = Node(self.state, self.clock, self.nodes, "node-0")
+        await self.deputy.boot()
+        self.s = self.deputy.settings
+
+    async def pass_time(self, seconds: float, to: Node | None = None) -> None:
+        """Time passes; the machine reports to one controller, the owner decides."""
+        end = self.clock.time + seconds
+        while self.clock.time < end:
+            self.clock.time += 0.5
+            for node in (self.owner, self.deputy):
+                await node.keeper.step()
+                await node.deputies.step()
+            if to is not None:
+                self.seq += 1
+                answer = to.report("n-0", 1, self.seq, self.token, RUNNING)
+                assert (answer.status, answer.token) == (200, self.token), self.clock.time
+            await self.owner.round()
+
+    async def settle(self) -> None:
+        """Long enough for node-0 to count as a deputy."""
+        await self.pass_time(self.s.quiet_s + 2, self.owner)
+
+    def cut(self) -> None:
+        """The north is cut off: node-0 reaches neither state service nor the south."""
+        self.deputy.client._http = self.deputy.client._watch_http = Nobody()
+        self.nodes["node-0"].cut = self.nodes["node-1"].cut = True
+
+    def mend(self) -> None:
+        self.deputy.client._http = self.deputy.client._watch_http = self.state
+        self.nodes["node-0"].cut = self.nodes["node-1"].cut = False
+
+    def on_machine(self) -> int:
+        return len(self.owner.world.machines["n-0"].rows)
+
+
+def test_a_cut_off_zones_workers_are_kept_alive_and_nobody_concludes_otherwise() -> None:
+    async def story(state: StateService, clock: FakeClock, nodes: Nodes) -> None:
+        it = Story(state, clock, nodes)
+        await it.begin()
+        await it.settle()
+        it.cut()
+        await it.pass_time(4)
+        await it.pass_time(2 * it.s.lease_s, it.deputy)
+        assert it.on_machine() == 1
+        assert not it.owner.world.machines["n-0"].retiring
+        # the cut ends: asked, the deputy says that it has answered just now
+        it.mend()
+        await it.pass_time(0.9 * it.s.lease_s)
+        assert it.on_machine() == 1
+        await it.pass_time(0.3 * it.s.lease_s)
+        assert it.on_machine() == 0
+
+    play(story)
+
+
+def test_a_deputy_stops_long_before_its_going_counts_as_proof() -> None:
+    async def story(state: StateService, clock: FakeClock, nodes: Nodes) -> None:
+        it = Story(state, clock, nodes)
+        await it.begin()
+        await it.settle()
+        it.cut()
+        state.end_lease(it.deputy.keeper.lease or 0)
+        await it.pass_time(it.s.deputy_s - 1, it.deputy)
+        await it.pass_time(2)
+        assert it.deputy.report("n-0", 1, 900, it.token, RUNNING).status == 421
+        await it.pass_time(it.s.lease_s - 3)
+        assert it.on_machine() == 1
+        await it.pass_time(6)
+        assert it.on_machine() == 0
+
+    play(story)
+
+
+def test_a_deputy_leaves_a_machine_whose_owner_asked() -> None:
+    async def story(state: StateService, clock: FakeClock, nodes: Nodes) -> None:
+        it = Story(state, clock, nodes)
+        await it.begin()
+        await it.settle()
+        # silent to its owner, who asks; then the zone is cut off
+        await it.pass_time(it.s.suspect_s + 1.5)
+        it.cut()
+        await it.pass_time(2)
+        assert it.deputy.report("n-0", 1, 900, it.token, RUNNING).status == 421
+        await it.pass_time(it.s.worker_end_s)
+        assert it.on_machine() == 0
+
+    play(story)
+
+
+def test_nobody_is_a_deputy_while_another_zone_answers_or_soon_after_a_start() -> None:
+    async def story(state: StateService, clock: FakeClock, nodes: Nodes) -> None:
+        it = Story(state, clock, nodes)
+        await it.begin()
+        it.cut()
+        # the process before this one may have promised to leave the machine
+        await it.deputy.keeper.step()
+        assert it.deputy.report("n-0", 1, 900, it.token, RUNNING).status == 421
+        it.mend()
+        await it.deputy.keeper.step()
+        await it.settle()
+        it.cut()
+        it.nodes["node-1"].cut = False
+        await it.deputy.keeper.step()
+        await it.deputy.deputies.step()
+        answer = it.deputy.report("n-0", 1, 901, it.token, RUNNING)
+        assert (answer.status, answer.redirect) == (421, "node-1")
+        # a token that is not known: somebody acts for the machine and reaches it
+        it.cut()
+        it.deputy.deputies._heard.clear()
+        assert it.deputy.report("n-0", 1, 902, it.token + 1, RUNNING).status == 421
+        assert it.deputy.report("n-0", 1, 903, it.token, RUNNING).status == 200
+
+    play(story)
+
+
+def test_a_job_is_called_withdrawn_only_when_a_deputy_would_end_it() -> None:
+    async def story(state: StateService, clock: FakeClock, nodes: Nodes) -> None:
+        it = Story(state, clock, nodes)
+        await it.begin()
+        await it.settle()
+        it.cut()
+        await it.pass_time(2, it.deputy)
+        path = "/v1/jobs/wk-000001"
+        answer = await it.owner.ask("POST", path + "/withdraw")
+        assert (answer.status, answer.retry_after_s) == (503, 1)
+        assert b"withdrawn" not in (await it.owner.ask("GET", path)).body
+        # once the deputy must have stopped early enough, its word is no longer needed
+        state.end_lease(it.deputy.keeper.lease or 0)
+        await it.pass_time(it.s.deputy_s + it.s.lease_s - it.s.cancel_s)
+        assert (await it.owner.ask("POST", path + "/withdraw")).status == 503
+        await it.pass_time(3)
+        assert (await it.owner.ask("POST", path + "/withdraw")).status == 200
+
+    play(story)
+
+
+def test_a_deputy_ends_what_it_was_told_is_being_withdrawn() -> None:
+    async def story(state: StateService, clock: FakeClock, nodes: Nodes) -> None:
+        it = Story(state, clock, nodes)
+        await it.begin()
+        await it.settle()
+        answer = await it.owner.ask("POST", "/v1/jobs/wk-000001/withdraw")
+        assert answer.status == 200
+        # the deputy's mirror never got it: only what it was told counts
+        assert it.deputy.world.jobs["wk-000001"].end == ""
+        it.cut()
+        await it.deputy.keeper.step()
+        orders = it.deputy.report("n-0", 1, 900, it.token, RUNNING).commands
+        assert orders == (Command("stop", "wk-000001/0", 1, 0.0),)
+
+    play(story)
+
+
+def test_machines_silent_since_a_takeover_are_not_given_up_while_their_zone_is_cut_off() -> None:
+    """Half a fleet was released as never come up, 16 s after a takeover during a cut."""
+
+    async def story(state: StateService, clock: FakeClock, nodes: Nodes) -> None:
+        seed(state, clock, machines=3)
+        for number in range(3):
+            add_machine(state, clock, f"s-{number}", zone="south", at=clock.wall() - 1000)
+        node = Node(state, clock, nodes)
+        await node.boot()
+        up = ["n-0", "n-1", "n-2"]
+        for seq in range(1, 140):
+            clock.time += 0.5
+            await node.keeper.step()
+            for machine in up:
+                node.report(machine, 1, seq, node.token())
+            await node.round()
+            retiring = {m.id for m in node.world.machines.values() if m.retiring == "silent"}
+            if seq * 0.5 < node.settings.deputy_s + node.settings.lease_s:
+                assert not retiring, seq
+        assert retiring == {"s-0", "s-1", "s-2"}
+
+    play(story)
+
+
+def test_what_deputies_are_asked_is_checked() -> None:
+    async def story(state: StateService, clock: FakeClock, nodes: Nodes) -> None:
+        node = Node(state, clock, nodes)
+        for path in (peers.QUIET_PATH, peers.ENDING_PATH):
+            for body in (b"", b"[]", b'{"machines":3,"jobs":[4]}', b"\xff"):
+                line = node.promises._http["node-1"]
+                nodes["node-1"] = node
+                assert (await line.request("POST", path, body))[0] == 400
+
+    play(story)
