--- a/crossmill/jobs/rounds.py
+++ b/crossmill/jobs/rounds.py
@@ -89,6 +89,7 @@
         self._resume: dict[int, str] = {}
         self._machine_errors: dict[str, set[str]] = {}
         self._again = False
+        self._silent_until: dict[tuple[int, str], float] = {}
         self._stops: list[Row] = []
         self._guarantees = Guarantees(settings, world)
         self._making = MakingRoom(settings, clock, world, reports, outlook, self._guarantees)
@@ -471,7 +472,7 @@
             for m in machines
             if not m.up and (v := self._reports.peek(m.id)) is not None and v.trusted
         ]
-        cut = self._silent_zones(machines, now)
+        cut = self._silent_zones(shard, machines, now)
         spare = self._spare(shard, machines, now)
         for machine in machines:
             # many silent at once is a cut or our own trouble, not the machines': in a zone that
@@ -487,21 +488,22 @@
                 intents.append(self._machine_intent(shard, own, machine, machine.encode(why, True)))
         return intents
 
-    def _silent_zones(self, machines: list[Machine], now: float) -> set[str]:
-        """Zones of which most machines that have been up are not heard."""
+    def _silent_zones(self, shard: int, machines: list[Machine], now: float) -> set[str]:
+        """Zones of which most machines that have been up are not heard, or were not until a
+        moment ago: they fall silent and come back one by one, and none should be given up for
+        being the first or the last."""
         up: Counter[str] = Counter()
         silent: Counter[str] = Counter()
         for machine in machines:
             if machine.up:
                 view = self._reports.peek(machine.id)
                 up[machine.zone] += 1
-                if view is None or not view.fresh(now, self._s.worker_end_s):
+                if view is None or not view.fresh(now, self._s.suspect_s):
                     silent[machine.zone] += 1
-        return {
-            zone
-            for zone, number in silent.items()
-            if 2 * number > up[zone] and (number > 1 or self._deputies.zone_lost(zone))
-        }
+        for zone, number in silent.items():
+            if 2 * number > up[zone] and (number > 1 or self._deputies.zone_lost(zone)):
+                self._silent_until[shard, zone] = now + self._s.lease_s
+        return {z for (k, z), until in self._silent_until.items() if k == shard and now < until}
 
     def _move_intents(self, shard: int, own: Owned, machines: list[Machine]) -> dict[str, Intent]:
         """Empty machines go to the shard they are given to under a token drawn for them alone,
--- a/tests/test_deputies.py
+++ b/tests/test_deputies.py
@@ -226,3 +226,28 @@
                 assert (await line.request("POST", path, body))[0] == 400
 
     play(story)
+
+
+def test_machines_of_a_cut_zone_fall_silent_and_come_back_one_by_one() -> None:
+    """The first to fall silent were given up before the rest were, and the last to come back as
+    soon as most others had."""
+
+    async def story(state: StateService, clock: FakeClock, nodes: Nodes) -> None:
+        seed(state, clock, machines=0)
+        names = [f"s-{number}" for number in range(6)]
+        for name in names:
+            add_machine(state, clock, name, zone="south")
+        node = Node(state, clock, nodes)
+        await node.boot()
+        lease_s = node.settings.lease_s
+        for seq in range(1, 130):
+            clock.time += 0.5
+            await node.keeper.step()
+            for number, name in enumerate(names):
+                # silent for two leases, each a little later than the one before
+                if not 0 < seq * 0.5 - 10 - 0.8 * number < 2 * lease_s:
+                    node.report(name, 1, seq, node.token())
+            await node.round()
+        assert not any(m.retiring == "silent" for m in node.world.machines.values())
+
+    play(story)
