--- /dev/null
+++ b/crossmill/cluster/hearing.py
@@ -0,0 +1,54 @@
+"""Whether this controller hears workers at all.
+
+A controller that the workers can't reach, but that the state service still serves, would keep
+its shards while every worker's lease runs out."""
+
+from ..net.clock import Clock
+from ..settings import Settings
+from .world import World
+
+# looks in a row at which nothing had come: after a stall of our own, reports that wait in the
+# sockets are read between two of them
+LOOKS = 3
+
+
+class Hearing:
+    def __init__(self, settings: Settings, clock: Clock, world: World) -> None:
+        self._s = settings
+        self._clock = clock
+        self._world = world
+        self._heard_at = clock.now()
+        self._looks = 0
+        self._deaf_since: float | None = None
+        self._patience_s = settings.deaf_s
+
+    def note(self) -> None:
+        """A report came, whoever is to answer it."""
+        self._heard_at = self._clock.now()
+        self._looks = 0
+
+    @property
+    def deaf(self) -> bool:
+        return self._deaf_since is not None
+
+    def look(self, shards: dict[int, float]) -> bool:
+        """Whether to give up these shards, held since then; called now and then."""
+        now = self._clock.now()
+        if self._deaf_since is not None:
+            # nobody may come to a controller without shards, so in time it tries again
+            if self._heard_at > self._deaf_since:
+                self._deaf_since, self._patience_s = None, self._s.deaf_s
+            elif now - self._deaf_since > self._patience_s:
+                self._deaf_since, self._patience_s = None, 2 * self._patience_s
+                self._heard_at = now
+            return False
+        old = {k for k, since in shards.items() if now - since > self._s.unheard_s}
+        due = sum(m.up and not m.retiring and m.shard in old for m in self._world.machines.values())
+        if now - self._heard_at <= self._s.unheard_s or due < LOOKS:
+            self._looks = 0
+            return False
+        self._looks += 1
+        if self._looks < LOOKS:
+            return False
+        self._deaf_since = now
+        return True
--- a/crossmill/cluster/membership.py
+++ b/crossmill/cluster/membership.py
@@ -12,6 +12,7 @@
 from ..state.writer import OK, URGENT, Intent, Writer
 from ..wire.state import Put, Txn
 from . import keys
+from .hearing import Hearing
 from .keeper import Keeper
 from .promises import Promises
 from .world import World
@@ -49,6 +50,7 @@
         self._writer = writer
         self._promises = promises
         promises.owned = lambda: self.owned
+        self.hearing = Hearing(settings, clock, world)
         self._labels = settings.labels
         self._started = clock.now()
         self._missing: dict[str, float] = {}
@@ -123,6 +125,8 @@
                 self._drop(shard, "lease ended")
             elif known is not None and known.version > own.version:
                 self._drop(shard, f"taken by {known.owner}")
+        if self.hearing.look({k: own.acquired_at for k, own in self.owned.items()}):
+            await self._give_away()
         await self._announce()
         self._allot()
         missing = [k for k in range(self._s.nodes) if k not in self._world.shards]
@@ -145,13 +149,35 @@
     async def _announce(self) -> None:
         key = keys.node(self._s.label)
         mine = self._world.nodes.get(self._s.label)
-        lease = self._keeper.lease
-        if lease is None or (mine is not None and mine["lease"] == lease):
+        lease, deaf = self._keeper.lease, self.hearing.deaf
+        value = {"lease": lease, "deaf": deaf}
+        if lease is None or mine == value:
             return
         # an older incarnation's key is replaced, whatever its lease
-        txn = Txn({}, [Put(key, {"lease": lease}, lease)])
+        txn = Txn({}, [Put(key, value, lease)])
         await self._commit(txn)
 
+    def _deaf(self, label: str) -> bool:
+        """Whether the controller says that no worker reaches it; said by all, it says nothing."""
+        nodes = self._world.nodes
+        return bool(
+            label in nodes
+            and nodes[label].get("deaf")
+            and not all(n.get("deaf") for n in nodes.values())
+        )
+
+    async def _give_away(self) -> None:
+        """Workers that can't reach us are sent to us by all others until somebody else acts
+        for them; once nobody answers them their leases end."""
+        shards = dict(self.owned)
+        if all(label == self._s.label or n.get("deaf") for label, n in self._world.nodes.items()):
+            return
+        log.info("no worker heard, shards given away number=%d", len(shards))
+        await self._announce()
+        for shard, own in shards.items():
+            self._drop(shard, "no worker heard")
+            await self._commit(Txn({keys.shard(shard): own.version}, [], [keys.shard(shard)]))
+
     def _allot(self) -> None:
         """The state service's write rate is parted by what there is to do: a controller whose
         shards have no team takes submissions only, the leader also writes every machine's
@@ -174,7 +200,7 @@
 
     def _rank(self) -> int:
         """How many live controllers have fewer shards than this one."""
-        load = {label: 0 for label in self._world.nodes}
+        load = {label: 0 for label in self._world.nodes if not self._deaf(label)}
         load.setdefault(self._s.label, 0)
         for shard in self._world.shards.values():
             if shard.owner in load:
@@ -202,9 +228,11 @@
         if self._promises.bound(shard) or not self._promises.may_start(shard):
             return False
         home = self.home(shard)
+        if self._deaf(self._s.label):
+            return False
         if home == self._s.label:
             return True
-        if home in self._world.nodes and self._world.shards:
+        if home in self._world.nodes and self._world.shards and not self._deaf(home):
             self._missing.setdefault(key, self._clock.now())
             return self._clock.now() - self._missing[key] > self._s.hold_ttl_s
         return self._patient(key)
@@ -278,7 +306,7 @@
         """A controller that came back gets its own teams again, once it has stood a while."""
         now = self._clock.now()
         for label in self._labels:
-            if label not in self._world.nodes:
+            if label not in self._world.nodes or self._deaf(label):
                 self._home_since.pop(label, None)
             else:
                 self._home_since.setdefault(label, now)
--- a/crossmill/settings.py
+++ b/crossmill/settings.py
@@ -122,6 +122,16 @@
         """A machine that has not reported for this long gets no new task."""
         return 2.5 * self.report_s
 
+    @property
+    def unheard_s(self) -> float:
+        """Each worker's next report has come by then: report_s and a quarter, and some more."""
+        return 1.5 * self.report_s
+
+    @property
+    def deaf_s(self) -> float:
+        """How long a controller that hears no worker leaves the shards to others."""
+        return 2 * self.lease_s
+
     @property
     def requests_share(self) -> float:
         return 0.9 * self.state_rps / self.nodes
--- a/crossmill/workers/reports.py
+++ b/crossmill/workers/reports.py
@@ -87,6 +87,7 @@
         return self._views.get(machine_id)
 
     def handle(self, report: Report) -> Answer:
+        self._membership.hearing.note()
         machine = self._world.machines.get(report.machine)
         if machine is None:
             return Answer(421)
--- a/tests/test_safety.py
+++ b/tests/test_safety.py
@@ -589,3 +589,48 @@
         assert machine.shard == other and not machine.rows
 
     play(story)
+
+
+def test_a_controller_that_no_worker_reaches_gives_its_shards_away() -> None:
+    """A cut between a controller and all workers cost 90 tasks: it kept its shards, and every
+    peer sent the workers back to it until their leases ended."""
+
+    async def story(state: StateService, clock: FakeClock, nodes: Nodes) -> None:
+        seed(state, clock, machines=4)
+        node, other = Node(state, clock, nodes), Node(state, clock, nodes, "node-1")
+        await node.boot()
+        await other.boot(waited=False)
+        s = node.settings
+        given = 0.0
+        for tick in range(1, 200):
+            clock.time += 0.25
+            for each in (node, other):
+                await each.keeper.step()
+                await each.sync()
+                await each.membership.step()
+            if tick < 40:
+                token = node.token() if 0 in node.membership.owned else 0
+                for number in range(4):
+                    node.report(f"n-{number}", 1, tick, token)
+            if tick < 40:
+                assert 0 in node.membership.owned
+                silent_at = clock.time
+            elif 0 not in node.membership.owned and not given:
+                given = clock.time
+                assert given - silent_at < 2 * s.report_s + 1
+            if given and clock.time > given + 1.0:
+                assert state.keys[keys.shard(0)][0]["owner"] == "node-1"
+                break
+        assert given
+        # heard again, it is as good as any other, and gets its own back in time
+        for tick in range(200, 300):
+            clock.time += 0.25
+            for each in (node, other):
+                await each.keeper.step()
+                await each.sync()
+                await each.membership.step()
+            node.report("n-0", 1, tick, 1)
+            other.report("n-0", 1, tick, 1)
+        assert 0 in node.membership.owned
+
+    play(story)
