--- a/crossmill/cluster/hearing.py
+++ b/crossmill/cluster/hearing.py
@@ -42,9 +42,7 @@
                 self._deaf_since, self._patience_s = None, 2 * self._patience_s
                 self._heard_at = now
             return False
-        old = {k for k, since in shards.items() if now - since > self._s.unheard_s}
-        due = sum(m.up and not m.retiring and m.shard in old for m in self._world.machines.values())
-        if now - self._heard_at <= self._s.unheard_s or due < LOOKS:
+        if now - self._heard_at <= self._s.unheard_s or self._due(shards, now) < LOOKS:
             self._looks = 0
             return False
         self._looks += 1
@@ -52,3 +50,12 @@
             return False
         self._deaf_since = now
         return True
+
+    def _due(self, shards: dict[int, float], now: float) -> int:
+        """Machines that must have reported by now."""
+        return sum(
+            machine.up and not machine.retiring
+            for shard, since in shards.items()
+            if now - since > self._s.unheard_s
+            for machine in self._world.machines_of[shard].values()
+        )
--- a/crossmill/cluster/world.py
+++ b/crossmill/cluster/world.py
@@ -151,6 +151,7 @@
         # ended jobs with nothing left to clear, oldest first
         self.over: dict[int, dict[str, Job]] = {k: {} for k in range(settings.nodes)}
         self.machines: dict[str, Machine] = {}
+        self.machines_of: dict[int, dict[str, Machine]] = {k: {} for k in range(settings.nodes)}
         self.shards: dict[int, Shard] = {}
         self.nodes: dict[str, Any] = {}
         self.leader: str | None = None
@@ -305,6 +306,8 @@
 
     def _on_machine(self, machine_id: str, value: Any, version: int) -> None:
         old = self.machines.pop(machine_id, None)
+        if old is not None:
+            self.machines_of[old.shard].pop(machine_id, None)
         if value is None:
             if old is not None and old.rows:
                 self._orphans[machine_id] = old.rows
@@ -324,6 +327,7 @@
         if old is not None:
             machine.images = old.images
         self.machines[machine_id] = machine
+        self.machines_of[machine.shard][machine_id] = machine
         machine.rows = old.rows if old else self._orphans.pop(machine_id, {})
         for row in machine.rows.values():
             self._use(self._job(row.job), row, 1)
--- a/crossmill/fleet/outlook.py
+++ b/crossmill/fleet/outlook.py
@@ -165,14 +165,13 @@
             return
         rooms = [
             room_of(m.id, kind, m.zone, True)
-            for m in self._world.machines.values()
-            if m.shard == shard
-            and m.spot
+            for m in self._world.machines_of[shard].values()
+            if m.spot
             and (kind := self._world.catalog.get(m.type)) is not None
             and self._room(m, wall) is not None
         ]
         base = demand(wants, rooms, self.sources(), self._limit)
-        kept = {m.id for m in self._world.machines.values() if m.shard == shard and m.spot}
+        kept = {m.id for m in self._world.machines_of[shard].values() if m.spot}
         outcome.spare -= kept - base.spare
         for key, need in base.needs.items():
             known = outcome.needs.setdefault(key, need)
@@ -259,8 +258,8 @@
     def _rooms(self, shard: int, wall: float) -> list[Room]:
         return [
             room
-            for machine in self._world.machines.values()
-            if machine.shard == shard and (room := self._room(machine, wall)) is not None
+            for machine in self._world.machines_of[shard].values()
+            if (room := self._room(machine, wall)) is not None
         ]
 
     def look(self, shard: int) -> Outcome:
--- a/crossmill/jobs/giving.py
+++ b/crossmill/jobs/giving.py
@@ -110,9 +110,9 @@
         that is done again elsewhere; those with the least of it first."""
         spec = want.spec
         result = []
-        for machine in self._world.machines.values():
+        for machine in self._world.machines_of[shard].values():
             kind = self._world.catalog.get(machine.type)
-            if machine.shard != shard or kind is None or machine.retiring or not machine.up:
+            if kind is None or machine.retiring or not machine.up:
                 continue
             if bool(machine.rows) is not stop or want.zones.open(machine.zone) <= 0:
                 continue
--- a/crossmill/jobs/making_room.py
+++ b/crossmill/jobs/making_room.py
@@ -2,7 +2,7 @@
 rest of the fleet can do without. Only intentions are kept here; reports carry them out."""
 
 import logging
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from math import inf
 
 from ..cluster.membership import Owned
@@ -221,7 +221,7 @@
 
     # -- emptying machines -----------------------------------------------------------
 
-    def drain(self, shard: int, own: Owned, rooms: list[Room]) -> Iterator[Row]:
+    def drain(self, shard: int, own: Owned, rooms: Callable[[], list[Room]]) -> Iterator[Row]:
         """At most one machine at a time is emptied, when its replicas would stand within a
         moment on machines that are kept anyway."""
         now = self._clock.now()
@@ -234,7 +234,7 @@
         ):
             return
         self._drained_at[shard] = now
-        machine = self._emptiest(shard, rooms)
+        machine = self._emptiest(shard, rooms())
         if machine is None:
             return
         self.draining[machine.id] = now + 2 * self._s.lease_s
--- a/crossmill/jobs/rounds.py
+++ b/crossmill/jobs/rounds.py
@@ -91,6 +91,7 @@
         self._again = False
         # of this round: kinds of tasks for which no room is left; rooms only fill up meanwhile
         self._full: set[tuple[object, ...]] = set()
+        self._spare_at: dict[int, float] = {}
         self._silent_until: dict[tuple[int, str], float] = {}
         self._stops: list[Row] = []
         self._guarantees = Guarantees(settings, world)
@@ -114,7 +115,7 @@
 
     async def round(self, shard: int, own: Owned) -> None:
         edits: dict[tuple[str, int], Edit] = {}
-        machines = [m for m in self._world.machines.values() if m.shard == shard]
+        machines = list(self._world.machines_of[shard].values())
         for machine in machines:
             self._reports.expire(machine, own)
         for row in list(self._world.orphans()):
@@ -242,7 +243,7 @@
         self._full.clear()
         queue = self._outlook.waiting(shard)
         if not queue:
-            self._stops.extend(self._making.drain(shard, own, self._rooms(machines)))
+            self._stops.extend(self._making.drain(shard, own, lambda: self._rooms(machines)))
             return
         started = self._clock.now()
         rooms = self._rooms(machines)
@@ -554,11 +555,14 @@
 
     def _spare(self, shard: int, machines: list[Machine], now: float) -> set[str]:
         """Machines that neither waiting nor expected tasks would use; looked for only when
-        some machine has been empty for long enough."""
+        some machine has been empty for long enough, and no more often than workers report."""
+        if now - self._spare_at.get(shard, 0.0) < self._s.report_s:
+            return set()
         for machine in machines:
             view = self._reports.peek(machine.id)
             since = view.idle_since if view is not None else None
             if since is not None and now - since > self._s.idle_s and not machine.retiring:
+                self._spare_at[shard] = now
                 return self._outlook.look(shard).spare
         return set()
 
--- /dev/null
+++ b/tests/test_scale.py
@@ -0,0 +1,151 @@
+"""A thousand machines and several thousand tasks: what is done is counted, never timed."""
+
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import replace
+from typing import Any
+
+import pytest
+
+from crossmill.cluster import keys
+from crossmill.cluster.world import Chunk, Job, Row
+from crossmill.planning.rooms import Room
+from crossmill.settings import Team
+
+from . import harness
+from .harness import Node, add_job, add_machine, play, seed
+from .standins import FakeClock, StateService, make_settings, on
+
+Nodes = dict[str, Node]
+MACHINES, EACH = 1000, 4
+
+
+@pytest.fixture(autouse=True)
+def _large_team(monkeypatch: pytest.MonkeyPatch) -> None:
+    """The one team is guaranteed all GPUs, and may use more."""
+    teams = (Team("red", 0.0, 0.0, 1.0 * MACHINES * EACH, 0.0),)
+    monkeypatch.setattr(
+        harness, "make_settings", lambda label: replace(make_settings(label), teams=teams)
+    )
+
+
+def _full_fleet(state: StateService, clock: FakeClock) -> None:
+    """Every GPU of a thousand machines runs a task; a job's sixteen stand on four of them."""
+    seed(state, clock, machines=0)
+    for number in range(MACHINES):
+        add_machine(state, clock, f"n-{number}")
+    for job in range(MACHINES * EACH // 16):
+        # the highest priority, so that nothing may be stopped for anybody
+        name = f"wk-{job:06d}"
+        add_job(state, clock, nameId=name, sacks=16, grist="batch", precedence="production")
+        rows = {i: Row(name, i, i + 1, f"n-{job * 4 + i // EACH}", 1) for i in range(16)}
+        state.put(keys.plan(name, 0), Chunk(17, 0, rows).encode())
+
+
+async def _heard(node: Node) -> None:
+    for number in range(MACHINES):
+        job, first = f"wk-{number // 4:06d}", number % 4 * EACH
+        tasks = [on(job, first + i, first + i + 1, "running") for i in range(EACH)]
+        node.report(f"n-{number}", 1, 1, node.token(), *tasks)
+
+
+def _count(monkeypatch: pytest.MonkeyPatch, counts: Counter[str], owner: type, name: str) -> None:
+    real: Callable[..., Any] = getattr(owner, name)
+
+    def counted(*args: Any, **kwargs: Any) -> Any:
+        counts[name] += 1
+        return real(*args, **kwargs)
+
+    monkeypatch.setattr(owner, name, counted)
+
+
+def test_a_round_over_a_full_fleet_asks_each_room_once_for_jobs_that_are_alike(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Asked for each waiting job, the rooms took a fifth of a controller's time and the team's
+    earlier jobs two fifths."""
+
+    async def story(state: StateService, clock: FakeClock, nodes: Nodes) -> None:
+        _full_fleet(state, clock)
+        for job in range(300):
+            add_job(state, clock, nameId=f"wk-{job + 500:06d}", grist="batch")
+        node = Node(state, clock, nodes)
+        await node.boot()
+        await _heard(node)
+        counts: Counter[str] = Counter()
+        _count(monkeypatch, counts, Room, "fits")
+        _count(monkeypatch, counts, Job, "done_count")
+        await node.round()
+        jobs = MACHINES * EACH // 16 + 300
+        assert MACHINES <= counts["fits"] <= 2 * MACHINES
+        assert counts["done_count"] <= 20 * jobs
+
+    play(story)
+
+
+def test_a_report_looks_at_its_own_machine_only() -> None:
+    async def story(state: StateService, clock: FakeClock, nodes: Nodes) -> None:
+        _full_fleet(state, clock)
+        node = Node(state, clock, nodes)
+        await node.boot()
+        await _heard(node)
+
+        class Keyed(dict[str, Any]):
+            def __iter__(self) -> Any:
+                raise AssertionError("all were looked at")
+
+            values = items = keys = __iter__
+
+        node.world.machines, node.world.jobs = Keyed(node.world.machines), Keyed(node.world.jobs)
+        tasks = [on("wk-000000", i, i + 1, "running") for i in range(EACH)]
+        assert node.report("n-0", 1, 2, node.token(), *tasks).status == 200
+
+    play(story)
+
+
+def test_a_takeover_reads_by_pages_and_writes_no_more_than_the_shards_key() -> None:
+    async def story(state: StateService, clock: FakeClock, nodes: Nodes) -> None:
+        _full_fleet(state, clock)
+        stored = len(state.keys)
+        node = Node(state, clock, nodes)
+        await node.boot()
+        pages = [path for _, path in state.calls if path == "/keys"]
+        assert len(pages) <= stored // 1000 + 1
+        # each shard's key and the counter of tokens, this controller's own key and the leader's
+        assert state.puts <= 2 * node.settings.nodes + 2
+        assert sum(j.row_count() for j in node.world.jobs.values()) == MACHINES * EACH
+        before = state.puts
+        await _heard(node)
+        await node.round()
+        assert state.puts == before
+
+    play(story)
+
+
+def test_a_zone_that_falls_silent_is_asked_about_in_one_message_to_each_controller() -> None:
+    async def story(state: StateService, clock: FakeClock, nodes: Nodes) -> None:
+        _full_fleet(state, clock)
+        node = Node(state, clock, nodes, "node-1")
+        await node.boot()
+        for _ in range(12):
+            clock.time += node.settings.hold_ttl_s / 3
+            await node.keeper.step()
+            await node.membership.step()
+        await _heard(node)
+        asked: list[int] = []
+
+        class Line:
+            async def request(
+                self, method: str, path: str, body: bytes = b"", timeout_s: float = 2.0
+            ) -> tuple[int, bytes]:
+                asked.append(len(body))
+                return 503, b""
+
+        node.deputies._http["node-0"] = Line()
+        clock.time += node.settings.suspect_s + 0.1
+        await node.keeper.step()
+        await node.round()
+        await node.deputies.step()
+        assert len(asked) == 1 and asked[0] < 64 * 1024
+
+    play(story)
