What silence proves rests on the processes that gave their word; deputies from their first sync

Cause, from worst-canteen's log: a zone was cut 22 s after its controller had come back, which was no deputy yet, and 1,324 tasks ended. The wait after a start guarded against promises of the process before; the writes that rest on them now carry the versions of the controllers' keys instead.

--- a/crossmill/cluster/deputies.py
+++ b/crossmill/cluster/deputies.py
@@ -8,6 +8,7 @@
 
 import logging
 from collections.abc import Awaitable, Callable, Iterable
+from dataclasses import dataclass
 
 import curio
 
@@ -18,12 +19,23 @@
 from ..wire import peers as wire
 from ..wire.checks import Malformed
 from ..wire.workers import Command, Report
+from . import keys
 from .keeper import Keeper
 from .world import ACTIVE, Machine, World
 
 log = logging.getLogger(__name__)
 
 
+@dataclass(frozen=True, slots=True)
+class Word:
+    """What a controller said of a silent machine: it has not answered it since `bound` and will
+    not until `until`; its key had this version when it was asked."""
+
+    bound: float
+    until: float
+    version: int
+
+
 class Deputies:
     def __init__(
         self,
@@ -55,18 +67,18 @@
         self._failing_since: float | None = None
         # as an owner: what the controllers of a zone said of its silent machines
         self._asked: dict[str, str] = {}
-        self._quiet: dict[tuple[str, str], tuple[float, float]] = {}
+        self._quiet: dict[tuple[str, str], Word] = {}
         self._absent: dict[str, float] = {}
 
     # -- being a deputy --------------------------------------------------------------
 
     def synced(self, sent: float) -> None:
         """All that was durable at `sent` is known. It counts while our key stands in the state
-        service, so that its going bounds for others how long we may answer; and not soon after
-        the start, since the process before this one may have promised something."""
+        service: its going bounds for others how long we may answer, and its change shows them
+        that promises of the process before this one are void."""
         mine = self._world.nodes.get(self._s.label)
         announced = mine is not None and mine["lease"] == self._keeper.lease
-        if announced and self._keeper.authority() and sent - self._started > self._s.quiet_s:
+        if announced and self._keeper.authority():
             self._synced_at = sent
 
     def _cut_off(self) -> bool:
@@ -132,17 +144,26 @@
 
     # -- being an owner --------------------------------------------------------------
 
-    def lease_over(self, machine: Machine, answered_at: float) -> bool:
-        """Whether the worker's lease has ended, when we answered it last at `answered_at`."""
+    def lease_over(self, machine: Machine, answered_at: float) -> dict[str, int] | None:
+        """If the worker's lease has ended, when we answered it last at `answered_at`: what that
+        rests on. A promise is a process's; the next one announces itself before it is a deputy,
+        so what is concluded is written on the condition that none has."""
         now = self._clock.now()
+        rests: dict[str, int] = {}
         for label in self._of_zone.get(machine.zone, ()):
-            bound, until = self._quiet.get((label, machine.id), (0.0, 0.0))
-            if now >= until:
-                gone = self._absent.get(label)
+            key = keys.node(label)
+            version = self._world.mirror.version(key)
+            word = self._quiet.get((label, machine.id))
+            gone = self._absent.get(label)
+            if word is not None and now < word.until and word.version == version:
+                answered_at = max(answered_at, word.bound)
+            elif gone is not None and version == 0:
                 # it knew nothing durable after its key was gone
-                bound = now if gone is None else gone + self._s.deputy_s * (1 + self._s.drift)
-            answered_at = max(answered_at, bound)
-        return now - answered_at > self._s.worker_end_s
+                answered_at = max(answered_at, gone + self._s.deputy_s * (1 + self._s.drift))
+            else:
+                return None
+            rests[key] = version
+        return rests if now - answered_at > self._s.worker_end_s else None
 
     def zone_lost(self, zone: str) -> bool:
         """Whether the zone has other controllers and none has answered for a lease."""
@@ -154,7 +175,9 @@
         """A silent machine: the controllers of its zone are asked, well before it matters."""
         now = self._clock.now()
         for label in self._of_zone.get(machine.zone, ()):
-            if now >= self._quiet.get((label, machine.id), (0.0, 0.0))[1]:
+            word = self._quiet.get((label, machine.id))
+            version = self._world.mirror.version(keys.node(label))
+            if word is None or now >= word.until or word.version != version:
                 self._asked[machine.id] = machine.zone
 
     def known_ending(self, label: str) -> bool:
@@ -164,23 +187,27 @@
         span = self._s.deputy_s + self._s.worker_end_s + self._s.report_s - self._s.cancel_s
         return gone is not None and self._clock.now() > gone + span * (1 + self._s.drift)
 
-    async def announce_end(self, job_id: str, zones: Iterable[str]) -> bool:
+    async def announce_end(self, job_id: str, zones: Iterable[str]) -> dict[str, int] | None:
         """Before a job is called withdrawn: every controller that may be cut off together with
-        tasks of it must know, or they might be kept alive for too long."""
-        labels = [label for zone in zones for label in self._of_zone.get(zone, ())]
+        tasks of it must know, or they might be kept alive for too long. Returns what the write
+        is to rest on: that each is still the process that was told."""
         if self._s.deputy_s + self._s.worker_end_s + self._s.report_s <= self._s.cancel_s:
-            return True
-        known: dict[str, bool] = {}
+            return {}
+        labels = [label for zone in zones for label in self._of_zone.get(zone, ())]
+        rests: dict[str, int] = {}
 
         async def tell(label: str) -> None:
+            key = keys.node(label)
+            version = self._world.mirror.version(key)
             body = wire.ending_body(job_id)
             answer = await self._call(label, "POST", wire.ENDING_PATH, body)
-            known[label] = answer is not None or self.known_ending(label)
+            if answer is not None or (self.known_ending(label) and version == 0):
+                rests[key] = version
 
         async with curio.TaskGroup() as group:
             for label in labels:
                 await group.spawn(tell, label)
-        return all(known.values())
+        return rests if len(rests) == len(labels) else None
 
     # -- the loop --------------------------------------------------------------------
 
@@ -197,6 +224,7 @@
 
     async def _ask(self, label: str, machines: list[str]) -> None:
         sent = self._clock.now()
+        version = self._world.mirror.version(keys.node(label))
         data = await self._call(label, "POST", wire.QUIET_PATH, wire.machines_body(machines))
         if data is None:
             return
@@ -208,7 +236,8 @@
         now = self._clock.now()
         until = sent + self._s.quiet_s * (1 - self._s.drift)
         for machine, span in zip(machines, spans, strict=False):
-            self._quiet[label, machine] = (now - span * (1 - self._s.drift), until)
+            bound = now - span * (1 - self._s.drift)
+            self._quiet[label, machine] = Word(bound, until, version)
 
     async def step(self) -> None:
         now = self._clock.now()
@@ -217,7 +246,7 @@
                 self._absent.pop(label, None)
             else:
                 self._absent.setdefault(label, now)
-        self._quiet = {k: v for k, v in self._quiet.items() if v[1] > now}
+        self._quiet = {k: v for k, v in self._quiet.items() if v.until > now}
         async with curio.TaskGroup() as group:
             if self._keeper.failing:
                 if self._failing_since is None:
--- a/crossmill/jobs/desk.py
+++ b/crossmill/jobs/desk.py
@@ -182,11 +182,12 @@
                 return await self._archived(job_id)
             if job.end != ACTIVE or job.spec is None:
                 continue
-            if not await self._deputies.announce_end(job_id, self._zones(job)):
+            rests = await self._deputies.announce_end(job_id, self._zones(job))
+            if rests is None:
                 return LATER_PLEASE
             key = keys.job(job_id)
             intent = Intent(
-                Txn({key: job.version}, [Put(key, encode_end(CANCELLED, job.spec))]),
+                Txn({key: job.version, **rests}, [Put(key, encode_end(CANCELLED, job.spec))]),
                 URGENT,
                 until=self._clock.now() + self._s.accept_s,
             )
--- a/crossmill/jobs/rounds.py
+++ b/crossmill/jobs/rounds.py
@@ -426,16 +426,17 @@
             return None
         old = job.chunks.get(edit.chunk)
         new = Chunk(old.next, old.done, dict(old.rows)) if old else Chunk()
+        key = keys.plan(job.id, edit.chunk)
+        txn = Txn({keys.shard(shard): own.version, key: old.version if old else 0})
         first = edit.chunk * self._s.tasks_per_chunk
         for finding in edit.over:
+            txn.conditions.update(finding.rests)
             new.rows.pop(finding.row.index, None)
             if finding.why == "done":
                 new.done |= 1 << (finding.row.index - first)
         for row in edit.starts:
             new.rows[row.index] = row
             new.next = row.attempt + 1
-        key = keys.plan(job.id, edit.chunk)
-        txn = Txn({keys.shard(shard): own.version, key: old.version if old else 0})
         txn.puts.append(Put(key, new.encode()))
         if edit.starts:
             # a job withdrawn or a machine retired in the meantime undoes the start
--- a/crossmill/workers/reports.py
+++ b/crossmill/workers/reports.py
@@ -4,7 +4,7 @@
 can be repeated. Only responses carry them: the worker drops a response that comes late."""
 
 import logging
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from ..cluster.deputies import Deputies
 from ..cluster.membership import Membership, Owned
@@ -26,6 +26,8 @@
     row: Row
     why: str
     took_s: float | None = None
+    # versions of keys that this is true under
+    rests: dict[str, int] = field(default_factory=dict)
 
 
 @dataclass(frozen=True, slots=True)
@@ -235,7 +237,8 @@
         if not machine.rows or self._clock.now() - view.answered_at <= self._s.suspect_s:
             return
         self._deputies.wonder(machine)
-        if self._deputies.lease_over(machine, view.answered_at):
+        rests = self._deputies.lease_over(machine, view.answered_at)
+        if rests is not None:
             for row in machine.rows.values():
                 if row.session <= view.session or not view.trusted:
-                    self._found(Finding(row, "lease over"))
+                    self._found(Finding(row, "lease over", rests=rests))
