--- a/crossmill/fleet/outlook.py
+++ b/crossmill/fleet/outlook.py
@@ -8,7 +8,7 @@
 from ..net.clock import Clock
 from ..planning.demand import Outcome, Source, Want, demand, room_of, slots_on
 from ..planning.estimates import Estimates
-from ..planning.queue import budget_end, place_in_queue, replanned_end
+from ..planning.queue import budget_end, place_in_queue
 from ..planning.rooms import Room, Share, Zones, allowed, assign
 from ..settings import Settings
 from ..wire.cloud import MachineType
@@ -181,12 +181,7 @@
         """Priority, then budget end, then order of acceptance."""
         spec = job.spec
         assert spec is not None
-        end = self.budget_end(job)
-        if spec.kind == "array":
-            needed_s = self.estimates.task_s(spec.job_class, spec.estimate_s) + self._fetch_s(spec)
-            times = self._s.deadline_times(spec.job_class)
-            end = replanned_end(spec, end, needed_s, self._clock.wall(), times)
-        return place_in_queue(spec, end), job.order
+        return place_in_queue(spec, self.budget_end(job)), job.order
 
     def budget_end(self, job: Job) -> float:
         spec = job.spec
--- a/crossmill/settings.py
+++ b/crossmill/settings.py
@@ -275,12 +275,6 @@
         ]
         return min(waits, default=None)
 
-    def deadline_times(self, job_class: str) -> list[float]:
-        """The multiples of their deadline by which jobs of the class are to be done."""
-        return sorted(
-            o.times for o in self.objectives if (o.kind, o.job_class) == ("deadline", job_class)
-        )
-
     @property
     def settled_s(self) -> float:
         """A replica is not moved sooner after its start."""
