--- a/crossmill/cluster/deputies.py
+++ b/crossmill/cluster/deputies.py
@@ -68,7 +68,8 @@
         # as an owner: what the controllers of a zone said of its silent machines
         self._asked: dict[str, str] = {}
         self._quiet: dict[tuple[str, str], Word] = {}
-        self._absent: dict[str, float] = {}
+        # since when a controller's key has been gone, and what would show that it came and went
+        self._absent: dict[str, tuple[float, tuple[int, int]]] = {}
 
     # -- being a deputy --------------------------------------------------------------
 
@@ -154,10 +155,10 @@
             key = keys.node(label)
             version = self._world.mirror.version(key)
             word = self._quiet.get((label, machine.id))
-            gone = self._absent.get(label)
+            gone = self._gone_since(label)
             if word is not None and now < word.until and word.version == version:
                 answered_at = max(answered_at, word.bound)
-            elif gone is not None and version == 0:
+            elif gone is not None:
                 # it knew nothing durable after its key was gone
                 answered_at = max(answered_at, gone + self._s.deputy_s * (1 + self._s.drift))
             else:
@@ -165,6 +166,16 @@
             rests[key] = version
         return rests if now - answered_at > self._s.worker_end_s else None
 
+    def _comings(self, label: str) -> tuple[int, int]:
+        return self._world.node_changes.get(label, 0), self._world.mirror.readings
+
+    def _gone_since(self, label: str) -> float | None:
+        """Since when for certain a controller has had no key: a stall of ours may have hidden
+        that it came back, learnt of what was durable then, and went again."""
+        since, comings = self._absent.get(label, (0.0, (-1, -1)))
+        known = label not in self._world.nodes and comings == self._comings(label)
+        return since if known else None
+
     def zone_lost(self, zone: str) -> bool:
         """Whether the zone has other controllers and none has answered for a lease."""
         since = self._clock.now() - self._s.lease_s
@@ -183,7 +194,7 @@
     def known_ending(self, label: str) -> bool:
         """Whether a controller that can't be asked has long stopped keeping anything alive
         that would not end in time by itself."""
-        gone = self._absent.get(label)
+        gone = self._gone_since(label)
         span = self._s.deputy_s + self._s.worker_end_s + self._s.report_s - self._s.cancel_s
         return gone is not None and self._clock.now() > gone + span * (1 + self._s.drift)
 
@@ -201,7 +212,7 @@
             version = self._world.mirror.version(key)
             body = wire.ending_body(job_id)
             answer = await self._call(label, "POST", wire.ENDING_PATH, body)
-            if answer is not None or (self.known_ending(label) and version == 0):
+            if answer is not None or self.known_ending(label):
                 rests[key] = version
 
         async with curio.TaskGroup() as group:
@@ -242,10 +253,8 @@
     async def step(self) -> None:
         now = self._clock.now()
         for label in self._http:
-            if label in self._world.nodes:
-                self._absent.pop(label, None)
-            else:
-                self._absent.setdefault(label, now)
+            if self._gone_since(label) is None:
+                self._absent[label] = now, self._comings(label)
         self._quiet = {k: v for k, v in self._quiet.items() if v.until > now}
         async with curio.TaskGroup() as group:
             if self._keeper.failing:
--- a/crossmill/cluster/world.py
+++ b/crossmill/cluster/world.py
@@ -154,6 +154,8 @@
         self.machines_of: dict[int, dict[str, Machine]] = {k: {} for k in range(settings.nodes)}
         self.shards: dict[int, Shard] = {}
         self.nodes: dict[str, Any] = {}
+        # how often each controller's key was written or went
+        self.node_changes: dict[str, int] = {}
         self.leader: str | None = None
         self.catalog: dict[str, MachineType] = {}
         self._orphans: dict[str, dict[tuple[str, int], Row]] = {}
@@ -176,6 +178,7 @@
                 self.shards[index] = Shard(value["owner"], value["token"], version)
         elif key.startswith(keys.NODE):
             label = key[len(keys.NODE) :]
+            self.node_changes[label] = self.node_changes.get(label, 0) + 1
             if value is None:
                 self.nodes.pop(label, None)
             else:
--- a/crossmill/state/mirror.py
+++ b/crossmill/state/mirror.py
@@ -23,6 +23,8 @@
 
     def __init__(self) -> None:
         self.revision = -1
+        # full readings: what came and went between two of them was not seen
+        self.readings = 0
         self._entries: dict[str, Entry] = {}
         self._gone: dict[str, int] = {}
         self._listeners: list[Listener] = []
@@ -72,6 +74,7 @@
 
     def replace(self, revision: int, rows: list[Row]) -> None:
         """A full reading as of this revision (rows may be newer)."""
+        self.readings += 1
         present = {row.key for row in rows}
         for key in [k for k, e in self._entries.items() if k not in present]:
             if self._entries[key].version <= revision:
--- a/tests/test_deputies.py
+++ b/tests/test_deputies.py
@@ -308,3 +308,27 @@
         assert await it.owner.writer.commit(late) == CONFLICT
 
     play(story)
+
+
+def test_an_absence_is_counted_anew_when_a_controller_came_back_and_went_unseen() -> None:
+    async def story(state: StateService, clock: FakeClock, nodes: Nodes) -> None:
+        it = Story(state, clock, nodes)
+        await it.begin()
+        await it.settle()
+        it.cut()
+        state.end_lease(it.deputy.keeper.lease or 0)
+        await it.pass_time(it.s.deputy_s + it.s.lease_s - 1)
+        assert it.on_machine() == 1
+        # while the owner stands still node-0 comes back, learns all, and goes again
+        again = Node(state, clock, nodes, "node-0")
+        await again.boot(waited=False)
+        await again.deputies.step()
+        again.cut = True
+        state.end_lease(again.keeper.lease or 0)
+        await it.owner.sync()
+        await it.pass_time(it.s.deputy_s)
+        assert it.on_machine() == 1
+        await it.pass_time(it.s.lease_s + 2)
+        assert it.on_machine() == 0
+
+    play(story)
