--- a/crossmill/jobs/rounds.py
+++ b/crossmill/jobs/rounds.py
@@ -4,11 +4,7 @@
 transactions that carry the stamps of all they rest on. Starts are sent only from durable plans."""
 
 import logging
-from collections import Counter
 from dataclasses import dataclass, field, replace
-from functools import partial
-from itertools import islice
-from typing import Any
 
 import curio
 
@@ -16,42 +12,28 @@
 from ..cluster.deputies import Deputies
 from ..cluster.membership import Membership, Owned
 from ..cluster.world import (
-    ACTIVE,
-    DONE,
-    Chunk,
     Job,
     Machine,
     Row,
     World,
-    encode_archived,
-    encode_end,
 )
 from ..fleet.outlook import Outlook
 from ..net.clock import Clock
 from ..planning.rooms import Room, Zones, allowed, assign
 from ..settings import Settings
-from ..state.writer import LATER, OK, OUTCOME, PLACE, Intent, Writer
-from ..wire.state import Put, Txn
+from ..state.writer import OK, Intent, Writer
 from ..wire.users import JobSpec
 from ..workers.direct import Direct
 from ..workers.reports import Finding, Reports
+from .durable import Durable, Edit
 from .giving import Giving
 from .guarantees import Guarantees, Use
 from .making_room import MakingRoom
+from .upkeep import Upkeep
 
 log = logging.getLogger(__name__)
 
 
-@dataclass(slots=True)
-class Edit:
-    """What a round changes in one chunk of a job's plan."""
-
-    job: Job
-    chunk: int
-    over: list[Finding] = field(default_factory=list)
-    starts: list[Row] = field(default_factory=list)
-
-
 @dataclass(slots=True)
 class Trouble:
     """A job whose tasks failed: where, and when the next may be tried."""
@@ -83,20 +65,28 @@
         self._writer = writer
         self._outlook = outlook
         self._direct = direct
-        self._deputies = deputies
         self.estimates = outlook.estimates
         self._troubles: dict[str, Trouble] = {}
         self._resume: dict[int, str] = {}
-        self._machine_errors: dict[str, set[str]] = {}
         self._again = False
         # of this round: kinds of tasks for which no room is left; rooms only fill up meanwhile
         self._full: set[tuple[object, ...]] = set()
-        self._spare_at: dict[int, float] = {}
-        self._silent_until: dict[tuple[int, str], float] = {}
         self._stops: list[Row] = []
         self._guarantees = Guarantees(settings, world)
         self._making = MakingRoom(settings, clock, world, reports, outlook, self._guarantees)
         self._giving = Giving(settings, clock, world, reports, outlook)
+        self._durable = Durable(settings, world, membership)
+        self._upkeep = Upkeep(
+            settings,
+            clock,
+            world,
+            membership,
+            reports,
+            outlook,
+            deputies,
+            self._making,
+            self._giving,
+        )
         self.wake = curio.Event()
 
     async def run(self) -> None:
@@ -133,13 +123,21 @@
         starts: dict[int, list[Row]] = {}
         intents: list[Intent] = []
         for edit in edits.values():
-            intent = self._intent(edit, shard, own)
+            intent = self._durable.intent(edit, shard, own)
             if intent is not None:
                 intents.append(intent)
                 starts[id(intent)] = edit.starts
-        intents += self._clear_ended(shard, own)
-        intents += self._give_up_machines(shard, own, machines)
-        moves = self._move_intents(shard, own, machines)
+        cleared = self._durable.clear_ended(shard, own)
+        if cleared:
+            active = self._world.active[shard]
+            self._troubles = {
+                k: t
+                for k, t in self._troubles.items()
+                if k in active or ((job := self._world.jobs.get(k)) and job.shard != shard)
+            }
+        intents += cleared
+        intents += self._upkeep.give_up(shard, own, machines)
+        moves = self._upkeep.moves(shard, own, machines)
         intents += moves.values()
         self._reports.leaving.update(moves)
         try:
@@ -192,7 +190,7 @@
         trouble = self._troubles.setdefault(job.id, Trouble())
         if finding.why == "done":
             trouble.succeeded = True
-            self._machine_errors.pop(row.machine, None)
+            self._upkeep.errors.pop(row.machine, None)
             if finding.took_s is not None:
                 self.estimates.saw(spec.job_class, spec.estimate_s, finding.took_s)
         elif finding.why in ("error", "unknown"):
@@ -204,7 +202,7 @@
                 wait = self._s.report_s * 2 ** min(trouble.failures, 8)
                 trouble.not_before = self._clock.now() + min(wait, self._s.backoff_most_s)
             if not (len(trouble.machines) >= 3 and not trouble.succeeded):
-                self._machine_errors.setdefault(row.machine, set()).add(job.id)
+                self._upkeep.errors.setdefault(row.machine, set()).add(job.id)
 
     # -- placing ---------------------------------------------------------------------
 
@@ -215,7 +213,7 @@
             and not machine.retiring
             and view.fresh(own_now, self._s.suspect_s)
             and view.notice_at is None
-            and len(self._machine_errors.get(machine.id, ())) < 2
+            and len(self._upkeep.errors.get(machine.id, ())) < 2
             and machine.id not in self._making.draining
             and machine.id not in self._giving.going
             and machine.id not in self._reports.leaving
@@ -417,180 +415,3 @@
             machine_id,
             cached,
         )
-
-    # -- making it durable -----------------------------------------------------------
-
-    def _intent(self, edit: Edit, shard: int, own: Owned) -> Intent | None:
-        job, spec = edit.job, edit.job.spec
-        if spec is None or not (edit.over or edit.starts):
-            return None
-        old = job.chunks.get(edit.chunk)
-        new = Chunk(old.next, old.done, dict(old.rows)) if old else Chunk()
-        key = keys.plan(job.id, edit.chunk)
-        txn = Txn({keys.shard(shard): own.version, key: old.version if old else 0})
-        first = edit.chunk * self._s.tasks_per_chunk
-        for finding in edit.over:
-            txn.conditions.update(finding.rests)
-            new.rows.pop(finding.row.index, None)
-            if finding.why == "done":
-                new.done |= 1 << (finding.row.index - first)
-        for row in edit.starts:
-            new.rows[row.index] = row
-            new.next = row.attempt + 1
-        txn.puts.append(Put(key, new.encode()))
-        if edit.starts:
-            # a job withdrawn or a machine retired in the meantime undoes the start
-            txn.conditions[keys.job(job.id)] = job.version
-            for row in edit.starts:
-                machine = self._world.machines[row.machine]
-                txn.conditions[keys.machine(machine.id)] = machine.version
-        finished = job.end == ACTIVE and spec.kind != "service" and self._all_done(job, edit, new)
-        if finished:
-            txn.conditions[keys.job(job.id)] = job.version
-            txn.puts.append(Put(keys.job(job.id), encode_end(DONE, spec)))
-        rank = PLACE if edit.starts or finished else OUTCOME
-        return Intent(txn, rank, holds=partial(self._membership.holds, shard, own.token))
-
-    def _all_done(self, job: Job, edit: Edit, new: Chunk) -> bool:
-        assert job.spec is not None
-        done = new.done.bit_count()
-        done += sum(c.done.bit_count() for n, c in job.chunks.items() if n != edit.chunk)
-        return done == job.spec.tasks
-
-    def _clear_ended(self, shard: int, own: Owned) -> list[Intent]:
-        """An ended job's plan goes once nothing of it can be on a machine."""
-        intents: list[Intent] = []
-        for job in list(self._world.ended[shard].values()):
-            for number, chunk in list(job.chunks.items()):
-                if chunk.rows or len(intents) >= self._s.txn_ops:
-                    continue
-                key = keys.plan(job.id, number)
-                txn = Txn({keys.shard(shard): own.version, key: chunk.version}, [], [key])
-                intents.append(
-                    Intent(txn, LATER, holds=partial(self._membership.holds, shard, own.token))
-                )
-            if not job.chunks:
-                self._troubles.pop(job.id, None)
-        return intents + self._archive(shard, own)
-
-    def _archive(self, shard: int, own: Owned) -> list[Intent]:
-        """What has long been over leaves memory, watch and start, but is never forgotten."""
-        over = self._world.over[shard]
-        intents: list[Intent] = []
-        for job in islice(over.values(), max(0, len(over) - self._s.ended_kept)):
-            if job.spec is None or len(intents) >= self._s.txn_ops // 4:
-                break
-            self._troubles.pop(job.id, None)
-            key = keys.job(job.id)
-            txn = Txn({keys.shard(shard): own.version, key: job.version})
-            txn.puts.append(Put(keys.archived(job.id), encode_archived(job)))
-            txn.deletes.append(key)
-            intents.append(
-                Intent(txn, LATER, holds=partial(self._membership.holds, shard, own.token))
-            )
-        return intents
-
-    # -- machines --------------------------------------------------------------------
-
-    def _give_up_machines(self, shard: int, own: Owned, machines: list[Machine]) -> list[Intent]:
-        now = self._clock.now()
-        intents = [
-            self._machine_intent(shard, own, m, m.encode(up=True))
-            for m in machines
-            if not m.up and (v := self._reports.peek(m.id)) is not None and v.trusted
-        ]
-        cut = self._silent_zones(shard, machines, now)
-        spare = self._spare(shard, machines, now)
-        for machine in machines:
-            # many silent at once is a cut or our own trouble, not the machines': in a zone that
-            # is cut off its workers may be kept alive, and are worth waiting for
-            patience = self._s.worker_end_s
-            if machine.zone in cut:
-                patience += self._s.deputy_s
-            if machine.retiring or now - own.acquired_at < patience:
-                continue
-            why = self._fault(machine, now, patience, spare)
-            if why:
-                log.info("machine given up machine=%s why=%s", machine.id, why)
-                intents.append(self._machine_intent(shard, own, machine, machine.encode(why, True)))
-        return intents
-
-    def _silent_zones(self, shard: int, machines: list[Machine], now: float) -> set[str]:
-        """Zones of which most machines that have been up are not heard, or were not until a
-        moment ago: they fall silent and come back one by one, and none should be given up for
-        being the first or the last."""
-        up: Counter[str] = Counter()
-        silent: Counter[str] = Counter()
-        for machine in machines:
-            if machine.up:
-                view = self._reports.peek(machine.id)
-                up[machine.zone] += 1
-                if view is None or not view.fresh(now, self._s.suspect_s):
-                    silent[machine.zone] += 1
-        for zone, number in silent.items():
-            if 2 * number > up[zone] and (number > 1 or self._deputies.zone_lost(zone)):
-                self._silent_until[shard, zone] = now + self._s.lease_s
-        return {z for (k, z), until in self._silent_until.items() if k == shard and now < until}
-
-    def _move_intents(self, shard: int, own: Owned, machines: list[Machine]) -> dict[str, Intent]:
-        """Empty machines go to the shard they are given to under a token drawn for them alone,
-        so that nothing said by this shard's owner is obeyed afterwards. One at a time: each
-        raises the counter that all tokens come from."""
-        for machine in machines:
-            target = self._giving.target(machine)
-            if target is not None:
-                token, version = self._membership.next_token()
-                value = machine.encode(moved=(target, token))
-                intent = self._machine_intent(shard, own, machine, value)
-                intent.txn.conditions[keys.TOKEN] = version
-                intent.txn.puts.append(Put(keys.TOKEN, {"n": token}))
-                return {machine.id: intent}
-        return {}
-
-    def _machine_intent(
-        self, shard: int, own: Owned, machine: Machine, value: dict[str, Any]
-    ) -> Intent:
-        key = keys.machine(machine.id)
-        txn = Txn({keys.shard(shard): own.version, key: machine.version}, [Put(key, value)])
-        return Intent(txn, LATER, holds=partial(self._membership.holds, shard, own.token))
-
-    def _spare(self, shard: int, machines: list[Machine], now: float) -> set[str]:
-        """Machines that neither waiting nor expected tasks would use; looked for only when
-        some machine has been empty for long enough, and no more often than workers report."""
-        if now - self._spare_at.get(shard, 0.0) < self._s.report_s:
-            return set()
-        for machine in machines:
-            view = self._reports.peek(machine.id)
-            since = view.idle_since if view is not None else None
-            if since is not None and now - since > self._s.idle_s and not machine.retiring:
-                self._spare_at[shard] = now
-                return self._outlook.look(shard).spare
-        return set()
-
-    def _fault(self, machine: Machine, now: float, patience: float, spare: set[str]) -> str:
-        view = self._reports.peek(machine.id)
-        kind = self._world.catalog.get(machine.type)
-        if view is None or kind is None:
-            return ""
-        if not view.trusted:
-            if now - view.answered_at <= patience:
-                return ""
-            if machine.up or view.answered:
-                # an earlier owner has heard it: half a fleet was once taken for never come up
-                # by whoever took over while its zone was cut off
-                return "silent"
-            age = self._clock.wall() - machine.rented
-            return "never-up" if age > self._s.boot_patience * kind.boot_s else ""
-        if not view.fresh(now, patience):
-            return "silent"
-        if len(self._machine_errors.get(machine.id, ())) >= 2:
-            return "faulty" if not machine.rows else ""
-        if machine.rows or view.tasks:
-            view.idle_since = None
-        elif view.idle_since is None:
-            view.idle_since = now
-        elif machine.id in self._making.draining:
-            return "drained"
-        elif now - view.idle_since > self._s.idle_s and machine.id in spare:
-            return "idle"
-        return ""
--- /dev/null
+++ b/crossmill/jobs/upkeep.py
@@ -0,0 +1,150 @@
+"""A shard's machines: which are up, which are given up, which go to another shard."""
+
+import logging
+from collections import Counter
+from functools import partial
+from typing import Any
+
+from ..cluster import keys
+from ..cluster.deputies import Deputies
+from ..cluster.membership import Membership, Owned
+from ..cluster.world import Machine, World
+from ..fleet.outlook import Outlook
+from ..net.clock import Clock
+from ..settings import Settings
+from ..state.writer import LATER, Intent
+from ..wire.state import Put, Txn
+from ..workers.reports import Reports
+from .giving import Giving
+from .making_room import MakingRoom
+
+log = logging.getLogger(__name__)
+
+
+class Upkeep:
+    def __init__(
+        self,
+        settings: Settings,
+        clock: Clock,
+        world: World,
+        membership: Membership,
+        reports: Reports,
+        outlook: Outlook,
+        deputies: Deputies,
+        making: MakingRoom,
+        giving: Giving,
+    ) -> None:
+        self._s = settings
+        self._clock = clock
+        self._world = world
+        self._membership = membership
+        self._reports = reports
+        self._outlook = outlook
+        self._deputies = deputies
+        self._making = making
+        self._giving = giving
+        # the jobs that failed on a machine and on no other
+        self.errors: dict[str, set[str]] = {}
+        self._spare_at: dict[int, float] = {}
+        self._silent_until: dict[tuple[int, str], float] = {}
+
+    def give_up(self, shard: int, own: Owned, machines: list[Machine]) -> list[Intent]:
+        now = self._clock.now()
+        intents = [
+            self._intent(shard, own, m, m.encode(up=True))
+            for m in machines
+            if not m.up and (v := self._reports.peek(m.id)) is not None and v.trusted
+        ]
+        cut = self._silent_zones(shard, machines, now)
+        spare = self._spare(shard, machines, now)
+        for machine in machines:
+            # many silent at once is a cut or our own trouble, not the machines': in a zone that
+            # is cut off its workers may be kept alive, and are worth waiting for
+            patience = self._s.worker_end_s
+            if machine.zone in cut:
+                patience += self._s.deputy_s
+            if machine.retiring or now - own.acquired_at < patience:
+                continue
+            why = self._fault(machine, now, patience, spare)
+            if why:
+                log.info("machine given up machine=%s why=%s", machine.id, why)
+                intents.append(self._intent(shard, own, machine, machine.encode(why, True)))
+        return intents
+
+    def _silent_zones(self, shard: int, machines: list[Machine], now: float) -> set[str]:
+        """Zones of which most machines that have been up are not heard, or were not until a
+        moment ago: they fall silent and come back one by one, and none should be given up for
+        being the first or the last."""
+        up: Counter[str] = Counter()
+        silent: Counter[str] = Counter()
+        for machine in machines:
+            if machine.up:
+                view = self._reports.peek(machine.id)
+                up[machine.zone] += 1
+                if view is None or not view.fresh(now, self._s.suspect_s):
+                    silent[machine.zone] += 1
+        for zone, number in silent.items():
+            if 2 * number > up[zone] and (number > 1 or self._deputies.zone_lost(zone)):
+                self._silent_until[shard, zone] = now + self._s.lease_s
+        return {z for (k, z), until in self._silent_until.items() if k == shard and now < until}
+
+    def moves(self, shard: int, own: Owned, machines: list[Machine]) -> dict[str, Intent]:
+        """Empty machines go to the shard they are given to under a token drawn for them alone,
+        so that nothing said by this shard's owner is obeyed afterwards. One at a time: each
+        raises the counter that all tokens come from."""
+        for machine in machines:
+            target = self._giving.target(machine)
+            if target is not None:
+                token, version = self._membership.next_token()
+                value = machine.encode(moved=(target, token))
+                intent = self._intent(shard, own, machine, value)
+                intent.txn.conditions[keys.TOKEN] = version
+                intent.txn.puts.append(Put(keys.TOKEN, {"n": token}))
+                return {machine.id: intent}
+        return {}
+
+    def _intent(self, shard: int, own: Owned, machine: Machine, value: dict[str, Any]) -> Intent:
+        key = keys.machine(machine.id)
+        txn = Txn({keys.shard(shard): own.version, key: machine.version}, [Put(key, value)])
+        return Intent(txn, LATER, holds=partial(self._membership.holds, shard, own.token))
+
+    def _spare(self, shard: int, machines: list[Machine], now: float) -> set[str]:
+        """Machines that neither waiting nor expected tasks would use; looked for only when
+        some machine has been empty for long enough, and no more often than workers report."""
+        if now - self._spare_at.get(shard, 0.0) < self._s.report_s:
+            return set()
+        for machine in machines:
+            view = self._reports.peek(machine.id)
+            since = view.idle_since if view is not None else None
+            if since is not None and now - since > self._s.idle_s and not machine.retiring:
+                self._spare_at[shard] = now
+                return self._outlook.look(shard).spare
+        return set()
+
+    def _fault(self, machine: Machine, now: float, patience: float, spare: set[str]) -> str:
+        view = self._reports.peek(machine.id)
+        kind = self._world.catalog.get(machine.type)
+        if view is None or kind is None:
+            return ""
+        if not view.trusted:
+            if now - view.answered_at <= patience:
+                return ""
+            if machine.up or view.answered:
+                # an earlier owner has heard it: half a fleet was once taken for never come up
+                # by whoever took over while its zone was cut off
+                return "silent"
+            age = self._clock.wall() - machine.rented
+            return "never-up" if age > self._s.boot_patience * kind.boot_s else ""
+        if not view.fresh(now, patience):
+            return "silent"
+        if len(self.errors.get(machine.id, ())) >= 2:
+            return "faulty" if not machine.rows else ""
+        if machine.rows or view.tasks:
+            view.idle_since = None
+        elif view.idle_since is None:
+            view.idle_since = now
+        elif machine.id in self._making.draining:
+            return "drained"
+        elif now - view.idle_since > self._s.idle_s and machine.id in spare:
+            return "idle"
+        return ""
