--- a/crossmill/app.py
+++ b/crossmill/app.py
@@ -42,6 +42,7 @@
         self.keeper = Keeper(client, clock, settings)
         self.promises = Promises(settings, clock)
         self.promises.served_ago_s = client.served_ago_s
+        self.promises.refused_at = client.refused_at
         self.membership = Membership(
             settings, clock, self.keeper, self.world, self.follower, self.writer, self.promises
         )
--- a/crossmill/cluster/promises.py
+++ b/crossmill/cluster/promises.py
@@ -41,6 +41,8 @@
         self.taking: set[int] = set()
         # set by the application: how long ago the state service last served this controller
         self.served_ago_s: Callable[[], float | None] = lambda: None
+        self.refused_at: Callable[[], float] = lambda: 0.0
+        self._others_served_at: float | None = None
         self.alone = False
 
     # -- promises given --------------------------------------------------------------
@@ -97,6 +99,7 @@
         """The lease stands again: promises are no longer leaned on."""
         if self._failing_since is not None:
             self._failing_since = None
+            self._others_served_at = None
             self.alone = False
             self._got.clear()
 
@@ -139,9 +142,14 @@
 
     def _compare(self, label: str, sent: float, ago_s: float | None) -> None:
         """In an outage nobody has been served since it began; a peer that was, and clearly
-        later than we were first refused, shows that the trouble is ours alone."""
+        later than we were first refused, shows that the trouble is ours alone. Only if we are
+        refused once more after that: the first to be served after an outage would look alike."""
         if ago_s is None or self._failing_since is None or self.alone:
             return
-        if sent - ago_s > self._failing_since + self._s.renew_s:
+        if sent - ago_s <= self._failing_since + self._s.renew_s:
+            return
+        if self._others_served_at is None:
+            self._others_served_at = self._clock.now()
+        elif self.refused_at() > self._others_served_at:
             log.info("state service refuses us alone peer=%s", label)
             self.alone = True
--- a/crossmill/net/server.py
+++ b/crossmill/net/server.py
@@ -13,7 +13,6 @@
 log = logging.getLogger(__name__)
 
 MAX_BODY = 64 * 1024
-BACKLOG = 256
 
 
 @dataclass(frozen=True, slots=True)
@@ -48,7 +47,8 @@
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, True)
         sock.bind((self._endpoint.host, self._endpoint.port))
-        sock.listen(BACKLOG)
+        # after a takeover every worker may come at once
+        sock.listen(self._max)
         async with sock:
             while True:
                 try:
--- a/crossmill/state/client.py
+++ b/crossmill/state/client.py
@@ -42,11 +42,16 @@
         self._bad = 0
         self._bad_since = 0.0
         self._served_at: float | None = None
+        self._refused_at = clock.now()
 
     def served_ago_s(self) -> float | None:
         """How long ago the state service last served this controller."""
         return None if self._served_at is None else self._clock.now() - self._served_at
 
+    def refused_at(self) -> float:
+        """When the state service last refused this controller, or gave no answer."""
+        return self._refused_at
+
     def down_for_s(self) -> float:
         """How long the state service has refused or not answered; 0 while it serves."""
         return self._clock.now() - self._bad_since if self._bad >= 2 else 0.0
@@ -59,6 +64,7 @@
             if self._bad == 0:
                 self._bad_since = self._clock.now()
             self._bad += 1
+            self._refused_at = self._clock.now()
 
     async def _call(
         self, method: str, path: str, body: bytes = b"", timeout_s: float | None = None
--- a/tests/harness.py
+++ b/tests/harness.py
@@ -107,6 +107,7 @@
 
         self.promises = Promises(s, clock, line)
         self.promises.served_ago_s = self.client.served_ago_s
+        self.promises.refused_at = self.client.refused_at
         self.membership = Membership(
             s, clock, self.keeper, self.world, self.follower, self.writer, self.promises
         )
