Withdrawals go through the state service while controllers refuse each other

Found by reading: a job with tasks in a zone whose controllers can't be reached, but live, could not be withdrawn for as long as a packet filter stood. Whoever asks leaves a note, which they read and confirm in their keys.

--- a/crossmill/cluster/deputies.py
+++ b/crossmill/cluster/deputies.py
@@ -116,7 +116,9 @@
 
     def _ended(self, job_id: str) -> bool:
         job = self._world.jobs.get(job_id)
-        return job_id in self._ending or (job is not None and job.end != ACTIVE)
+        if job_id in self._ending or job_id in self._world.ending:
+            return True
+        return job is not None and job.end != ACTIVE
 
     def handle(self, request: Request) -> Response:
         """What owners of this zone's machines ask, and what is being withdrawn."""
@@ -206,6 +208,8 @@
             return {}
         labels = [label for zone in zones for label in self._of_zone.get(zone, ())]
         rests: dict[str, int] = {}
+        known: set[str] = set()
+        noted, _ = self._world.ending.get(job_id, (0, 0.0))
 
         async def tell(label: str) -> None:
             key = keys.node(label)
@@ -214,11 +218,16 @@
             answer = await self._call(label, "POST", wire.ENDING_PATH, body)
             if answer is not None or self.known_ending(label):
                 rests[key] = version
+                known.add(label)
+            elif noted and self._world.nodes.get(label, {}).get("seen", 0) >= noted:
+                # it has read the note, as any process that follows it will
+                rests[keys.ending(job_id)] = noted
+                known.add(label)
 
         async with curio.TaskGroup() as group:
             for label in labels:
                 await group.spawn(tell, label)
-        return rests if len(rests) == len(labels) else None
+        return rests if len(known) == len(labels) else None
 
     # -- the loop --------------------------------------------------------------------
 
--- a/crossmill/cluster/keys.py
+++ b/crossmill/cluster/keys.py
@@ -6,6 +6,8 @@
 MACHINE = ROOT + "m/"
 SHARD = ROOT + "s/"
 NODE = ROOT + "n/"
+# jobs that are to be withdrawn as soon as all who must know do
+ENDING = ROOT + "w/"
 LEADER = ROOT + "leader"
 TOKEN = ROOT + "token"
 CATALOG = ROOT + "catalog"
@@ -17,6 +19,10 @@
     return JOB + job_id
 
 
+def ending(job_id: str) -> str:
+    return ENDING + job_id
+
+
 def archived(job_id: str) -> str:
     return ARCHIVE + job_id
 
--- a/crossmill/cluster/membership.py
+++ b/crossmill/cluster/membership.py
@@ -52,6 +52,7 @@
         promises.owned = lambda: self.owned
         self.hearing = Hearing(settings, clock, world)
         self._labels = settings.labels
+        self._seen = 0
         self._started = clock.now()
         self._missing: dict[str, float] = {}
         self._home_since: dict[str, float] = {}
@@ -150,7 +151,9 @@
         key = keys.node(self._s.label)
         mine = self._world.nodes.get(self._s.label)
         lease, deaf = self._keeper.lease, self.hearing.deaf
-        value = {"lease": lease, "deaf": deaf}
+        # whoever asks that a job be withdrawn may not reach us: this shows that we know of it
+        self._seen = max((self._seen, *(v for v, _ in self._world.ending.values())))
+        value = {"lease": lease, "deaf": deaf, "seen": self._seen}
         if lease is None or mine == value:
             return
         # an older incarnation's key is replaced, whatever its lease
--- a/crossmill/cluster/world.py
+++ b/crossmill/cluster/world.py
@@ -156,6 +156,8 @@
         self.nodes: dict[str, Any] = {}
         # how often each controller's key was written or went
         self.node_changes: dict[str, int] = {}
+        # jobs to be withdrawn: the note's version, and when it was written
+        self.ending: dict[str, tuple[int, float]] = {}
         self.leader: str | None = None
         self.catalog: dict[str, MachineType] = {}
         self._orphans: dict[str, dict[tuple[str, int], Row]] = {}
@@ -183,6 +185,12 @@
                 self.nodes.pop(label, None)
             else:
                 self.nodes[label] = value
+        elif key.startswith(keys.ENDING):
+            job_id = key[len(keys.ENDING) :]
+            if value is None:
+                self.ending.pop(job_id, None)
+            else:
+                self.ending[job_id] = version, value["at"]
         elif key == keys.LEADER:
             self.leader = value["owner"] if value else None
         elif key == keys.CATALOG and value:
--- a/crossmill/jobs/desk.py
+++ b/crossmill/jobs/desk.py
@@ -183,14 +183,17 @@
             if job.end != ACTIVE or job.spec is None:
                 continue
             rests = await self._deputies.announce_end(job_id, self._zones(job))
+            key, note = keys.job(job_id), keys.ending(job_id)
+            until = self._clock.now() + self._s.accept_s
             if rests is None:
+                if job_id not in self._world.ending:
+                    # those who can't be reached read it, and say so in their keys
+                    put = Put(note, {"at": self._clock.wall()})
+                    txn = Txn({key: job.version, note: 0}, [put])
+                    await self._writer.submit(Intent(txn, URGENT, until=until))
                 return LATER_PLEASE
-            key = keys.job(job_id)
-            intent = Intent(
-                Txn({key: job.version, **rests}, [Put(key, encode_end(CANCELLED, job.spec))]),
-                URGENT,
-                until=self._clock.now() + self._s.accept_s,
-            )
+            txn = Txn({key: job.version, **rests}, [Put(key, encode_end(CANCELLED, job.spec))])
+            intent = Intent(txn, URGENT, until=until)
             await self._writer.submit(intent)
             if await intent.promise.wait(self._s.accept_s) == OK:
                 log.info("job withdrawn job=%s", job_id)
--- a/crossmill/jobs/durable.py
+++ b/crossmill/jobs/durable.py
@@ -7,6 +7,7 @@
 from ..cluster import keys
 from ..cluster.membership import Membership, Owned
 from ..cluster.world import ACTIVE, DONE, Chunk, Job, Row, World, encode_archived, encode_end
+from ..net.clock import Clock
 from ..settings import Settings
 from ..state.writer import LATER, OUTCOME, PLACE, Intent
 from ..wire.state import Put, Txn
@@ -24,8 +25,11 @@
 
 
 class Durable:
-    def __init__(self, settings: Settings, world: World, membership: Membership) -> None:
+    def __init__(
+        self, settings: Settings, clock: Clock, world: World, membership: Membership
+    ) -> None:
         self._s = settings
+        self._clock = clock
         self._world = world
         self._membership = membership
 
@@ -78,7 +82,22 @@
                 intents.append(
                     Intent(txn, LATER, holds=partial(self._membership.holds, shard, own.token))
                 )
-        return intents + self._archive(shard, own)
+        return intents + self._forget_notes(shard, own) + self._archive(shard, own)
+
+    def _forget_notes(self, shard: int, own: Owned) -> list[Intent]:
+        """Notes of jobs that have ended, or whose users have long given up withdrawing them."""
+        intents: list[Intent] = []
+        for job_id, (version, at) in self._world.ending.items():
+            job = self._world.jobs.get(job_id)
+            if (job.shard if job is not None else 0) != shard:
+                continue
+            if job is None or job.end != ACTIVE or self._clock.wall() - at > self._s.note_s:
+                key = keys.ending(job_id)
+                txn = Txn({keys.shard(shard): own.version, key: version}, [], [key])
+                intents.append(
+                    Intent(txn, LATER, holds=partial(self._membership.holds, shard, own.token))
+                )
+        return intents[: self._s.txn_ops]
 
     def _archive(self, shard: int, own: Owned) -> list[Intent]:
         """What has long been over leaves memory, watch and start, but is never forgotten."""
--- a/crossmill/jobs/rounds.py
+++ b/crossmill/jobs/rounds.py
@@ -75,7 +75,7 @@
         self._guarantees = Guarantees(settings, world)
         self._making = MakingRoom(settings, clock, world, reports, outlook, self._guarantees)
         self._giving = Giving(settings, clock, world, reports, outlook)
-        self._durable = Durable(settings, world, membership)
+        self._durable = Durable(settings, clock, world, membership)
         self._upkeep = Upkeep(
             settings,
             clock,
--- a/crossmill/settings.py
+++ b/crossmill/settings.py
@@ -101,6 +101,11 @@
         off keeps the zone's workers alive."""
         return 3 * self.lease_s
 
+    @property
+    def note_s(self) -> float:
+        """How long a job's note that it is to be withdrawn stands without being repeated."""
+        return 4 * self.lease_s
+
     @property
     def quiet_s(self) -> float:
         """How long a controller that was asked about a silent machine leaves it unanswered:
--- a/tests/test_deputies.py
+++ b/tests/test_deputies.py
@@ -332,3 +332,31 @@
         assert it.on_machine() == 0
 
     play(story)
+
+
+def test_a_withdrawal_goes_through_the_state_service_while_controllers_refuse_each_other() -> None:
+    """For as long as a packet filter stood between controllers no such job could be withdrawn."""
+
+    async def story(state: StateService, clock: FakeClock, nodes: Nodes) -> None:
+        it = Story(state, clock, nodes)
+        await it.begin()
+        await it.settle()
+        nodes["node-0"].cut = nodes["node-1"].cut = True
+        path = "/v1/jobs/wk-000001/withdraw"
+        assert (await it.owner.ask("POST", path)).status == 503
+        assert (await it.owner.ask("POST", path)).status == 503
+        # node-0 reads the note and says so; cut off after that, it ends the job's tasks
+        await it.deputy.sync()
+        await it.deputy.membership.step()
+        await it.deputy.deputies.step()
+        assert (await it.owner.ask("POST", path)).status == 200
+        it.cut()
+        await it.deputy.keeper.step()
+        orders = it.deputy.report("n-0", 1, 900, it.token, RUNNING).commands
+        assert [c.op for c in orders] == ["stop"]
+        # the note goes with the next round
+        assert "cm/w/wk-000001" in state.keys
+        await it.owner.round()
+        assert "cm/w/wk-000001" not in state.keys
+
+    play(story)
