--- a/tests/test_planning.py
+++ b/tests/test_planning.py
@@ -150,3 +150,33 @@
     assert [(room.machine, number) for room, number in taken] == [("a", 3), ("b", 3)]
     more = assign(small, 6, rooms, Zones(small, {}))
     assert sum(number for _, number in more) == 6
+
+
+@pytest.mark.parametrize("large", [{"dueS": 60.0}, {"dueS": None}])
+def test_no_job_is_passed_over_for_ever_by_newer_ones(large: dict[str, float | None]) -> None:
+    """More comes than can be done, for minutes: the largest array and the job without a deadline
+    still begin once their budgets end, since what comes later has a later end."""
+    slots, fixed_wait_s, number = 8, 45.0, 90
+    waiting: list[tuple[tuple[int, float], str, int]] = []
+    done_at: list[int] = []
+    for second in range(250):
+        arrivals = [("small", make_spec(dueS=30.0), 5)] * 2
+        if second == 10:
+            arrivals.append(("large", make_spec(**large), number))
+        for name, spec, tasks in arrivals:
+            end = budget_end(spec, float(second), 0.0, fixed_wait_s)
+            waiting.append((place_in_queue(spec, end), name, tasks))
+        waiting.sort()
+        free = slots
+        while free and waiting:
+            place, name, tasks = waiting.pop(0)
+            done = min(free, tasks)
+            free -= done
+            if name == "large":
+                done_at += [second] * done
+            if tasks > done:
+                waiting.insert(0, (place, name, tasks - done))
+    assert len(done_at) == number
+    # not before its turn either, and soon after its budget's end for all that was due before it
+    end = 10 + (large["dueS"] or fixed_wait_s)
+    assert end - 30 < done_at[0] <= end + 30
