The right to answer a worker ends at a bound counted from the last read of all that is durable

Cause: a controller that was refused alone counted how long it may answer from the first renewal that failed. Where renewals flapped, or succeeded while reads did not, it went on on its lease for ever and kept tasks past cancel_s whose cancellation another controller had confirmed. Now authority and peers' promises alike end extension_s after the sending of the last read that showed everything durable, so the worker's own lease ends every task in time; starts go out only while that read is younger than a lease of the controller's. A job known to be over is ended also without authority.

The earlier tests that let minutes pass now read as a running controller does.

--- a/crossmill/app.py
+++ b/crossmill/app.py
@@ -37,7 +37,7 @@
         client = StateClient(settings, clock)
         mirror = Mirror()
         self.world = World(mirror, settings)
-        self.follower = Follower(client, mirror, ROOT, settings)
+        self.follower = Follower(client, mirror, clock, ROOT, settings)
         self.writer = Writer(client, mirror, clock, settings)
         self.keeper = Keeper(client, clock, settings)
         self.promises = Promises(settings, clock)
--- a/crossmill/cluster/membership.py
+++ b/crossmill/cluster/membership.py
@@ -72,12 +72,16 @@
 
     def answering(self, shard: int) -> tuple[Owned, bool] | None:
         """The shard, if its workers may be answered, and whether by full authority; without
-        it they are only kept alive."""
+        it they are only kept alive. Whatever the right to answer rests on, it ends so soon
+        after the last read that showed all that was durable that a cancellation confirmed
+        right after that read is kept by the workers' own leases."""
         own = self.owned.get(shard)
         if own is None or not own.ready or own.epoch != self._keeper.epoch:
             return None
+        if not self._follower.current_within(self._s.extension_s):
+            return None
         if self._keeper.authority():
-            return own, True
+            return own, self._follower.current_within(self._s.hold_ttl_s)
         return (own, False) if self._promises.extended() else None
 
     def holds(self, shard: int, token: int) -> bool | None:
--- a/crossmill/state/follower.py
+++ b/crossmill/state/follower.py
@@ -5,6 +5,7 @@
 
 import curio
 
+from ..net.clock import Clock
 from ..net.promise import Promise
 from ..settings import Settings
 from .client import Compacted, Doubt, Refused, StateClient
@@ -17,16 +18,22 @@
     """A long watch brings changes soon; a sync is a watch that does not wait, and what it
     returns was current after it was sent: it serves all who asked before that."""
 
-    def __init__(self, client: StateClient, mirror: Mirror, prefix: str, s: Settings) -> None:
+    def __init__(
+        self, client: StateClient, mirror: Mirror, clock: Clock, prefix: str, s: Settings
+    ) -> None:
         self._client = client
+        self._clock = clock
         self._mirror = mirror
         self._prefix = prefix
         self._watch_s = min(60.0, 4 * s.lease_s)
         # both loops together take at most half of this controller's share of requests
         self._pause_s = 4 / s.requests_share
+        self._drift = s.drift
         self._waiting: list[Promise] = []
         self._asked = curio.Event()
         self.ready = curio.Event()
+        # the sending of the newest read that showed all that was durable
+        self.current_at: float | None = None
         self.on_change: Callable[[], Awaitable[None]] | None = None
 
     async def sync(self, timeout_s: float) -> bool:
@@ -37,18 +44,31 @@
         return bool(await promise.wait(timeout_s))
 
     async def load(self) -> None:
+        sent = self._clock.now()
         rows, revision = await self._client.read_all(self._prefix)
         self._mirror.replace(revision, rows)
         log.info("state read keys=%d revision=%d", len(rows), revision)
+        self._note_current(sent)
         await self.ready.set()
 
+    def _note_current(self, sent: float) -> None:
+        self.current_at = max(sent, self.current_at or sent)
+
+    def current_within(self, span_s: float) -> bool:
+        """Whether all that was durable so long ago is known. A renewal that succeeds is no sign
+        of it: the lease may stand where no read has come through for long."""
+        at = self.current_at
+        return at is not None and self._clock.now() - at <= span_s * (1 - self._drift)
+
     async def _step(self, wait_s: float) -> None:
         try:
             if not self.ready.is_set():
                 await self.load()
                 return
+            sent = self._clock.now()
             result = await self._client.changes(self._prefix, self._mirror.revision, wait_s)
             self._mirror.apply(*result)
+            self._note_current(sent)
             if result[1] and self.on_change is not None:
                 await self.on_change()
         except Compacted:
--- a/crossmill/workers/reports.py
+++ b/crossmill/workers/reports.py
@@ -120,10 +120,15 @@
         self._settle_doubts(machine.id, report)
         orders = self._orders(machine, view)
         if not entitled:
-            # kept alive on the peers' promises; nothing is begun or ended meanwhile
-            orders = []
+            # only kept alive; nothing is begun meanwhile, and nothing ended but what is over
+            # for good: to end that is right whoever says it, and whenever
+            orders = [c for c in orders if c.op == "stop" and self._job_ended(c.task)]
         return Answer(200, token, tuple(orders))
 
+    def _job_ended(self, task: str) -> bool:
+        job = self._world.jobs.get(task.rpartition("/")[0])
+        return job is not None and job.end != ACTIVE
+
     @staticmethod
     def token(machine: Machine, own: Owned) -> int:
         """The token under which its shard's owner speaks to the machine."""
--- a/tests/harness.py
+++ b/tests/harness.py
@@ -17,7 +17,7 @@
 from crossmill.fleet.outlook import Outlook
 from crossmill.jobs.desk import Desk
 from crossmill.jobs.rounds import Rounds
-from crossmill.net.client import Unreached
+from crossmill.net.client import Http, Unreached
 from crossmill.net.server import Request, Response
 from crossmill.settings import Peer
 from crossmill.state.client import StateClient
@@ -83,11 +83,12 @@
 class Node:
     def __init__(
         self,
-        state: StateService,
+        state: Http,
         clock: FakeClock,
         nodes: dict[str, "Node"],
         label: str = "node-0",
         cloud: CloudService | None = None,
+        connect: Callable[[Peer], Http] | None = None,
     ) -> None:
         self.settings = s = make_settings(label)
         self.clock = clock
@@ -96,14 +97,14 @@
         self.client = StateClient(s, clock, state)
         self.mirror = Mirror()
         self.world = World(self.mirror, s)
-        self.follower = Follower(self.client, self.mirror, keys.ROOT, s)
+        self.follower = Follower(self.client, self.mirror, clock, keys.ROOT, s)
         # the held clock does not move in it
         self.follower._pause_s = 0.0
         self.writer = Writer(self.client, self.mirror, clock, s)
         self.keeper = Keeper(self.client, clock, s)
 
-        def line(peer: Peer) -> PeerLine:
-            return PeerLine(nodes, peer.label)
+        def line(peer: Peer) -> Http:
+            return connect(peer) if connect is not None else PeerLine(nodes, peer.label)
 
         self.promises = Promises(s, clock, line)
         self.promises.served_ago_s = self.client.served_ago_s
@@ -154,6 +155,12 @@
         await self.follower.load()
         await self.membership.step()
 
+    async def live(self) -> None:
+        """What a running controller does all the time: it renews its lease, and reads."""
+        await self.keeper.step()
+        if not self.keeper.failing:
+            await self.follower.sync(1.0)
+
     async def sync(self) -> None:
         assert await self.follower.sync(1.0)
 
--- a/tests/test_deputies.py
+++ b/tests/test_deputies.py
@@ -35,7 +35,7 @@
         await self.owner.boot()
         for _ in range(12):
             self.clock.time += self.owner.settings.hold_ttl_s / 3
-            await self.owner.keeper.step()
+            await self.owner.live()
             await self.owner.membership.step()
         token = self.token = self.owner.token()
         self.owner.report("n-0", 1, 1, 0)
--- a/tests/test_safety.py
+++ b/tests/test_safety.py
@@ -355,6 +355,7 @@
         for label in ("node-1", "node-2"):
             await Node(state, clock, nodes, label).boot()
         running = on("wk-000001", 0, 1, "running")
+        await node.live()
         state.down = True
         seq = 4
         until = clock.now() + node.settings.extension_s - 1
@@ -512,7 +513,7 @@
         other = node.settings.shard_of_team("blue")
         for _ in range(12):
             clock.time += node.settings.hold_ttl_s / 3
-            await node.keeper.step()
+            await node.live()
             await node.membership.step()
         assert other in node.membership.owned and other != 0
         # shard 0 has an idle machine; the job waits in the other shard, and no cloud is there
@@ -521,7 +522,7 @@
         old = node.token()
         for seq in range(1, 30):
             clock.time += 0.4
-            await node.keeper.step()
+            await node.live()
             if node.world.machines["n-0"].shard != other:
                 answer = node.report("n-0", 1, seq, old)
                 assert (answer.status, answer.token) == (200, old)
--- a/tests/test_work.py
+++ b/tests/test_work.py
@@ -137,7 +137,7 @@
         await node.boot()
         for seq in range(1, 60):
             clock.time += 1.0
-            await node.keeper.step()
+            await node.live()
             node.report("n-0", 1, seq, node.token())
             await node.round()
         assert node.world.machines["n-0"].retiring == "idle"
@@ -287,7 +287,7 @@
         node.report(row.machine, 1, 2, node.token(), on("wk-000001", 0, 1, "running"))
         for seq in range(2, 60):
             clock.time += node.settings.report_s / 2
-            await node.keeper.step()
+            await node.live()
             node.report(other, 1, seq, node.token(), *running)
             await node.round()
         assert len(node.reports.stopping) == 4
