--- a/crossmill/cluster/deputies.py
+++ b/crossmill/cluster/deputies.py
@@ -122,18 +122,21 @@
 
     def handle(self, request: Request) -> Response:
         """What owners of this zone's machines ask, and what is being withdrawn."""
-        now = self._clock.now()
         try:
             if request.path == wire.QUIET_PATH:
                 return Response(200, wire.quiet_body(self._bar(wire.parse_machines(request.body))))
             for job_id in wire.parse_ending(request.body):
-                self._ending[job_id] = now
+                self._note_ending(job_id)
         except Malformed:
             return Response(400)
+        return Response(200)
+
+    def _note_ending(self, job_id: str) -> None:
+        now = self._clock.now()
+        self._ending[job_id] = now
         if len(self._ending) > 1000:
             over = now - 2 * (self._s.deputy_s + self._s.cancel_s)
             self._ending = {j: at for j, at in self._ending.items() if at > over}
-        return Response(200)
 
     def _bar(self, machines: Iterable[str]) -> list[float]:
         now = self._clock.now()
@@ -206,6 +209,10 @@
         is to rest on: that each is still the process that was told."""
         if self._s.deputy_s + self._s.worker_end_s + self._s.report_s <= self._s.cancel_s:
             return {}
+        zones = set(zones)
+        if self._s.zone in zones:
+            # cut off before the answer to the write comes, nothing else would tell this process
+            self._note_ending(job_id)
         labels = [label for zone in zones for label in self._of_zone.get(zone, ())]
         rests: dict[str, int] = {}
         known: set[str] = set()
--- a/crossmill/jobs/desk.py
+++ b/crossmill/jobs/desk.py
@@ -134,7 +134,12 @@
         team = self._s.team(spec.team)
         if team is None:
             return "unknown team"
-        kinds = [k for n, k in self._world.catalog.items() if spec.types is None or n in spec.types]
+        kinds = [
+            kind
+            for name, kind in self._world.catalog.items()
+            if (spec.types is None or name in spec.types)
+            and (spec.zone is None or spec.zone in kind.zones)
+        ]
         if not any(slots_on(spec, kind) for kind in kinds):
             return "a task fits no allowed machine type"
         tasks = 1 if spec.kind == "array" else spec.tasks
@@ -153,6 +158,7 @@
             URGENT,
             until=self._clock.now() + self._s.accept_s,
         )
+        began = self._clock.now()
         await self._writer.submit(intent)
         outcome = await intent.promise.wait(self._s.accept_s)
         if outcome == OK:
@@ -163,7 +169,15 @@
                 spec.team,
                 spec.tasks,
             )
-            return Response(201, wire.status_body(spec.id, "queued"))
+            # others see the job as soon as it is durable, and may have told of its end before
+            # a slow answer is here
+            slow = intent.doubtful or self._clock.now() - began > self._s.renew_s / 4
+            if slow and not await self._current():
+                return LATER_PLEASE
+            job = self._known(spec.id)
+            if job is not None:
+                return Response(201, self._status(job))
+            return await self._archived(spec.id)
         if outcome is None:
             return LATER_PLEASE
         return await self._show(spec.id) if await self._current() else LATER_PLEASE
--- a/crossmill/state/writer.py
+++ b/crossmill/state/writer.py
@@ -215,14 +215,15 @@
                 break
             except (Refused, Doubt):
                 await curio.sleep(self._retry_s)
+        for row in rows:
+            # others may have written on top; what is read here is newer than what was known
+            if row is not None:
+                self._mirror.written(row.key, row.value, row.version)
         if any(gone):
             return False
         for row, put in zip(rows, intent.txn.puts, strict=True):
             # the store may write numbers its own way, so values are compared, not bytes
             if row is None or row.value != orjson.loads(orjson.dumps(put.value)):
                 return False
-        for row in rows:
-            if row is not None:
-                self._mirror.written(row.key, row.value, row.version)
         await intent.promise.settle(OK)
         return True
--- a/crossmill/workers/reports.py
+++ b/crossmill/workers/reports.py
@@ -150,7 +150,7 @@
             return
         if view.take(report, self.token(machine, own), self._clock.now()):
             self._settle_doubts(machine.id, report)
-            self._orders(machine, view)
+            self._orders(machine, view, direct=True)
 
     def _settle_doubts(self, machine_id: str, report: Report) -> None:
         doubts = self.doubts.get(machine_id)
@@ -168,7 +168,7 @@
         self._membership.raise_token(machine.shard)
         return True
 
-    def _orders(self, machine: Machine, view: View) -> list[Command]:
+    def _orders(self, machine: Machine, view: View, direct: bool = False) -> list[Command]:
         orders: list[Command] = []
         for key, task in view.tasks.items():
             row = machine.rows.get(key)
@@ -192,6 +192,10 @@
                 if self._unwanted(row, machine):
                     if self._doubtful(machine, row.job, row.index, row.attempt):
                         continue
+                    if direct:
+                        # made while the answer to the last report, which may hold the start,
+                        # was still on its way
+                        continue
                     # a newer report without it: no start sent before can still arrive
                     self._found(Finding(row, "not started"))
                 else:
--- a/tests/simulation.py
+++ b/tests/simulation.py
@@ -101,7 +101,8 @@
             return await self._watch(method, path, body)
         status, data = await region.state.request(method, path, body)
         region.touch(method, path, body, status, data)
-        await curio.sleep(HOP_S)
+        slow = path == "/txn" and self._label in region.answer_s
+        await curio.sleep(region.answer_s[self._label] if slow else HOP_S)
         return status, data
 
     async def _late(self, late_s: float, method: str, path: str, body: bytes) -> None:
@@ -369,6 +370,8 @@
         self.judge = Judge(self)
         self.bell = curio.Event()
         self.slow_s = 0.0
+        # by label: how long the answers to its transactions are held up
+        self.answer_s: dict[str, float] = {}
         # by label: which requests the state service refuses; who gets no answer from it at all;
         # who reaches no other controller
         self.refused: dict[str, Callable[[str, str], bool]] = {}
@@ -469,6 +472,21 @@
         for task in self._tasks.pop(label):
             await task.cancel(blocking=False)
 
+    async def restart(self, label: str, after_s: float) -> None:
+        await self.kill(label)
+        await curio.sleep(after_s)
+        await self.start(label)
+
+    def cut(self, label: str) -> None:
+        """Neither the state service nor another controller; workers and users still come."""
+        self.lost.add(label)
+        self.apart.add(label)
+
+    def mend(self) -> None:
+        self.lost.clear()
+        self.apart.clear()
+        self.refused.clear()
+
     def owners(self) -> dict[int, str]:
         rows = {k: v for k, v in self.state.keys.items() if k.startswith(keys.SHARD)}
         return {int(k[len(keys.SHARD) :]): v[0]["owner"] for k, v in rows.items()}
@@ -488,6 +506,9 @@
         self.judge.jobs.setdefault(job, JobFacts(spec, run_s, self.clock.now()))
         return await self._ask(label, job, "POST", "/v1/jobs", orjson.dumps(spec))
 
+    def accepted(self, job: str) -> bool:
+        return self.judge.jobs[job].accepted is not None
+
     async def show(self, label: str, job: str) -> int:
         return await self._ask(label, job, "GET", f"/v1/jobs/{job}")
 
@@ -509,6 +530,14 @@
         self.judge.told(job, response, asked_at)
         return response.status
 
+    async def look_everywhere(self, job: str, times: int = 3) -> None:
+        """Users ask at all controllers at once, again and again within milliseconds."""
+        async with curio.TaskGroup() as group:
+            for n in range(times):
+                for label in list(self.nodes):
+                    await group.spawn(self.show, label, job)
+                await curio.sleep(0.003 * n)
+
     # -- time ------------------------------------------------------------------------
 
     async def until(self, what: Callable[[], bool], within_s: float = 60.0) -> None:
--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -1,8 +1,14 @@
 """Two troubles at once, played over the simulated region: no rule may break."""
 
+from collections.abc import Awaitable, Callable
+from functools import partial
+from typing import Any
+
 import curio
 import pytest
 
+from crossmill.cluster import keys
+
 from .simulation import Region, simulate
 
 
@@ -74,3 +80,415 @@
         await _gap(region, "node-0", refuses, alone_s)
 
     simulate(story)
+
+
+def _every(number: int, region: Region, late_s: float, at_once: bool, for_s: float) -> None:
+    """Every so manyth transaction gets no answer, and is carried out at once or late."""
+    end, count = region.clock.now() + for_s, 0
+
+    def fate(label: str, method: str, path: str) -> tuple[float, bool] | None:
+        nonlocal count
+        if path != "/txn" or region.clock.now() > end:
+            return None
+        count += 1
+        return (late_s + count % 5, at_once) if count % number == 0 else None
+
+    region.fate = fate
+
+
+async def _traffic(region: Region, jobs: int, every_s: float, cancelled: int = 4) -> None:
+    """One-task jobs at all controllers in turn, some cancelled while they run or wait."""
+    async with curio.TaskGroup() as group:
+        for n in range(jobs):
+            job, label = f"wk-{100000 + n}", list(region.nodes or region.LABELS)[n % 3 - 1]
+            await group.spawn(_one_job, region, label, job, n % cancelled == 1)
+            await curio.sleep(every_s)
+
+
+async def _one_job(region: Region, label: str, job: str, cancel: bool) -> None:
+    async def anywhere(call: Callable[[str], Awaitable[int]]) -> None:
+        for n in range(60):
+            labels = list(region.nodes)
+            if labels and await call(labels[n % len(labels)]) in (200, 201):
+                return
+            await curio.sleep(1.0)
+
+    await anywhere(lambda at: region.submit(at, job, run_s=3.0, sacks=1, cards=1.0))
+    if cancel:
+        await curio.sleep(1.5)
+        await anywhere(lambda at: region.cancel(at, job))
+
+
+async def _all_over(region: Region, within_s: float = 90.0) -> None:
+    """Every accepted job is done or cancelled, and says so at every controller."""
+
+    end = region.clock.now() + within_s
+    # a controller that has just come back does not know anything yet
+    await curio.sleep(3.0)
+    for job, facts in region.judge.jobs.items():
+        while facts.done is None and facts.cancelled is None:
+            if await region.show(next(iter(region.nodes)), job) != 200 or not (
+                facts.done or facts.cancelled
+            ):
+                assert region.clock.now() < end, f"{job} is not over"
+                await curio.sleep(0.5)
+        for label in region.nodes:
+            assert await region.show(label, job) == 200
+
+
+def test_a_deputy_ends_what_it_was_itself_about_to_cancel() -> None:
+    """The only controller of a zone asks that a job be cancelled and never hears that it was;
+    cut off with its zone it would have kept the job's tasks for three leases."""
+
+    async def story(region: Region) -> None:
+        await region.begin(machines=2)
+        await region.submit("node-1", "wk-000001", sacks=2)
+        await region.until(lambda: len(region.running("wk-000001")) > 0)
+        await curio.sleep(4.0)
+        region.reaches = lambda worker, label: label == "node-0"
+
+        def fate(label: str, method: str, path: str) -> tuple[float, bool] | None:
+            if (label, path) != ("node-0", "/txn"):
+                return None
+            region.cut("node-0")
+            return 0.0, True
+
+        region.fate = fate
+        asking = await curio.spawn(region.cancel, "node-0", "wk-000001")
+        await curio.sleep(2.0)
+        await region.show("node-1", "wk-000001")
+        assert region.judge.jobs["wk-000001"].cancelled is not None
+        await curio.sleep(region.cancel_s * 1.5)
+        await asking.cancel()
+        assert not region.running("wk-000001")
+
+    simulate(story)
+
+
+@pytest.mark.parametrize("at_once", [True, False])
+@pytest.mark.parametrize("ends", [False, True])
+def test_answers_lost_while_others_write_on(at_once: bool, ends: bool) -> None:
+    """Every third transaction gets no answer, is carried out at once or seconds late, while
+    users cancel and, in one variant, the owner's process is replaced."""
+
+    async def story(region: Region) -> None:
+        await region.begin(machines=3)
+        _every(3, region, 2.0, at_once, 30.0)
+        traffic = await curio.spawn(_traffic, region, 24, 0.7)
+        if ends:
+            await curio.sleep(8.0)
+            await region.restart("node-0", 0.3)
+        await traffic.join()
+        await _all_over(region)
+
+    simulate(story)
+
+
+def test_close_looks_after_a_submission_an_end_and_a_cancellation() -> None:
+    """Right after something was told, no controller says anything older."""
+
+    async def story(region: Region) -> None:
+        await region.begin(machines=3)
+        _every(4, region, 2.0, True, 60.0)
+        for n in range(9):
+            job, label = f"wk-{200000 + n}", region.LABELS[n % 3]
+            other = region.LABELS[(n + 1) % 3]
+            async with curio.TaskGroup() as group:
+                # a slow answer, a repeat elsewhere, and a cancellation in between
+                await group.spawn(region.submit, label, job, 1.0)
+                await curio.sleep(0.004 * (n % 4))
+                await group.spawn(region.submit, other, job, 1.0)
+                await region.until(partial(region.accepted, job))
+                if n % 2:
+                    await group.spawn(region.cancel, other, job)
+                await region.look_everywhere(job, 6)
+                await region.submit(other, job, 1.0)
+        await curio.sleep(6.0)
+        for job in region.judge.jobs:
+            await region.look_everywhere(job)
+            for label in region.LABELS:
+                await region.submit(label, job, 1.0)
+                await region.cancel(label, job)
+        assert all(f.done or f.cancelled for f in region.judge.jobs.values())
+
+    simulate(story)
+
+
+def test_a_slow_answer_to_a_submission_says_what_others_told_meanwhile() -> None:
+    """The job was durable, seen and cancelled elsewhere while the answer was held up: `queued`
+    after `withdrawn`."""
+
+    async def story(region: Region) -> None:
+        await region.begin(machines=1)
+        region.answer_s["node-1"] = 0.6
+        async with curio.TaskGroup() as group:
+            await group.spawn(region.submit, "node-1", "wk-000001")
+            await curio.sleep(0.1)
+            assert await region.show("node-2", "wk-000001") == 200
+            assert await region.cancel("node-2", "wk-000001") == 200
+
+    simulate(story)
+
+
+@pytest.mark.parametrize("offset_s", [-0.3, -0.1, -0.02, 0.0, 0.02, 0.1, 0.4])
+def test_a_cancellation_meets_the_end_of_the_last_task(offset_s: float) -> None:
+    async def story(region: Region) -> None:
+        await region.begin(machines=1)
+        await region.submit("node-2", "wk-000001", run_s=5.0, sacks=1)
+        await region.until(lambda: bool(region.running("wk-000001")))
+        await curio.sleep(5.0 + offset_s)
+        async with curio.TaskGroup() as group:
+            await group.spawn(region.cancel, "node-1", "wk-000001")
+            await group.spawn(region.look_everywhere, "wk-000001", 8)
+            await group.spawn(region.submit, "node-2", "wk-000001", 5.0)
+        await curio.sleep(4.0)
+        await region.look_everywhere("wk-000001")
+        facts = region.judge.jobs["wk-000001"]
+        assert (facts.done is None) != (facts.cancelled is None)
+
+    simulate(story)
+
+
+def test_old_reports_reach_every_controller_as_a_new_owner_begins() -> None:
+    """Copies from before, from an earlier session too, with the highest token ever seen."""
+
+    async def story(region: Region) -> None:
+        await region.begin(machines=2)
+        await region.submit("node-1", "wk-000001", sacks=2)
+        await region.submit("node-1", "wk-000002", run_s=4.0, sacks=2)
+        await region.until(lambda: len(region.judge.jobs["wk-000002"].finished) == 2)
+        worker = region.workers["n-0"]
+        worker.hung = True
+        await curio.sleep(region.lease_s * 1.2)
+        worker.hung = False
+        await curio.sleep(4.0)
+        old = [body for w in region.workers.values() for body in w.copies]
+        await region.kill("node-0")
+        for _ in range(60):
+            await curio.sleep(0.25)
+            for label in list(region.nodes):
+                for body in old[::3]:
+                    region.deliver(body, label)
+        await region.until(lambda: len(region.running("wk-000001")) > 0, 40.0)
+        await _all_over_but_services(region)
+
+    simulate(story)
+
+
+async def _all_over_but_services(region: Region) -> None:
+    for job, facts in list(region.judge.jobs.items()):
+        if facts.run_s is None:
+            assert await region.cancel_until_told("node-1", job, 60.0)
+    await _all_over(region)
+
+
+def test_a_team_at_its_limit_whose_cancelled_tasks_are_not_proved_over() -> None:
+    """Every machine of the team hangs or can't be reached, its jobs are cancelled and the owner
+    ends: what comes next waits until the old tasks are proved over."""
+
+    async def story(region: Region) -> None:
+        await region.begin(machines=6)
+        for n in range(4):
+            await region.submit("node-1", f"wk-30000{n}", sacks=4)
+        await region.until(lambda: len(region.judge.starts) == 16, 30.0)
+        full = [w for w in region.workers.values() if w.tasks]
+        full[0].hung = True
+        full[1].deaf = True
+        full[2].mute = True
+        for n in range(4):
+            assert await region.cancel_until_told("node-2", f"wk-30000{n}", 20.0)
+        for n in range(4):
+            await region.submit("node-2", f"wk-40000{n}", sacks=4)
+        await region.kill("node-0")
+        await curio.sleep(region.lease_s * 0.6)
+        full[0].hung = full[1].deaf = full[2].mute = False
+        await region.start("node-0")
+        await region.until(lambda: len(region.judge.starts) == 32, 90.0)
+
+    simulate(story)
+
+
+def test_jobs_are_cancelled_while_shards_change_hands() -> None:
+    """Taken over, handed back, given up: some job is cancelled every quarter of a second."""
+
+    async def story(region: Region) -> None:
+        await region.begin(machines=4)
+        for n in range(12):
+            await region.submit("node-1", f"wk-{500000 + n}", sacks=1)
+        await region.until(lambda: len(region.judge.starts) >= 12)
+        await curio.sleep(region.lease_s)
+        changes = await curio.spawn(_change_hands, region)
+        for n in range(12):
+            assert await region.cancel_until_told("node-1", f"wk-{500000 + n}", 60.0)
+            await curio.sleep(0.25)
+        await changes.join()
+        await curio.sleep(region.lease_s * 2)
+        assert not any(region.running(job) for job in region.judge.jobs)
+
+    simulate(story)
+
+
+async def _change_hands(region: Region) -> None:
+    await region.restart("node-0", 1.0)
+    await curio.sleep(1.0)
+    await region.restart("node-2", 0.1)
+    await curio.sleep(4.0)
+    await region.restart("node-0", 8.0)
+
+
+@pytest.mark.parametrize("outage", [False, True])
+def test_ten_changes_of_leader_in_two_minutes(outage: bool) -> None:
+    async def story(region: Region) -> None:
+        await region.begin(machines=4)
+        await region.submit("node-1", "wk-000001", sacks=2)
+        traffic = await curio.spawn(_traffic, region, 40, 2.5)
+        for n in range(10):
+            await curio.sleep(7.0)
+            if outage and n in (3, 7):
+                region.state.down = True
+            await region.restart(region.owners().get(0, "node-0"), 0.2 if n % 2 else 4.0)
+            region.state.down = False
+        await traffic.join()
+        await _all_over_but_services(region)
+
+    simulate(story)
+
+
+@pytest.mark.parametrize("away_s", [0.3, 3.0, 25.0])
+def test_all_controllers_end_and_one_returns_first(away_s: float) -> None:
+    async def story(region: Region) -> None:
+        await region.begin(machines=3)
+        await region.submit("node-1", "wk-000001", sacks=2)
+        await _traffic(region, 6, 0.5)
+        for label in list(region.LABELS):
+            await region.kill(label)
+        await curio.sleep(away_s)
+        await region.start("node-1")
+        await curio.sleep(5.0)
+        await region.start("node-0")
+        await region.start("node-2")
+        await _all_over_but_services(region)
+
+    simulate(story)
+
+
+@pytest.mark.parametrize("trouble", ["deaf", "mute", "hung"])
+def test_workers_that_hear_nothing_or_are_not_heard(trouble: str) -> None:
+    """A machine in trouble keeps no job waiting that another could take, and what was cancelled
+    on it meanwhile is over in time."""
+
+    async def story(region: Region) -> None:
+        await region.begin(machines=2)
+        await region.submit("node-1", "wk-000001", sacks=4, cards=1.0)
+        await region.until(lambda: len(region.judge.starts) == 4)
+        odd = region.workers["n-0"]
+        setattr(odd, trouble, True)
+        assert await region.cancel_until_told("node-2", "wk-000001", 10.0)
+        await region.submit("node-2", "wk-000002", run_s=4.0, sacks=6)
+        await region.kill("node-0")
+        await region.until(
+            lambda: len(region.judge.jobs["wk-000002"].finished) == 6, 4 * region.lease_s
+        )
+        setattr(odd, trouble, False)
+        await region.start("node-0")
+        await _all_over(region)
+
+    simulate(story)
+
+
+def test_one_task_jobs_four_a_second() -> None:
+    """Nothing grows with them for good, none starves, none is forgotten."""
+
+    async def story(region: Region) -> None:
+        await region.begin(machines=8)
+        await _traffic(region, 160, 0.25)
+        await _all_over(region, 60.0)
+        await curio.sleep(20.0)
+        owner = region.nodes[region.owners()[0]]
+        assert not any(owner.world.ended[k] for k in range(3))
+        assert not any(k.startswith(keys.PLAN) for k in region.state.keys)
+        assert all(node.writer.backlog == 0 for node in region.nodes.values())
+
+    simulate(story)
+
+
+def test_a_leader_without_state_service_and_peers_while_others_cancel() -> None:
+    """Workers and users still reach it: it answers nothing old, and keeps nothing too long."""
+
+    async def story(region: Region) -> None:
+        await region.begin(machines=2)
+        await region.submit("node-1", "wk-000001", sacks=2)
+        await region.until(lambda: len(region.running("wk-000001")) > 0)
+        await curio.sleep(2.0)
+        region.cut("node-0")
+        region.reaches = lambda worker, label: label == "node-0"
+        told = await region.cancel_until_told("node-1", "wk-000001", 60.0)
+        assert told
+        await region.look_everywhere("wk-000001")
+        await curio.sleep(region.cancel_s * 1.2)
+        region.mend()
+        await curio.sleep(5.0)
+        await region.look_everywhere("wk-000001")
+
+    simulate(story)
+
+
+def test_a_refusal_of_one_meets_slow_answers_and_an_outage() -> None:
+    """Users cancel and ask while the state service is slow, refuses the owner, and is out."""
+
+    async def story(region: Region) -> None:
+        await region.begin(machines=3)
+        for n in range(6):
+            await region.submit("node-1", f"wk-{600000 + n}", sacks=1)
+        await region.until(lambda: len(region.judge.starts) >= 6)
+        region.slow_s = 0.4
+        cancels = await curio.spawn(_cancel_some, region)
+        await curio.sleep(4.0)
+        region.refused[region.owners()[0]] = _everything
+        await curio.sleep(1.0)
+        region.state.down = True
+        await curio.sleep(region.cancel_s * 1.2)
+        region.state.down = False
+        region.slow_s = 0.0
+        region.mend()
+        await cancels.join()
+        await curio.sleep(region.lease_s * 2)
+        for job in region.judge.jobs:
+            await region.look_everywhere(job, 2)
+
+    simulate(story)
+
+
+async def _cancel_some(region: Region) -> None:
+    for n in range(6):
+        await region.cancel_until_told(f"node-{n % 3}", f"wk-{600000 + n}", 70.0)
+        await region.look_everywhere(f"wk-{600000 + n}", 3)
+
+
+def test_jobs_that_can_not_run_or_lack_a_field_are_never_accepted() -> None:
+    """Under trouble too; and a repeat of an accepted job gets neither 400 nor 422."""
+
+    async def story(region: Region) -> None:
+        await region.begin(machines=1)
+        odd: list[dict[str, Any]] = [
+            {"cpus": 500.0},
+            {"crew": "nobody"},
+            {"frames": ["no-such"]},
+            {"cards": 4.0, "sacks": 5},
+            {"frames": ["c16"], "cards": 0.0, "yard": "south"},
+            {"yard": "nowhere"},
+            {"cpus": None},
+            {"sacks": 0},
+        ]
+        await region.submit("node-1", "wk-000001", run_s=2.0)
+        for down in (False, True):
+            region.state.down = down
+            for n, fields in enumerate(odd):
+                status = await region.submit("node-2", f"wk-70000{n}", **fields)
+                assert status in ((503,) if down else (400, 422)), fields
+                assert await region.submit("node-2", "wk-000001", run_s=2.0, **fields) in (
+                    (200, 503) if down else (200,)
+                )
+        region.state.down = False
+
+    simulate(story)
--- a/tests/test_safety.py
+++ b/tests/test_safety.py
@@ -323,6 +323,49 @@
     play(story)
 
 
+def test_what_others_wrote_on_top_of_a_lost_write_is_known_once_its_fate_is() -> None:
+    """Whoever gave a machine away believed for a while longer that it was its own, and would
+    have answered its worker: the new owner's record was read and not kept."""
+
+    async def story(state: StateService, clock: FakeClock, nodes: Nodes) -> None:
+        node = Node(state, clock, nodes)
+        await node.boot()
+        mine = Intent(Txn({"cm/x": 0}, [Put("cm/x", {"a": 1})]))
+        state.script["/txn"] = ["lose"]
+        await node.writer.submit(mine)
+        while not state.keys.get("cm/x"):
+            await curio.sleep(0)
+        state.put("cm/x", {"a": 2})
+        await mine.promise.wait()
+        assert node.mirror.value("cm/x") == {"a": 2}
+
+    play(story)
+
+
+def test_a_direct_answer_without_the_task_does_not_prove_that_a_start_can_not_come() -> None:
+    """The start may be in the answer to the last report, still on its way: the row went, and the
+    task was free to be placed elsewhere while it began here."""
+
+    async def story(state: StateService, clock: FakeClock, nodes: Nodes) -> None:
+        seed(state, clock, machines=1)
+        add_job(state, clock, sacks=1)
+        node = Node(state, clock, nodes)
+        await node.boot()
+        token = node.token()
+        node.report("n-0", 1, 1, 0)
+        node.report("n-0", 1, 2, token)
+        await node.round()
+        assert node.report("n-0", 1, 3, token).commands[0].op == "start"
+        node.reports.stopping["wk-000001", 0, 1] = "room"
+        node.direct._answered("n-0", 200, beat("n-0", 1, 4, token))
+        assert not node.reports.findings
+        # a report is sent only when the answer to the one before has come or is given up
+        node.report("n-0", 1, 5, token)
+        assert [f.why for f in node.reports.findings.values()] == ["not started"]
+
+    play(story)
+
+
 def test_a_stale_owners_write_does_nothing() -> None:
     async def story(state: StateService, clock: FakeClock, nodes: Nodes) -> None:
         node = await _placed(state, clock, nodes)
