--- a/crossmill/workers/direct.py
+++ b/crossmill/workers/direct.py
@@ -62,7 +62,14 @@
             return
         own = self._membership.acting(machine.shard)
         client = self._client(view.address)
-        rows = [r for r in rows if r.session == view.session]
+        # what was found to be over while its plan's write was settled must not begin now
+        rows = [
+            row
+            for row in rows
+            if row.session == view.session
+            and machine.rows.get((row.job, row.index)) == row
+            and self._reports.may_start(row, machine)
+        ]
         if own is None or client is None or not (rows or stops) or not view.trusted:
             return
         commands = [self._reports.stop(r) for r in stops[:MAX_ORDERS]]
--- a/crossmill/workers/reports.py
+++ b/crossmill/workers/reports.py
@@ -18,6 +18,9 @@
 
 Key = tuple[str, int]
 
+# so many are kept before those whose rows have gone are looked for
+CONCLUDED_LEAST = 1000
+
 
 @dataclass(frozen=True, slots=True)
 class Finding:
@@ -56,6 +59,10 @@
         self._deputies = deputies
         self._views: dict[str, View] = {}
         self.findings: dict[Key, Finding] = {}
+        # attempts that were found to be over: until their rows are durably gone no start of
+        # them may be sent again, whatever becomes of the reason for which they were to end
+        self._concluded: set[tuple[str, int, int]] = set()
+        self._concluded_most = CONCLUDED_LEAST
         # tasks to be stopped to make room or to drain, by attempt
         self.stopping: dict[tuple[str, int, int], str] = {}
         # starts sent straight to a worker and not answered, with the token they carried: they
@@ -189,7 +196,7 @@
                 self.doubts.get(machine.id, {}).pop((row.job, row.index, row.attempt), None)
                 self._found(Finding(row, "session over"))
             elif key not in view.tasks and row.session == view.session:
-                if self._unwanted(row, machine):
+                if not self.may_start(row, machine):
                     if self._doubtful(machine, row.job, row.index, row.attempt):
                         continue
                     if direct:
@@ -203,6 +210,11 @@
         # orders follow from comparing report and plan: what is left out now comes next time
         return orders[:MAX_ORDERS]
 
+    def may_start(self, row: Row, machine: Machine) -> bool:
+        """Whether a start of the attempt may still be sent."""
+        concluded = (row.job, row.index, row.attempt) in self._concluded
+        return not concluded and not self._unwanted(row, machine)
+
     def _unwanted(self, row: Row, machine: Machine) -> bool:
         job = self._world.jobs.get(row.job)
         if job is None or job.end != ACTIVE or machine.retiring:
@@ -238,15 +250,21 @@
         return Command("stop", f"{row.job}/{row.index}", row.attempt, grace)
 
     def _found(self, finding: Finding) -> None:
-        self.findings.setdefault((finding.row.job, finding.row.index), finding)
+        row = finding.row
+        self.findings.setdefault((row.job, row.index), finding)
+        self._concluded.add((row.job, row.index, row.attempt))
+        if len(self._concluded) > self._concluded_most:
+            rows = (r for m in self._world.machines.values() for r in m.rows.values())
+            self._concluded &= {(r.job, r.index, r.attempt) for r in rows}
+            self._concluded_most = 2 * len(self._concluded) + CONCLUDED_LEAST
 
     def expire(self, machine: Machine, own: Owned) -> None:
         """A worker that nobody can have answered for a lease has killed its tasks."""
         view = self.view(machine, own)
-        if not machine.rows or self._clock.now() - view.answered_at <= self._s.suspect_s:
+        if not machine.rows or self._clock.now() - view.lease_from <= self._s.suspect_s:
             return
         self._deputies.wonder(machine)
-        rests = self._deputies.lease_over(machine, view.answered_at)
+        rests = self._deputies.lease_over(machine, view.lease_from)
         if rests is not None:
             for row in machine.rows.values():
                 if row.session <= view.session or not view.trusted:
--- a/crossmill/workers/views.py
+++ b/crossmill/workers/views.py
@@ -18,12 +18,14 @@
 
 @dataclass(slots=True)
 class View:
-    """`answered_at` bounds the worker's lease: nobody can have answered it later. A report is
-    trusted once it carries our own token: only then was it made after we took over."""
+    """`answered_at` and `session_at` bound the worker's lease: nobody can have answered it
+    later, nor can its session have begun later than it was first seen. A report is trusted once
+    it carries our own token: only then was it made after we took over."""
 
     machine: str
     answered_at: float
     session: int = 0
+    session_at: float = 0.0
     seq: int = -1
     last_beat: tuple[int, int] = (0, -1)
     answered: bool = False
@@ -48,14 +50,18 @@
             # not yet ours: it may be a copy from before we took over, so nothing is believed
             return Verdict.GREETED
         self.last_beat = number
+        # only reports that come to us count: a worker whose reports go astray answers direct
+        # commands, but its lease runs out
+        self.heard_at = now
         return Verdict.TRUSTED if self.take(report, token, now) else Verdict.OLDER
 
     def take(self, report: Report, token: int, now: float) -> bool:
         """Believe a report, if it is the newest and made under our token."""
         if report.token != token or (report.session, report.seq) <= (self.session, self.seq):
             return False
+        if report.session > self.session:
+            self.session_at = now
         self.session, self.seq = report.session, report.seq
-        self.heard_at = now
         self.trusted = True
         self.address = report.address
         self.notice_at = None if report.notice_s is None else now + report.notice_s
@@ -75,5 +81,10 @@
         }
         return True
 
+    @property
+    def lease_from(self) -> float:
+        """The worker's lease counts from no later than this, as far as we answer it."""
+        return max(self.answered_at, self.session_at)
+
     def fresh(self, now: float, within_s: float) -> bool:
         return self.trusted and self.heard_at is not None and now - self.heard_at <= within_s
--- a/tests/harness.py
+++ b/tests/harness.py
@@ -89,6 +89,7 @@
         label: str = "node-0",
         cloud: CloudService | None = None,
         connect: Callable[[Peer], Http] | None = None,
+        unique: str = "once",
     ) -> None:
         self.settings = s = make_settings(label)
         self.clock = clock
@@ -139,7 +140,7 @@
             self.outlook,
             Cloud(s, clock, self.cloud),
             self.writer,
-            lambda: "once",
+            lambda: unique,
         )
         self.desk = Desk(
             s, clock, self.world, self.follower, self.writer, self.client, self.deputies
--- a/tests/simulation.py
+++ b/tests/simulation.py
@@ -183,6 +183,7 @@
         self.deaf: bool = False
         self.mute: bool = False
         self.hung: bool = False
+        self.gone: bool = False
         self.target = 0
         self.copies: list[bytes] = []
 
@@ -212,7 +213,7 @@
     async def run(self) -> None:
         labels = list(self.region.lines)
         self.target = self.number % len(labels)
-        while True:
+        while not self.gone:
             if self.hung:
                 await curio.sleep(0.1)
                 continue
@@ -310,7 +311,7 @@
         now, region = self._region.clock.now(), self._region
         used: dict[str, float] = {}
         for worker in region.workers.values():
-            if worker.answered + region.lease_s < now:
+            if worker.gone or worker.answered + region.lease_s < now:
                 continue
             for (job, index), task in worker.tasks.items():
                 facts = self.jobs[job]
@@ -380,6 +381,8 @@
         # what becomes of a transaction: (seconds late, carried out at once), or nothing odd
         self.fate: Callable[[str, str, str], tuple[float, bool] | None] = lambda *_: None
         self._ends: dict[int, tuple[float, float]] = {}
+        self._leads = False
+        self._begun = 0
         self.reaches: Callable[[Worker, str], bool] = lambda worker, label: label in self.nodes
 
     # -- the state service's leases and watches --------------------------------------
@@ -443,11 +446,13 @@
         await curio.spawn(worker.run, daemon=True)
         return worker
 
-    async def start(self, label: str, leads: bool = False) -> Node:
+    async def start(self, label: str) -> Node:
         def connect(peer: Peer) -> PeerRoad:
             return PeerRoad(self, label, peer.label)
 
-        node = Node(self.lines[label], self.clock, self.nodes, label, self.cloud, connect)
+        self._begun += 1
+        unique = f"process-{self._begun}"
+        node = Node(self.lines[label], self.clock, self.nodes, label, self.cloud, connect, unique)
         node.follower._pause_s = 4 / node.settings.requests_share
         node.direct.connect = lambda endpoint: WorkerRoad(
             next(w for w in self.workers.values() if 20000 + w.number == endpoint.port)
@@ -461,11 +466,47 @@
             node.deputies.run,
             node.rounds.run,
         ]
-        if leads:
+        if self._leads:
             parts.append(node.leader.run)
         self._tasks[label] = [await curio.spawn(p, daemon=True) for p in parts]
         return node
 
+    async def lead_everywhere(self) -> None:
+        """The leaders' loops run too, and the cloud's machines are up a second after renting."""
+        self._leads = True
+        for label, node in self.nodes.items():
+            self._tasks[label].append(await curio.spawn(node.leader.run, daemon=True))
+        await curio.spawn(self._cloud_runs, daemon=True)
+
+    async def _cloud_runs(self) -> None:
+        while True:
+            await curio.sleep(1.0)
+            for machine, data in list(self.cloud.machines.items()):
+                if machine not in self.workers and machine not in self.cloud.released:
+                    await self.add_worker(machine, data["yard"], record=False)
+            for machine in self.cloud.released:
+                worker = self.workers.get(machine)
+                if worker is not None:
+                    worker.gone = True
+                    worker.tasks.clear()
+            self.cloud.listed = [
+                {
+                    "nameId": machine,
+                    "address": "127.0.0.1:1",
+                    "frame": data["frame"],
+                    "yard": data["yard"],
+                    "loaners": data["loaners"],
+                    "stage": "running",
+                    "heldS": 1000.0,
+                }
+                for machine, data in sorted(self.cloud.machines.items())
+                if machine not in self.cloud.released
+            ]
+
+    def leader(self) -> str | None:
+        row = self.state.keys.get(keys.LEADER)
+        return None if row is None or row[0]["owner"] not in self.nodes else row[0]["owner"]
+
     async def kill(self, label: str) -> None:
         """Its process ends at once; its key and lease stand until they run out."""
         self.nodes.pop(label)
--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -1,5 +1,6 @@
 """Two troubles at once, played over the simulated region: no rule may break."""
 
+import random
 from collections.abc import Awaitable, Callable
 from functools import partial
 from typing import Any
@@ -492,3 +493,111 @@
         region.state.down = False
 
     simulate(story)
+
+
+def test_new_machines_up_at_once_while_writes_lag_and_the_leader_ends() -> None:
+    """Rented and up within two seconds, before their records: workers without a record, records
+    written late, and the next leader renting again."""
+
+    async def story(region: Region) -> None:
+        await region.begin(machines=0)
+        await region.lead_everywhere()
+        _every(2, region, 2.0, False, 25.0)
+        for n in range(4):
+            await region.submit("node-1", f"wk-{800000 + n}", run_s=6.0, sacks=4)
+        await region.until(lambda: len(region.workers) > 0, 40.0)
+        await curio.sleep(0.7)
+        await region.restart(region.leader() or "node-0", 0.4)
+        await curio.sleep(6.0)
+        await region.restart(region.leader() or "node-0", 3.0)
+        await _all_over(region, 150.0)
+
+    simulate(story)
+
+
+@pytest.mark.parametrize("mode", ["cancel", "answer lost"])
+def test_a_zone_with_workers_and_a_controller_is_cut_off_for_longer_than_a_lease(mode: str) -> None:
+    """Jobs bound to the zone, arrays too, lose machines at the same time."""
+
+    async def story(region: Region) -> None:
+        await region.begin(machines=3)
+        for n in range(2):
+            await region.add_worker(f"s-{n}", "south")
+        await region.submit("node-1", "wk-000001", sacks=2, yard="north")
+        await region.submit("node-1", "wk-000002", run_s=20.0, sacks=4, yard="north")
+        await region.submit("node-1", "wk-000003", run_s=20.0, sacks=2, yard="south")
+        await region.until(lambda: len(region.judge.starts) == 8)
+        await curio.sleep(4.0)
+        south = ("node-1", "node-2")
+        region.reaches = lambda worker, label: (
+            label in region.nodes and (label in south) == (worker.zone == "south")
+        )
+        if mode == "answer lost":
+            region.fate = lambda label, method, path: (0.5, True) if path == "/txn" else None
+        region.cut("node-0")
+        region.workers["n-2"].hung = True
+        asks = await curio.spawn(region.cancel_until_told, "node-1", "wk-000001", 120.0)
+        await curio.sleep(3.0)
+        region.fate = lambda *_: None
+        await curio.sleep(region.lease_s * 2.2)
+        region.mend()
+        region.reaches = lambda worker, label: label in region.nodes
+        region.workers["n-2"].hung = False
+        assert await asks.join()
+        await _all_over(region, 120.0)
+
+    simulate(story)
+
+
+@pytest.mark.parametrize("seed_n", [0, 1, 2, 131, 148, 177])
+def test_troubles_drawn_by_lot(seed_n: int) -> None:
+    """Whatever meets whatever: the lots are drawn from a fixed seed, so each story is the same
+    on every machine."""
+
+    async def story(region: Region) -> None:
+        lots = random.Random(seed_n)
+        await region.begin(machines=4)
+        await region.add_worker("s-0", "south")
+        await region.submit("node-1", "wk-000001", sacks=2)
+        traffic = await curio.spawn(_traffic, region, 60, 1.2)
+        for _ in range(9):
+            await curio.sleep(lots.uniform(1.0, 8.0))
+            await _trouble(region, lots)
+        region.state.down = False
+        region.slow_s = 0.0
+        region.mend()
+        region.fate = lambda *_: None
+        for worker in region.workers.values():
+            worker.deaf = worker.mute = worker.hung = False
+        await traffic.join()
+        await _all_over_but_services(region)
+
+    simulate(story)
+
+
+async def _trouble(region: Region, lots: random.Random) -> None:
+    label, worker = lots.choice(region.LABELS), lots.choice(list(region.workers.values()))
+    kind = lots.choice(
+        ["end", "cut", "refuse", "out", "late", "lost", "odd", "mend", "old", "slow"]
+    )
+    if kind == "end":
+        await region.restart(label, lots.choice([0.1, 1.0, 4.0]))
+    elif kind == "cut":
+        region.cut(label)
+    elif kind == "refuse":
+        region.refused[label] = _everything
+    elif kind == "out":
+        region.state.down = not region.state.down
+    elif kind in ("late", "lost"):
+        _every(lots.choice([2, 3, 5]), region, 2.0, kind == "lost", 10.0)
+    elif kind == "odd":
+        trouble = lots.choice(["deaf", "mute", "hung"])
+        setattr(worker, trouble, not getattr(worker, trouble))
+    elif kind == "mend":
+        region.mend()
+        region.state.down = False
+    elif kind == "slow":
+        region.slow_s = lots.choice([0.0, 0.3])
+    else:
+        for body in worker.copies:
+            region.deliver(body, label)
--- a/tests/test_safety.py
+++ b/tests/test_safety.py
@@ -4,6 +4,7 @@
 import orjson
 
 from crossmill.cluster import keys
+from crossmill.cluster.world import Row
 from crossmill.net.client import Unanswered
 from crossmill.state.writer import CONFLICT, OK, Intent
 from crossmill.wire.state import Put, Txn
@@ -548,6 +549,71 @@
     play(story)
 
 
+def test_a_session_known_from_direct_answers_alone_has_a_lease_of_its_own() -> None:
+    """A worker whose reports go astray begins a new session; what was placed there was counted
+    as over from our last answer, long before, and began elsewhere while it ran."""
+
+    async def story(state: StateService, clock: FakeClock, nodes: Nodes) -> None:
+        node = await _placed(state, clock, nodes)
+        for _ in range(20):
+            clock.time += node.settings.lease_s / 20
+            await node.live()
+        node.direct._answered("n-0", 200, beat("n-0", 2, 1, node.token()))
+        machine = node.world.machines["n-0"]
+        view = node.reports.peek("n-0")
+        assert view is not None and view.session == 2
+        # nothing is placed where no report comes from
+        assert not view.fresh(clock.now(), node.settings.suspect_s)
+        node.world.mirror.written(
+            keys.plan("wk-000001", 0),
+            {"next": 3, "done": "0", "rows": [[0, 2, "n-0", 2]]},
+            state.revision + 1,
+        )
+        own = node.membership.owned[0]
+        node.reports.findings.clear()
+        clock.time += node.settings.lease_s * 0.9
+        node.reports.expire(machine, own)
+        assert not node.reports.findings
+        clock.time += node.settings.lease_s * 0.2
+        node.reports.expire(machine, own)
+        assert [f.why for f in node.reports.findings.values()] == ["lease over"]
+
+    play(story)
+
+
+def test_what_was_found_not_started_is_never_started() -> None:
+    """The plan's write was known from the watch before its answer: a report without the task
+    showed it over on a machine to be returned, and then the answer brought a direct start."""
+
+    async def story(state: StateService, clock: FakeClock, nodes: Nodes) -> None:
+        seed(state, clock, machines=1)
+        add_job(state, clock, sacks=1)
+        node = Node(state, clock, nodes)
+        await node.boot()
+        token = node.token()
+        node.report("n-0", 1, 1, 0)
+        node.report("n-0", 1, 2, token)
+        node.worker.answer = lambda data: (200, beat("n-0", 1, 90, token))
+        row = Row("wk-000001", 0, 1, "n-0", 1)
+        plan = {"next": 2, "done": "0", "rows": [[0, 1, "n-0", 1]]}
+        state.put(keys.plan("wk-000001", 0), plan)
+        await node.sync()
+        node.reports.stopping["wk-000001", 0, 1] = "room"
+        node.report("n-0", 1, 3, token)
+        assert [f.why for f in node.reports.findings.values()] == ["not started"]
+        # its end is being written, and the reason for it has gone
+        node.reports.findings.clear()
+        node.reports.stopping.clear()
+        await node.direct.send([row], [])
+        await curio.sleep(0.01)
+        assert not node.worker.sent
+        assert not node.report("n-0", 1, 4, token).commands
+        # should the write come to nothing, it is found once more
+        assert [f.why for f in node.reports.findings.values()] == ["not started"]
+
+    play(story)
+
+
 def test_a_machine_given_to_another_shard_obeys_only_its_new_owner() -> None:
     async def story(state: StateService, clock: FakeClock, nodes: Nodes) -> None:
         seed(state, clock, machines=1)
