--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -601,3 +601,89 @@
     else:
         for body in worker.copies:
             region.deliver(body, label)
+
+
+@pytest.mark.parametrize("lot", range(4))
+def test_replicas_at_the_limit_meet_troubles_drawn_by_lot(lot: int) -> None:
+    """A team at its limit, work that makes room for other work, bursts of cancellations, zones
+    cut off and all controllers ended: drawn from a fixed seed as above."""
+
+    async def story(region: Region) -> None:
+        lots = random.Random(1000 + lot)
+        await region.begin(machines=5)
+        for n in range(2):
+            await region.add_worker(f"s-{n}", "south")
+        users = await curio.spawn(_replicas, region, random.Random(lot))
+        for _ in range(8):
+            await curio.sleep(lots.uniform(2.0, 9.0))
+            kind = lots.choice(["zone", "all", "other", "other", "heal"])
+            if kind == "zone":
+                north = lots.choice([True, False])
+                for label in ("node-0",) if north else ("node-1", "node-2"):
+                    region.cut(label)
+                region.reaches = lambda worker, label: (
+                    label in region.nodes and (label == "node-0") == (worker.zone == "north")
+                )
+            elif kind == "all":
+                labels = list(region.nodes)
+                for label in labels:
+                    await region.kill(label)
+                await curio.sleep(lots.choice([0.2, 2.0, 14.0]))
+                for label in labels:
+                    await region.start(label)
+                    await curio.sleep(lots.choice([0.1, 1.5]))
+            elif kind == "heal":
+                _heal(region)
+            else:
+                await _trouble(region, lots)
+        _heal(region)
+        await users.join()
+        await _all_over_but_services(region)
+
+    simulate(story)
+
+
+def _heal(region: Region) -> None:
+    region.state.down = False
+    region.slow_s = 0.0
+    region.mend()
+    region.fate = lambda *_: None
+    region.reaches = lambda worker, label: label in region.nodes
+    for worker in region.workers.values():
+        worker.deaf = worker.mute = worker.hung = False
+
+
+async def _replicas(region: Region, lots: random.Random) -> None:
+    async def submit(job: str, at: str, fields: dict[str, Any]) -> None:
+        for n in range(90):
+            labels = list(region.nodes) or [at]
+            label = labels[n % len(labels)]
+            if label in region.nodes and await region.submit(label, job, **fields) in (200, 201):
+                return
+            await curio.sleep(1.0)
+
+    async def cancel(job: str, at: str) -> None:
+        for n in range(150):
+            labels = list(region.nodes) or [at]
+            label = labels[n % len(labels)]
+            if label in region.nodes and await region.cancel(label, job) == 200:
+                return
+            await curio.sleep(0.7)
+
+    async with curio.TaskGroup() as group:
+        for n in range(26):
+            job, at = f"wk-{900000 + n}", lots.choice(region.LABELS)
+            fields: dict[str, Any] = {
+                "sacks": lots.choice([1, 2, 3]),
+                "cards": lots.choice([1.0, 2.0]),
+                "crew": lots.choice(["red", "red", "blue"]),
+                "precedence": lots.choice(["production", "standard", "idle"]),
+                "run_s": lots.choice([None, 4.0, 12.0]),
+                "yard": lots.choice([None, None, "north"]),
+            }
+            await submit(job, at, fields)
+            if lots.random() < 0.6:
+                await curio.sleep(lots.uniform(0.0, 3.0))
+                gone = f"wk-{900000 + lots.randint(max(0, n - 4), n)}"
+                await group.spawn(cancel, gone, at)
+            await curio.sleep(lots.uniform(0.0, 2.5))
