Standard terms: futures, preemption, reassignment, unacknowledged starts; cancel on the command line

net/promise is net/future, jobs/making_room preemption, jobs/giving reassignment, Reports.doubts unacknowledged; the command line's verb is cancel, withdraw stays as an alias. Stored keys, peer messages and log lines are as before; no change of behaviour.

--- a/crossmill/cli.py
+++ b/crossmill/cli.py
@@ -46,10 +46,10 @@
     submit = verbs.add_parser("submit", help="submit a job read as JSON")
     submit.add_argument("file", help="the job's JSON, or - for standard input")
     show = verbs.add_parser("show", help="show a job's state")
-    withdraw = verbs.add_parser("withdraw", help="cancel a job")
-    for verb in (show, withdraw):
+    cancel = verbs.add_parser("cancel", aliases=["withdraw"], help="cancel a job")
+    for verb in (show, cancel):
         verb.add_argument("job", help="the job's id")
-    for verb in (submit, show, withdraw):
+    for verb in (submit, show, cancel):
         verb.add_argument(
             "--server",
             metavar="HOST:PORT",
--- a/crossmill/fleet/leader.py
+++ b/crossmill/fleet/leader.py
@@ -118,7 +118,7 @@
     async def _commit(self, intents: list[Intent]) -> int:
         for intent in intents:
             await self._writer.submit(intent)
-        return sum([await i.promise.wait() == OK for i in intents])
+        return sum([await i.future.wait() == OK for i in intents])
 
     # -- renting ---------------------------------------------------------------------
 
--- a/crossmill/jobs/desk.py
+++ b/crossmill/jobs/desk.py
@@ -50,7 +50,7 @@
         if len(parts) == 1:
             return await self._show(parts[0]) if request.method == "GET" else _wrong_method()
         if len(parts) == 2 and parts[1] == wire.WITHDRAW:
-            return await self._withdraw(parts[0]) if request.method == "POST" else _wrong_method()
+            return await self._cancel(parts[0]) if request.method == "POST" else _wrong_method()
         return Response(404, wire.error_body("no such path"))
 
     async def _current(self) -> bool:
@@ -160,7 +160,7 @@
         )
         began = self._clock.now()
         await self._writer.submit(intent)
-        outcome = await intent.promise.wait(self._s.accept_s)
+        outcome = await intent.future.wait(self._s.accept_s)
         if outcome == OK:
             log.info(
                 "job accepted job=%s class=%s team=%s tasks=%d",
@@ -182,7 +182,7 @@
             return LATER_PLEASE
         return await self._show(spec.id) if await self._current() else LATER_PLEASE
 
-    async def _withdraw(self, job_id: str) -> Response:
+    async def _cancel(self, job_id: str) -> Response:
         if not wire.is_job_id(job_id):
             return Response(404, wire.error_body("no such job"))
         for _ in range(3):
@@ -209,7 +209,7 @@
             txn = Txn({key: job.version, **rests}, [Put(key, encode_end(CANCELLED, job.spec))])
             intent = Intent(txn, URGENT, until=until)
             await self._writer.submit(intent)
-            if await intent.promise.wait(self._s.accept_s) == OK:
+            if await intent.future.wait(self._s.accept_s) == OK:
                 log.info("job withdrawn job=%s", job_id)
                 return Response(200, wire.status_body(job_id, CANCELLED))
         return LATER_PLEASE
--- a/crossmill/jobs/making_room.py
+++ b/crossmill/jobs/preemption.py
@@ -21,7 +21,7 @@
 Attempt = tuple[str, int, int]
 
 
-class MakingRoom:
+class Preemption:
     def __init__(
         self,
         settings: Settings,
--- a/crossmill/jobs/giving.py
+++ b/crossmill/jobs/reassignment.py
@@ -18,7 +18,7 @@
 log = logging.getLogger(__name__)
 
 
-class Giving:
+class Reassignment:
     def __init__(
         self, settings: Settings, clock: Clock, world: World, reports: Reports, outlook: Outlook
     ) -> None:
@@ -38,7 +38,7 @@
         view = self._reports.peek(machine.id)
         if entry is None or view is None or machine.rows or view.tasks or machine.retiring:
             return None
-        return None if self._reports.doubts.get(machine.id) else entry[0]
+        return None if self._reports.unacknowledged.get(machine.id) else entry[0]
 
     def look(self, shard: int, machines: list[Machine]) -> Iterator[Row]:
         """Chooses machines to give; yields the attempts to be stopped for it."""
--- a/crossmill/jobs/rounds.py
+++ b/crossmill/jobs/rounds.py
@@ -26,9 +26,9 @@
 from ..workers.direct import Direct
 from ..workers.reports import Finding, Reports
 from .durable import Durable, Edit
-from .giving import Giving
 from .guarantees import Guarantees, Use
-from .making_room import MakingRoom
+from .preemption import Preemption
+from .reassignment import Reassignment
 from .upkeep import Upkeep
 
 log = logging.getLogger(__name__)
@@ -73,8 +73,8 @@
         self._full: set[tuple[object, ...]] = set()
         self._stops: list[Row] = []
         self._guarantees = Guarantees(settings, world)
-        self._making = MakingRoom(settings, clock, world, reports, outlook, self._guarantees)
-        self._giving = Giving(settings, clock, world, reports, outlook)
+        self._preemption = Preemption(settings, clock, world, reports, outlook, self._guarantees)
+        self._reassignment = Reassignment(settings, clock, world, reports, outlook)
         self._durable = Durable(settings, clock, world, membership)
         self._upkeep = Upkeep(
             settings,
@@ -84,8 +84,8 @@
             reports,
             outlook,
             deputies,
-            self._making,
-            self._giving,
+            self._preemption,
+            self._reassignment,
         )
         self.wake = curio.Event()
 
@@ -116,7 +116,7 @@
         self._gather(shard, edits)
         # machines to be given are chosen before tasks are placed: a start planned in the same
         # round would follow its machine to a shard that knows nothing of the job
-        self._stops = list(self._giving.look(shard, machines))
+        self._stops = list(self._reassignment.look(shard, machines))
         self._place(shard, own, machines, edits)
         if self._stops:
             await self._direct.send([], self._stops)
@@ -144,14 +144,14 @@
             for intent in intents:
                 await self._writer.submit(intent)
             for machine_id, intent in moves.items():
-                if await intent.promise.wait() == OK:
+                if await intent.future.wait() == OK:
                     self._reports.moved(machine_id)
-                    self._giving.going.pop(machine_id, None)
+                    self._reassignment.going.pop(machine_id, None)
                     log.info("machine given machine=%s", machine_id)
         finally:
             self._reports.leaving.difference_update(moves)
         for intent in intents:
-            if await intent.promise.wait() == OK:
+            if await intent.future.wait() == OK:
                 await self._direct.send(starts.get(id(intent), []), [])
                 for put in intent.txn.puts:
                     if put.key.startswith(keys.JOB):
@@ -214,8 +214,8 @@
             and view.fresh(own_now, self._s.suspect_s)
             and view.notice_at is None
             and len(self._upkeep.errors.get(machine.id, ())) < 2
-            and machine.id not in self._making.draining
-            and machine.id not in self._giving.going
+            and machine.id not in self._preemption.draining
+            and machine.id not in self._reassignment.going
             and machine.id not in self._reports.leaving
         )
 
@@ -236,12 +236,12 @@
         machines: list[Machine],
         edits: dict[tuple[str, int], Edit],
     ) -> None:
-        self._making.settle()
+        self._preemption.settle()
         self._guarantees.begin(shard)
         self._full.clear()
         queue = self._outlook.waiting(shard)
         if not queue:
-            self._stops.extend(self._making.drain(shard, own, lambda: self._rooms(machines)))
+            self._stops.extend(self._preemption.drain(shard, own, lambda: self._rooms(machines)))
             return
         started = self._clock.now()
         rooms = self._rooms(machines)
@@ -292,15 +292,15 @@
         zones = Zones(spec, self._world.zones_of(job))
         bad = trouble.machines if trouble is not None else set()
         free = self._free(spec, rooms)
-        free = [r for r in free if r.machine not in bad and self._making.open_to(r, job)]
+        free = [r for r in free if r.machine not in bad and self._preemption.open_to(r, job)]
         if spec.kind == "gang" and not self._whole(job, spec, wanted, free):
             return
         # a replica that ended with its machine says nothing against the job: only failures of
         # its own keep it from taking others' room. Arrays take it once, for their guarantee:
         # for each task anew they would stop one another's work over and over
         blameless = trouble is None or (spec.kind == "service" and trouble.failures == 0)
-        if blameless and self._making.could(job, used):
-            rooms = [r for r in rooms if r.machine not in bad and self._making.open_to(r, job)]
+        if blameless and self._preemption.could(job, used):
+            rooms = [r for r in rooms if r.machine not in bad and self._preemption.open_to(r, job)]
         else:
             blameless, rooms = False, free
             if not free:
@@ -354,25 +354,27 @@
         prompt_s = self._s.prompt_s(spec.job_class) if spec.kind == "service" else None
         taken: list[tuple[Room, int]] = []
         # a claim that came to nothing is not repeated: then any room will do
-        again = self._making.failed(job)
+        again = self._preemption.failed(job)
         if prompt_s is not None and not again:
             # room made for the job counts wherever it is, or it would stand empty until the
             # claim ends
             def near(room: Room) -> bool:
-                return room.delay_s(spec) < 0.75 * prompt_s or self._making.made_for(room, job)
+                return room.delay_s(spec) < 0.75 * prompt_s or self._preemption.made_for(room, job)
 
             taken = assign(spec, wanted, list(filter(near, free)), zones, self._s.together)
             wanted -= sum(number for _, number in taken)
             if wanted and may_preempt:
-                if self._making.claimed(job):
+                if self._preemption.claimed(job):
                     return taken
-                stops, covered = self._making.preempt(job, wanted, list(filter(near, rooms)), used)
+                stops, covered = self._preemption.preempt(
+                    job, wanted, list(filter(near, rooms)), used
+                )
                 self._stops.extend(stops)
                 wanted -= covered
         more = assign(spec, wanted, free, zones, self._s.together) if wanted else []
         wanted -= sum(number for _, number in more)
         if wanted and may_preempt and not again:
-            stops, _ = self._making.preempt(job, wanted, rooms, used)
+            stops, _ = self._preemption.preempt(job, wanted, rooms, used)
             self._stops.extend(stops)
         return taken + more
 
--- a/crossmill/jobs/upkeep.py
+++ b/crossmill/jobs/upkeep.py
@@ -15,8 +15,8 @@
 from ..state.writer import LATER, Intent
 from ..wire.state import Put, Txn
 from ..workers.reports import Reports
-from .giving import Giving
-from .making_room import MakingRoom
+from .preemption import Preemption
+from .reassignment import Reassignment
 
 log = logging.getLogger(__name__)
 
@@ -31,8 +31,8 @@
         reports: Reports,
         outlook: Outlook,
         deputies: Deputies,
-        making: MakingRoom,
-        giving: Giving,
+        preemption: Preemption,
+        reassignment: Reassignment,
     ) -> None:
         self._s = settings
         self._clock = clock
@@ -41,8 +41,8 @@
         self._reports = reports
         self._outlook = outlook
         self._deputies = deputies
-        self._making = making
-        self._giving = giving
+        self._preemption = preemption
+        self._reassignment = reassignment
         # the jobs that failed on a machine and on no other
         self.errors: dict[str, set[str]] = {}
         self._spare_at: dict[int, float] = {}
@@ -93,7 +93,7 @@
         so that nothing said by this shard's owner is obeyed afterwards. One at a time: each
         raises the counter that all tokens come from."""
         for machine in machines:
-            target = self._giving.target(machine)
+            target = self._reassignment.target(machine)
             if target is not None:
                 token, version = self._membership.next_token()
                 value = machine.encode(moved=(target, token))
@@ -143,7 +143,7 @@
             view.idle_since = None
         elif view.idle_since is None:
             view.idle_since = now
-        elif machine.id in self._making.draining:
+        elif machine.id in self._preemption.draining:
             return "drained"
         elif now - view.idle_since > self._s.idle_s and machine.id in spare:
             return "idle"
--- a/crossmill/net/promise.py
+++ b/crossmill/net/future.py
@@ -1,11 +1,11 @@
-"""A reply that a part of the process owes to another."""
+"""A future: the reply that a part of the process owes to another."""
 
 from typing import Any
 
 import curio
 
 
-class Promise:
+class Future:
     """A reply that is waited for."""
 
     __slots__ = ("_event", "value")
--- a/crossmill/state/follower.py
+++ b/crossmill/state/follower.py
@@ -6,7 +6,7 @@
 import curio
 
 from ..net.clock import Clock
-from ..net.promise import Promise
+from ..net.future import Future
 from ..settings import Settings
 from .client import Compacted, Doubt, Refused, StateClient
 from .mirror import Mirror
@@ -29,7 +29,7 @@
         # both loops together take at most half of this controller's share of requests
         self._pause_s = 4 / s.requests_share
         self._drift = s.drift
-        self._waiting: list[Promise] = []
+        self._waiting: list[Future] = []
         self._asked = curio.Event()
         self.ready = curio.Event()
         # the sending of the newest read that showed all that was durable
@@ -38,10 +38,10 @@
 
     async def sync(self, timeout_s: float) -> bool:
         """True when the mirror holds all that was durable when this was called."""
-        promise = Promise()
-        self._waiting.append(promise)
+        future = Future()
+        self._waiting.append(future)
         await self._asked.set()
-        return bool(await promise.wait(timeout_s))
+        return bool(await future.wait(timeout_s))
 
     async def load(self) -> None:
         sent = self._clock.now()
@@ -96,6 +96,6 @@
             except (Refused, Doubt) as exc:
                 log.debug("sync failed error=%s", exc)
                 current = False
-            for promise in waiting:
-                await promise.settle(current)
+            for future in waiting:
+                await future.settle(current)
             await curio.sleep(self._pause_s)
--- a/crossmill/state/writer.py
+++ b/crossmill/state/writer.py
@@ -8,8 +8,8 @@
 import orjson
 
 from ..net.clock import Clock
+from ..net.future import Future
 from ..net.pacer import Pacer
-from ..net.promise import Promise
 from ..settings import Settings
 from ..wire.state import Txn
 from .client import Doubt, NoLease, Outcome, Refused, StateClient
@@ -36,7 +36,7 @@
     holds: Callable[[], bool | None] | None = None
     doubtful: bool = False
     failed: list[str] = field(default_factory=list)
-    promise: Promise = field(default_factory=Promise)
+    future: Future = field(default_factory=Future)
 
     @property
     def ops(self) -> int:
@@ -82,7 +82,7 @@
 
     async def commit(self, intent: Intent) -> str:
         await self.submit(intent)
-        return str(await intent.promise.wait())
+        return str(await intent.future.wait())
 
     async def run(self) -> None:
         while True:
@@ -112,7 +112,7 @@
             holds = True if intent.holds is None else intent.holds()
             if holds is False or (intent.until is not None and now > intent.until):
                 self._queue.remove(intent)
-                await intent.promise.settle(CONFLICT if holds is False else EXPIRED)
+                await intent.future.settle(CONFLICT if holds is False else EXPIRED)
                 continue
             mine = intent.keys()
             if holds is None or mine & self._busy:
@@ -177,7 +177,7 @@
             self._queue[:0] = batch
         except NoLease:
             for intent in batch:
-                await intent.promise.settle(CONFLICT)
+                await intent.future.settle(CONFLICT)
         else:
             await self._settle(batch, outcome)
 
@@ -195,7 +195,7 @@
             elif intent.doubtful and await self._was_applied(intent):
                 log.info("lost answer settled keys=%s", sorted(intent.keys())[:3])
             else:
-                await intent.promise.settle(CONFLICT)
+                await intent.future.settle(CONFLICT)
         self._queue[:0] = again
 
     async def _applied(self, intent: Intent, revision: int) -> None:
@@ -203,7 +203,7 @@
             self._mirror.written(put.key, put.value, revision)
         for key in intent.txn.deletes:
             self._mirror.deleted(key, revision)
-        await intent.promise.settle(OK)
+        await intent.future.settle(OK)
 
     async def _was_applied(self, intent: Intent) -> bool:
         """After a lost answer the repeat's conditions fail when the first was executed: what
@@ -225,5 +225,5 @@
             # the store may write numbers its own way, so values are compared, not bytes
             if row is None or row.value != orjson.loads(orjson.dumps(put.value)):
                 return False
-        await intent.promise.settle(OK)
+        await intent.future.settle(OK)
         return True
--- a/crossmill/workers/direct.py
+++ b/crossmill/workers/direct.py
@@ -1,7 +1,7 @@
 """Starts sent straight to workers, so that they need not wait for the next report.
 
 Such a command may be executed late, as long as token and session match. While one is not
-answered its attempt is in doubt: see `Reports.doubts`."""
+answered its attempt is in doubt: see `Reports.unacknowledged`."""
 
 import logging
 from collections.abc import Awaitable, Callable
@@ -79,9 +79,9 @@
             return
         token = self._reports.token(machine, own)
         body = direct_body(token, view.session, commands)
-        doubts = self._reports.doubts.setdefault(machine_id, {})
+        unacknowledged = self._reports.unacknowledged.setdefault(machine_id, {})
         for row in rows:
-            doubts[row.job, row.index, row.attempt] = token
+            unacknowledged[row.job, row.index, row.attempt] = token
         self._sending += 1
         try:
             status, data = await client.request("POST", COMMANDS_PATH, body, self._s.report_s)
@@ -97,7 +97,7 @@
         finally:
             self._sending -= 1
         for row in rows:
-            doubts.pop((row.job, row.index, row.attempt), None)
+            unacknowledged.pop((row.job, row.index, row.attempt), None)
 
     def _answered(self, machine_id: str, status: int, data: bytes) -> None:
         if status not in (200, 409):
--- a/crossmill/workers/reports.py
+++ b/crossmill/workers/reports.py
@@ -67,7 +67,7 @@
         self.stopping: dict[tuple[str, int, int], str] = {}
         # starts sent straight to a worker and not answered, with the token they carried: they
         # may still be executed until the worker has seen a higher token or begun a new session
-        self.doubts: dict[str, dict[tuple[str, int, int], int]] = {}
+        self.unacknowledged: dict[str, dict[tuple[str, int, int], int]] = {}
         # machines whose move to another shard is being written: whoever gets one counts on
         # nobody else answering it, so it is not answered from before the write is sent
         self.leaving: set[str] = set()
@@ -80,7 +80,7 @@
             if machine is None or machine.shard == shard:
                 del self._views[machine_id]
                 # whoever acts next has a higher token, and believes only those who saw it
-                self.doubts.pop(machine_id, None)
+                self.unacknowledged.pop(machine_id, None)
 
     def view(self, machine: Machine, own: Owned) -> View:
         """Before the first answer of ours an earlier owner may have answered, at the latest
@@ -124,7 +124,7 @@
         view.answered = True
         if verdict is Verdict.GREETED:
             return Answer(200, token)
-        self._settle_doubts(machine.id, report)
+        self._acknowledge(machine.id, report)
         orders = self._orders(machine, view)
         if not entitled:
             # only kept alive; nothing is begun meanwhile, and nothing ended but what is over
@@ -144,7 +144,7 @@
     def moved(self, machine_id: str) -> None:
         """The machine is another shard's: what was believed of it ends."""
         self._views.pop(machine_id, None)
-        self.doubts.pop(machine_id, None)
+        self.unacknowledged.pop(machine_id, None)
 
     def learn(self, report: Report) -> None:
         """The answer to a direct command: a report, but one that renews no lease."""
@@ -156,21 +156,21 @@
         if machine.id in self.leaving:
             return
         if view.take(report, self.token(machine, own), self._clock.now()):
-            self._settle_doubts(machine.id, report)
+            self._acknowledge(machine.id, report)
             self._orders(machine, view, direct=True)
 
-    def _settle_doubts(self, machine_id: str, report: Report) -> None:
-        doubts = self.doubts.get(machine_id)
-        if doubts:
-            for attempt, token in list(doubts.items()):
+    def _acknowledge(self, machine_id: str, report: Report) -> None:
+        unacknowledged = self.unacknowledged.get(machine_id)
+        if unacknowledged:
+            for attempt, token in list(unacknowledged.items()):
                 if report.token > token:
-                    del doubts[attempt]
-        if not doubts:
-            self.doubts.pop(machine_id, None)
+                    del unacknowledged[attempt]
+        if not unacknowledged:
+            self.unacknowledged.pop(machine_id, None)
 
     def _doubtful(self, machine: Machine, job: str, index: int, attempt: int) -> bool:
         """True, and a higher token asked for, while a start of the attempt can still arrive."""
-        if (job, index, attempt) not in self.doubts.get(machine.id, {}):
+        if (job, index, attempt) not in self.unacknowledged.get(machine.id, {}):
             return False
         self._membership.raise_token(machine.shard)
         return True
@@ -193,7 +193,7 @@
             if key in view.tasks and view.tasks[key].attempt == row.attempt:
                 continue
             if row.session < view.session:
-                self.doubts.get(machine.id, {}).pop((row.job, row.index, row.attempt), None)
+                self.unacknowledged.get(machine.id, {}).pop((row.job, row.index, row.attempt), None)
                 self._found(Finding(row, "session over"))
             elif key not in view.tasks and row.session == view.session:
                 if not self.may_start(row, machine):
--- a/tests/test_safety.py
+++ b/tests/test_safety.py
@@ -337,7 +337,7 @@
         while not state.keys.get("cm/x"):
             await curio.sleep(0)
         state.put("cm/x", {"a": 2})
-        await mine.promise.wait()
+        await mine.future.wait()
         assert node.mirror.value("cm/x") == {"a": 2}
 
     play(story)
@@ -661,7 +661,7 @@
         await node.boot()
         node.report("n-0", 1, 1, node.token())
         await node.round()
-        node.rounds._giving.going["n-0"] = (1, clock.now() + 9)
+        node.rounds._reassignment.going["n-0"] = (1, clock.now() + 9)
         state.script["/txn"] = ["refuse"] * 2
         task = await curio.spawn(node.round)
         await curio.sleep(0)
@@ -677,7 +677,7 @@
 def test_a_machine_with_anything_on_it_or_on_its_way_is_not_given() -> None:
     async def story(state: StateService, clock: FakeClock, nodes: Nodes) -> None:
         node = await _placed(state, clock, nodes)
-        giving = node.rounds._giving
+        giving = node.rounds._reassignment
         machine = node.world.machines["n-0"]
         giving.going["n-0"] = (1, clock.now() + 9)
         assert giving.target(machine) is None
@@ -685,7 +685,7 @@
         assert giving.target(machine) is None, "the worker still reports a task"
         node.report("n-0", 1, 5, node.token())
         assert giving.target(machine) == 1
-        node.reports.doubts["n-0"] = {("wk-000001", 0, 1): node.token()}
+        node.reports.unacknowledged["n-0"] = {("wk-000001", 0, 1): node.token()}
         assert giving.target(machine) is None, "a start sent to it may still arrive"
 
     play(story)
@@ -710,12 +710,12 @@
             await node.keeper.step()
             if seq == 8:
                 # all is ready for the machine to be given; now its own shard gets a task too
-                node.rounds._giving._looked_at[0] = 0.0
+                node.rounds._reassignment._looked_at[0] = 0.0
                 add_job(state, clock, nameId="wk-000002", sacks=1)
                 await node.sync()
             node.report("n-0", 1, seq, node.token())
             if 1 < seq < 8:
-                node.rounds._giving._looked_at[0] = clock.now()
+                node.rounds._reassignment._looked_at[0] = clock.now()
             await node.round()
             machine = node.world.machines["n-0"]
             if machine.shard == other:
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -43,3 +43,9 @@
     assert main(["check", "--config", str(path)]) == 2
     error = capsys.readouterr().err
     assert error.count("\n") == 1 and "settings" in error
+
+
+def test_cancel_and_its_alias_take_a_job(capsys: pytest.CaptureFixture[str]) -> None:
+    for verb in ("cancel", "withdraw"):
+        assert main([verb, "wk-000001", "--server", "nowhere"]) == 2
+        assert "HOST:PORT" in capsys.readouterr().err
--- a/tests/test_work.py
+++ b/tests/test_work.py
@@ -253,7 +253,7 @@
 
     async def story(state: StateService, clock: FakeClock, nodes: Nodes) -> None:
         node = await _ready(state, clock, nodes, 1, sacks=3)
-        making = node.rounds._making
+        making = node.rounds._preemption
         rows = list(node.world.jobs["wk-000001"].rows())
         beyond = {"red": 2.0}
         assert not making._draw(rows, {"wk-000001": "red"}, beyond)
