Cancellations rest on the plan they were told by; a request that drips ends with its connection

- Only the controllers of zones with tasks of a job are told that it is to be cancelled; a task that moved to another zone before the write would have been kept there by a deputy that knew nothing.
The write now rests on the plan's versions unless all zones were told.
- A sender of a byte now and then held its socket for ever: the whole request is bounded in time.

--- a/crossmill/jobs/desk.py
+++ b/crossmill/jobs/desk.py
@@ -196,7 +196,8 @@
                 return await self._archived(job_id)
             if job.end != ACTIVE or job.spec is None:
                 continue
-            rests = await self._deputies.announce_end(job_id, self._zones(job))
+            zones, plan = self._zones(job), {n: c.version for n, c in job.chunks.items()}
+            rests = await self._deputies.announce_end(job_id, zones)
             key, note = keys.job(job_id), keys.ending(job_id)
             until = self._clock.now() + self._s.accept_s
             if rests is None:
@@ -206,6 +207,9 @@
                     txn = Txn({key: job.version, note: 0}, [put])
                     await self._writer.submit(Intent(txn, URGENT, until=until))
                 return LATER_PLEASE
+            if not zones.issuperset(self._s.zones):
+                # those of other zones were not told: no task may have moved there meanwhile
+                rests |= {keys.plan(job_id, n): v for n, v in plan.items()}
             txn = Txn({key: job.version, **rests}, [Put(key, encode_end(CANCELLED, job.spec))])
             intent = Intent(txn, URGENT, until=until)
             await self._writer.submit(intent)
--- a/crossmill/net/server.py
+++ b/crossmill/net/server.py
@@ -77,7 +77,8 @@
     async def _converse(self, client: socket.socket) -> None:
         conn = h11.Connection(h11.SERVER)
         while True:
-            request = await self._read(conn, client)
+            # for the whole of it: one that comes a byte at a time must not hold its socket
+            request = await curio.timeout_after(self._idle_s, self._read, conn, client)
             if request is None:
                 return
             try:
@@ -109,7 +110,7 @@
         while True:
             event = conn.next_event()
             if event is h11.NEED_DATA:
-                conn.receive_data(await curio.timeout_after(self._idle_s, client.recv, 65536))
+                conn.receive_data(await client.recv(65536))
             elif isinstance(event, h11.Request):
                 head = event
                 if conn.they_are_waiting_for_100_continue:
--- a/tests/test_deputies.py
+++ b/tests/test_deputies.py
@@ -1,7 +1,9 @@
 """A zone that is cut off: its controllers keep its workers alive, and nobody says otherwise."""
 
+from crossmill.cluster import keys
 from crossmill.cluster.world import CANCELLED, encode_end
 from crossmill.net.client import Unreached
+from crossmill.net.server import Request, Response
 from crossmill.state.writer import CONFLICT, Intent
 from crossmill.wire import peers
 from crossmill.wire.state import Put, Txn
@@ -360,3 +362,29 @@
         assert "cm/w/wk-000001" not in state.keys
 
     play(story)
+
+
+def test_a_task_that_moves_to_another_zone_while_deputies_are_told() -> None:
+    """Only the controllers of the zones with tasks of the job are told; before the write a task
+    may move to a zone whose controllers know nothing."""
+
+    async def story(state: StateService, clock: FakeClock, nodes: Nodes) -> None:
+        it = Story(state, clock, nodes)
+        await it.begin()
+        await it.settle()
+        add_machine(state, clock, "s-0", zone="south")
+        other = Node(state, clock, nodes, "node-2")
+        await other.boot()
+        await it.owner.live()
+        told = it.deputy.deputies.handle
+        plan = state.keys[keys.plan("wk-000001", 0)][0]
+
+        def moves(request: Request) -> Response:
+            state.put(keys.plan("wk-000001", 0), {**plan, "rows": [[0, 2, "s-0", 1]]})
+            return told(request)
+
+        it.deputy.deputies.handle = moves  # type: ignore[method-assign]
+        answer = await it.owner.ask("POST", "/v1/jobs/wk-000001/withdraw")
+        assert answer.status == 503 or "wk-000001" in other.deputies._ending
+
+    play(story)
