Safety: the bound on answers argued, a table of meetings; commands held up, tasks that end far apart

Two more meetings over the simulated region, both hold as the code was: a direct start carried out when a hung machine goes on, and tasks of a job that end far apart across changes of owner.

--- a/tests/simulation.py
+++ b/tests/simulation.py
@@ -159,6 +159,9 @@
         worker = self._worker
         await curio.sleep(HOP_S)
         if worker.deaf or worker.hung:
+            if worker.hung:
+                # carried out when the machine goes on, if token and session still match
+                worker.held.append(load_object(body))
             await curio.sleep(timeout_s)
             raise Unanswered(path)
         return worker.command(load_object(body))
@@ -186,6 +189,7 @@
         self.gone: bool = False
         self.target = 0
         self.copies: list[bytes] = []
+        self.held: list[dict[str, Any]] = []
 
     def _report(self) -> bytes:
         self.seq += 1
@@ -218,6 +222,8 @@
                 await curio.sleep(0.1)
                 continue
             self._tick()
+            while self.held:
+                self.command(self.held.pop(0))
             wait_s = self.region.report_s
             label = labels[self.target]
             answer = await self._call(label)
@@ -550,6 +556,9 @@
     def accepted(self, job: str) -> bool:
         return self.judge.jobs[job].accepted is not None
 
+    def finished(self, job: str, tasks: int) -> bool:
+        return len(self.judge.jobs[job].finished) >= tasks
+
     async def show(self, label: str, job: str) -> int:
         return await self._ask(label, job, "GET", f"/v1/jobs/{job}")
 
--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -397,6 +397,50 @@
     simulate(story)
 
 
+@pytest.mark.parametrize("hang_s", [2.0, 6.0, 12.0])
+@pytest.mark.parametrize("cancelled", [False, True])
+def test_a_command_is_held_up_and_the_machine_then_goes_on(hang_s: float, cancelled: bool) -> None:
+    """A direct start reaches a machine that hangs; it is carried out when the machine goes on,
+    after the job was cancelled, or its owner replaced, or the task given up."""
+
+    async def story(region: Region) -> None:
+        await region.begin(machines=2)
+        await curio.sleep(4.0)
+        for worker in region.workers.values():
+            worker.hung = True
+        await region.submit("node-1", "wk-000001", run_s=4.0, sacks=2)
+        await region.until(lambda: any(w.held for w in region.workers.values()), 5.0)
+        await curio.sleep(hang_s / 2)
+        if cancelled:
+            assert await region.cancel_until_told("node-2", "wk-000001", 5.0)
+        else:
+            await region.restart("node-0", 0.2)
+        await curio.sleep(hang_s / 2)
+        for worker in region.workers.values():
+            worker.hung = False
+        await _all_over(region)
+        await curio.sleep(5.0)
+        assert not region.running("wk-000001")
+
+    simulate(story)
+
+
+def test_tasks_of_a_job_end_far_apart_across_changes_of_owner() -> None:
+    """One after the other on one machine, an owner's end between each and the next."""
+
+    async def story(region: Region) -> None:
+        await region.begin(machines=1)
+        await region.submit("node-1", "wk-000001", run_s=5.0, sacks=3, cards=4.0)
+        for done in (1, 2, 3):
+            await region.until(partial(region.finished, "wk-000001", done), 40.0)
+            await region.look_everywhere("wk-000001")
+            await region.restart(region.owners().get(0, "node-0"), 0.2 if done % 2 else 3.0)
+        await _all_over(region)
+        assert len(region.judge.starts) == 3, "what is done is not done again"
+
+    simulate(story)
+
+
 def test_one_task_jobs_four_a_second() -> None:
     """Nothing grows with them for good, none starves, none is forgotten."""
 
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -49,3 +49,13 @@
     for verb in ("cancel", "withdraw"):
         assert main([verb, "wk-000001", "--server", "nowhere"]) == 2
         assert "HOST:PORT" in capsys.readouterr().err
+
+
+def test_the_bound_on_answers_still_serves_where_cancel_s_is_little_more_than_two_leases() -> None:
+    """Reads come every renew_s; a bound within a controller's lease would end answers too soon."""
+    table = settings_table()
+    workers = table["settings"]["workers"]
+    workers["cancel_s"] = 2.1 * workers["lease_s"]
+    s = parse(table)
+    assert s.extension_s > 2 * s.hold_ttl_s
+    assert s.extension_s + s.worker_end_s + s.report_s <= s.cancel_s
