--- a/crossmill/workers/reports.py
+++ b/crossmill/workers/reports.py
@@ -106,6 +106,10 @@
         if standing is None:
             kept = self._deputies.keep_alive(machine, report)
             if kept is not None:
+                # an owner that answers as its zone's deputy may act by the same lease again
+                # once the trouble is over: this answer renewed the worker's lease all the same
+                if (view := self._views.get(machine.id)) is not None:
+                    view.answered_at = self._clock.now()
                 return Answer(200, report.token, tuple(kept[:MAX_ORDERS]))
             known = self._world.shards.get(machine.shard)
             elsewhere = known is not None and known.owner != self._s.label
--- a/tests/test_deputies.py
+++ b/tests/test_deputies.py
@@ -388,3 +388,32 @@
         assert answer.status == 503 or "wk-000001" in other.deputies._ending
 
     play(story)
+
+
+def test_an_owner_that_answers_as_deputy_counts_the_workers_lease_from_there() -> None:
+    """Its right as an owner had ended and its lease outlasted the outage: it then counted from its
+    last answer as an owner, and the task was placed again while it ran (lot 2060)."""
+
+    async def story(state: StateService, clock: FakeClock, nodes: Nodes) -> None:
+        it = Story(state, clock, nodes)
+        await it.begin()
+        own = it.owner
+        add_machine(state, clock, "s-0", zone="south")
+        await own.live()
+        await own.deputies.step()
+        own.report("s-0", 1, 1, 0)
+        own.report("s-0", 1, 2, it.token)
+        view = own.reports.peek("s-0")
+        assert view is not None
+        it.cut()
+        state.down = True
+        for seq in range(3, 50):
+            clock.time += 0.5
+            await own.keeper.step()
+            await own.deputies.step()
+            own.report("s-0", 1, seq, it.token)
+        assert own.membership.answering(own.world.machines["s-0"].shard) is None
+        assert own.report("s-0", 1, 50, it.token).status == 200, "kept alive as a deputy"
+        assert view.answered_at == clock.now()
+
+    play(story)
