--- a/crossmill/app.py
+++ b/crossmill/app.py
@@ -6,6 +6,7 @@
 import curio
 
 from .cluster.deputies import Deputies
+from .cluster.feature_level import FeatureLevel
 from .cluster.keeper import Keeper
 from .cluster.keys import ROOT
 from .cluster.membership import Membership
@@ -14,7 +15,7 @@
 from .fleet.cloud import Cloud
 from .fleet.leader import Leader
 from .fleet.outlook import Outlook
-from .jobs.desk import Desk
+from .jobs.api import JobApi
 from .jobs.rounds import Rounds
 from .net.clock import Clock
 from .net.server import Request, Response, Server
@@ -38,7 +39,7 @@
         mirror = Mirror()
         self.world = World(mirror, settings)
         self.follower = Follower(client, mirror, clock, ROOT, settings)
-        self.writer = Writer(client, mirror, clock, settings)
+        self.writer = Writer(client, mirror, clock, settings, lambda: self.world.limits)
         self.keeper = Keeper(client, clock, settings)
         self.promises = Promises(settings, clock)
         self.promises.served_ago_s = client.served_ago_s
@@ -46,6 +47,9 @@
         self.membership = Membership(
             settings, clock, self.keeper, self.world, self.follower, self.writer, self.promises
         )
+        self.feature_level = FeatureLevel(
+            settings, clock, self.world, self.follower, self.writer, self.membership
+        )
         self.deputies = Deputies(settings, clock, self.world, self.keeper)
         self.deputies.sync = self.follower.sync
         self.reports = Reports(settings, clock, self.world, self.membership, self.deputies)
@@ -74,7 +78,7 @@
             self.writer,
             lambda: secrets.token_hex(8),
         )
-        self.desk = Desk(
+        self.jobs = JobApi(
             settings, clock, self.world, self.follower, self.writer, client, self.deputies
         )
         self.server = Server(
@@ -95,7 +99,7 @@
                 return Response(405)
             return await self._report(request)
         if request.path == users.JOBS_PATH or request.path.startswith(users.JOBS_PATH + "/"):
-            return await self.desk.handle(request)
+            return await self.jobs.handle(request)
         if request.path == "/healthz":
             # users are sent elsewhere while this controller alone can't decide anything
             ready = self.follower.ready.is_set() and bool(self.world.catalog)
@@ -127,6 +131,7 @@
             self.follower.run_syncs,
             self.writer.run,
             self.membership.run,
+            self.feature_level.run,
             self.deputies.run,
             self.rounds.run,
             self.leader.run,
--- a/crossmill/cluster/deputies.py
+++ b/crossmill/cluster/deputies.py
@@ -21,7 +21,8 @@
 from ..wire.workers import Command, Report
 from . import keys
 from .keeper import Keeper
-from .world import ACTIVE, Machine, World
+from .model import ACTIVE, Machine
+from .world import World
 
 log = logging.getLogger(__name__)
 
--- /dev/null
+++ b/crossmill/cluster/feature_level.py
@@ -0,0 +1,106 @@
+"""The cluster's feature level: what all controllers' versions can read.
+
+Each controller of this version notes so under a key of its own, which no lease removes and which
+the version before ignores. Once every configured controller has, the leader raises the level, in a
+transaction that rests on all those notes. Until then nothing is written that the version before
+could not read; the level is never lowered."""
+
+import logging
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Any
+
+import curio
+
+from ..net.clock import Clock
+from ..settings import Settings
+from ..state.follower import Follower
+from ..state.writer import OK, URGENT, Intent, Writer
+from ..wire.state import Put, Txn
+from . import keys
+
+if TYPE_CHECKING:
+    from .membership import Membership
+    from .world import World
+
+log = logging.getLogger(__name__)
+
+# jobs that wait for others, plans in segments, the state service's next limits
+DEPENDENCIES = 1
+
+
+@dataclass(frozen=True, slots=True)
+class Level:
+    """The raised level, with the sizes of chunks that stored plans have from then on."""
+
+    number: int
+    legacy_tasks: int
+    segment_tasks: int
+
+
+def encode_level(level: Level) -> dict[str, Any]:
+    return {
+        "level": level.number,
+        "legacy_tasks": level.legacy_tasks,
+        "segment_tasks": level.segment_tasks,
+    }
+
+
+def decode_level(value: dict[str, Any]) -> Level:
+    return Level(value["level"], value["legacy_tasks"], value["segment_tasks"])
+
+
+class FeatureLevel:
+    """Notes this controller's version and, while it leads, raises the level."""
+
+    def __init__(
+        self,
+        settings: Settings,
+        clock: Clock,
+        world: "World",
+        follower: Follower,
+        writer: Writer,
+        membership: "Membership",
+    ) -> None:
+        self._s = settings
+        self._clock = clock
+        self._world = world
+        self._follower = follower
+        self._writer = writer
+        self._membership = membership
+
+    async def run(self) -> None:
+        """Works until the level is raised, then waits for ever."""
+        await self._follower.ready.wait()
+        while self._world.level is None:
+            await self.step()
+            await curio.sleep(self._s.renew_s)
+        log.info("feature level raised level=%d", self._world.level.number)
+        await curio.Event().wait()
+
+    async def step(self) -> None:
+        """One look; whatever fails is tried again at the next."""
+        if self._world.level is not None:
+            return
+        if self._s.label not in self._world.upgraded:
+            await self._note()
+        missing = [label for label in self._s.labels if label not in self._world.upgraded]
+        if not missing and self._membership.leading() is not None:
+            await self._raise()
+
+    async def _note(self) -> None:
+        key = keys.feature(self._s.label)
+        await self._commit(Txn({key: 0}, [Put(key, {"level": DEPENDENCIES})]))
+
+    async def _raise(self) -> None:
+        level = Level(
+            DEPENDENCIES, self._s.state_now.chunk_tasks, self._s.state_lowest.segment_tasks
+        )
+        conditions = {keys.feature(x): self._world.upgraded[x] for x in self._s.labels}
+        conditions[keys.LEVEL] = 0
+        await self._commit(Txn(conditions, [Put(keys.LEVEL, encode_level(level))]))
+
+    async def _commit(self, txn: Txn) -> None:
+        until = self._clock.now() + self._s.hold_ttl_s
+        intent = Intent(txn, URGENT, until=until)
+        if await self._writer.commit(intent) != OK:
+            await self._follower.sync(self._s.renew_s)
--- a/crossmill/cluster/keys.py
+++ b/crossmill/cluster/keys.py
@@ -11,6 +11,11 @@
 LEADER = ROOT + "leader"
 TOKEN = ROOT + "token"
 CATALOG = ROOT + "catalog"
+# the controllers that run a version of the next feature level; no lease removes them
+FEATURE = ROOT + "f/"
+LEVEL = ROOT + "level"
+# counts archivings, so that accepting a job can rest on none having happened
+ARCHIVINGS = ROOT + "archivings"
 # outside ROOT, so that neither the watch nor a start reads what has long been over
 ARCHIVE = "ca/"
 
@@ -27,7 +32,7 @@
     return ARCHIVE + job_id
 
 
-def plan(job_id: str, chunk: int) -> str:
+def plan(job_id: str, chunk: str) -> str:
     return f"{PLAN}{job_id}/{chunk}"
 
 
@@ -41,3 +46,7 @@
 
 def node(label: str) -> str:
     return NODE + label
+
+
+def feature(label: str) -> str:
+    return FEATURE + label
--- a/crossmill/cluster/membership.py
+++ b/crossmill/cluster/membership.py
@@ -198,7 +198,8 @@
         if self._world.leader in weights:
             weights[self._world.leader] += 2
         mine = weights[self._s.label]
-        self._writer.allot(self._s.writes_of(mine, sum(weights.values())))
+        limits = self._world.limits
+        self._writer.allot(self._s.writes_of(mine, sum(weights.values()), limits))
 
     async def _commit(self, txn: Txn) -> bool:
         epoch = self._keeper.epoch
--- /dev/null
+++ b/crossmill/cluster/model.py
@@ -0,0 +1,133 @@
+"""Jobs, plans, machines and shards as the durable facts describe them."""
+
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+from typing import Any
+
+from ..wire.users import JobSpec
+
+ACTIVE, DONE, CANCELLED = "", "done", "cancelled"
+
+
+@dataclass(slots=True)
+class Row:
+    """A task planned onto a machine: perhaps there, until proved gone."""
+
+    job: str
+    index: int
+    attempt: int
+    machine: str
+    session: int
+
+
+@dataclass(slots=True)
+class Chunk:
+    """A stretch of a job's tasks, `first` its lowest index: `done` is a bitmap of those that are
+    done, `next` the next attempt number."""
+
+    next: int = 1
+    done: int = 0
+    rows: dict[int, Row] = field(default_factory=dict)
+    version: int = 0
+    first: int = 0
+
+
+@dataclass(slots=True)
+class Job:
+    """An accepted job. `end` is what every controller derives from the durable facts; `recorded`
+    is what the job's own record says, which follows later when the end was derived."""
+
+    id: str
+    version: int = 0
+    end: str = ACTIVE
+    recorded: str = ACTIVE
+    spec: JobSpec | None = None
+    submitted: float = 0.0
+    ended_at: float = 0.0
+    order: int = 0
+    shard: int = -1
+    # the jobs that had to be waited for when this one was accepted, and those not done yet
+    needs: tuple[str, ...] = ()
+    unmet: set[str] = field(default_factory=set)
+    # when the last job that it needs was done; the submission if it needs none
+    ready_at: float = 0.0
+    chunks: dict[str, Chunk] = field(default_factory=dict)
+    # copies of larger chunks in smaller ones, in force once the larger chunk is deleted
+    staged: dict[str, Chunk] = field(default_factory=dict)
+    # of all chunks, kept as they change: every round asks for them of every job
+    finished: int = 0
+    planned: int = 0
+
+    @property
+    def blocked(self) -> bool:
+        """Whether a job that this one needs is not done."""
+        return bool(self.unmet)
+
+    def done_count(self) -> int:
+        if self.end == DONE:
+            return self.spec.tasks if self.spec else 0
+        return self.finished
+
+    def row_count(self) -> int:
+        return self.planned
+
+    def rows(self) -> Iterator[Row]:
+        for chunk in self.chunks.values():
+            yield from chunk.rows.values()
+
+    def waiting_count(self) -> int:
+        """Tasks that wait for room; those of a job that waits for other jobs do not."""
+        if self.spec is None or self.end != ACTIVE or self.unmet:
+            return 0
+        return self.spec.tasks - self.done_count() - self.row_count()
+
+
+@dataclass(slots=True)
+class Machine:
+    """A rented machine, and what the plans put on it."""
+
+    id: str
+    type: str
+    zone: str
+    spot: bool
+    shard: int
+    rented: float
+    retiring: str
+    up: bool
+    # a machine that came from another shard has a token of its own: it is higher than any that
+    # its worker can have seen, and than any that a command still under way can carry
+    token: int = 0
+    version: int = 0
+    cpus: float = 0.0
+    gpus: float = 0.0
+    memory_gb: float = 0.0
+    rows: dict[tuple[str, int], Row] = field(default_factory=dict)
+    images: dict[str, float] = field(default_factory=dict)
+
+    def encode(
+        self,
+        retiring: str | None = None,
+        up: bool | None = None,
+        moved: tuple[int, int] | None = None,
+    ) -> dict[str, Any]:
+        """Its record, changed; `moved` is the shard that gets it and its new token."""
+        shard, token = moved or (self.shard, self.token)
+        return {
+            "type": self.type,
+            "zone": self.zone,
+            "spot": self.spot,
+            "shard": shard,
+            "token": token,
+            "at": self.rented,
+            "retiring": self.retiring if retiring is None else retiring,
+            "up": self.up if up is None else up,
+        }
+
+
+@dataclass(frozen=True, slots=True)
+class Shard:
+    """Who acts for a shard, and under which token."""
+
+    owner: str
+    token: int
+    version: int
--- /dev/null
+++ b/crossmill/cluster/records.py
@@ -0,0 +1,115 @@
+"""Stored formats of jobs and plans, spelled out field by field.
+
+Records are read by other versions of the program, so a format changes only here, and never by
+renaming a field of a class. Unknown fields are ignored. `production` in deploy/service.toml reads
+everything written here as long as the cluster's feature level is not raised."""
+
+from dataclasses import dataclass
+from typing import Any
+
+from ..wire.users import JobSpec
+from .model import ACTIVE, Chunk, Job, Row
+
+
+@dataclass(frozen=True, slots=True)
+class JobRecord:
+    """A job's stored record."""
+
+    end: str
+    spec: JobSpec
+    submitted: float
+    ended_at: float
+    needs: tuple[str, ...]
+
+
+def _encode_spec(spec: JobSpec) -> dict[str, Any]:
+    return {
+        "id": spec.id,
+        "job_class": spec.job_class,
+        "team": spec.team,
+        "kind": spec.kind,
+        "priority": spec.priority,
+        "tasks": spec.tasks,
+        "cpus": spec.cpus,
+        "gpus": spec.gpus,
+        "memory_gb": spec.memory_gb,
+        "image": spec.image,
+        "image_gb": spec.image_gb,
+        "types": None if spec.types is None else list(spec.types),
+        "zone": spec.zone,
+        "one_zone": spec.one_zone,
+        "spread": spec.spread,
+        "spot": spec.spot,
+        "estimate_s": spec.estimate_s,
+        "checkpoint_s": spec.checkpoint_s,
+        "save_s": spec.save_s,
+        "deadline_s": spec.deadline_s,
+    }
+
+
+def _decode_spec(value: dict[str, Any]) -> JobSpec:
+    types = value["types"]
+    return JobSpec(
+        id=value["id"],
+        job_class=value["job_class"],
+        team=value["team"],
+        kind=value["kind"],
+        priority=value["priority"],
+        tasks=value["tasks"],
+        cpus=value["cpus"],
+        gpus=value["gpus"],
+        memory_gb=value["memory_gb"],
+        image=value["image"],
+        image_gb=value["image_gb"],
+        types=None if types is None else tuple(types),
+        zone=value["zone"],
+        one_zone=value["one_zone"],
+        spread=value["spread"],
+        spot=value["spot"],
+        estimate_s=value["estimate_s"],
+        checkpoint_s=value["checkpoint_s"],
+        save_s=value["save_s"],
+        deadline_s=value["deadline_s"],
+    )
+
+
+def encode_job(spec: JobSpec, submitted: float, needs: tuple[str, ...] = ()) -> dict[str, Any]:
+    """A job just accepted; `needs` are the jobs before it that are not done."""
+    value: dict[str, Any] = {"end": ACTIVE, "at": submitted, "spec": _encode_spec(spec)}
+    if needs:
+        value["needs"] = list(needs)
+    return value
+
+
+def encode_end(end: str, spec: JobSpec, ended_at: float) -> dict[str, Any]:
+    """An ended job. The spec stays: a cancelled job's tasks hold room until they are proved
+    gone."""
+    return {"end": end, "spec": _encode_spec(spec), "ended": ended_at}
+
+
+def decode_job(value: dict[str, Any]) -> JobRecord:
+    """A job's record in any version's format."""
+    return JobRecord(
+        value["end"],
+        _decode_spec(value["spec"]),
+        value.get("at", 0.0),
+        value.get("ended", 0.0),
+        tuple(value.get("needs", ())),
+    )
+
+
+def encode_archived(job: Job) -> dict[str, Any]:
+    """What is kept of a job that was over long ago."""
+    return {"end": job.end, "done": job.done_count()}
+
+
+def encode_chunk(chunk: Chunk) -> dict[str, Any]:
+    """A chunk of a job's plan."""
+    rows = [[r.index, r.attempt, r.machine, r.session] for r in chunk.rows.values()]
+    return {"next": chunk.next, "done": f"{chunk.done:x}", "rows": rows}
+
+
+def decode_chunk(job_id: str, value: dict[str, Any], version: int, first: int) -> Chunk:
+    """A chunk whose lowest task is `first`."""
+    rows = {r[0]: Row(job_id, *r) for r in value["rows"]}
+    return Chunk(value["next"], int(value["done"], 16), rows, version, first)
--- a/crossmill/cluster/world.py
+++ b/crossmill/cluster/world.py
@@ -1,143 +1,17 @@
 """The mirror's keys read as jobs, plans, machines and shards; only durable facts stand here."""
 
 from collections.abc import Iterator
-from dataclasses import asdict, dataclass, field
 from typing import Any
 
-from ..settings import Settings
+from ..settings import Settings, StateLimits
 from ..state.mirror import Mirror
 from ..wire.cloud import MachineType
-from ..wire.users import JobSpec
 from . import keys
-
-ACTIVE, DONE, CANCELLED = "", "done", "cancelled"
-
-
-@dataclass(slots=True)
-class Row:
-    """A task planned onto a machine: perhaps there, until proved gone."""
-
-    job: str
-    index: int
-    attempt: int
-    machine: str
-    session: int
-
-
-@dataclass(slots=True)
-class Chunk:
-    """A stretch of a job's tasks: `done` is a bitmap, `next` the next attempt number."""
-
-    next: int = 1
-    done: int = 0
-    rows: dict[int, Row] = field(default_factory=dict)
-    version: int = 0
-
-    def encode(self) -> dict[str, Any]:
-        rows = [[r.index, r.attempt, r.machine, r.session] for r in self.rows.values()]
-        return {"next": self.next, "done": f"{self.done:x}", "rows": rows}
-
-
-def decode_chunk(job_id: str, value: dict[str, Any], version: int) -> Chunk:
-    rows = {r[0]: Row(job_id, *r) for r in value["rows"]}
-    return Chunk(value["next"], int(value["done"], 16), rows, version)
-
-
-@dataclass(slots=True)
-class Job:
-    id: str
-    version: int = 0
-    end: str = ACTIVE
-    spec: JobSpec | None = None
-    submitted: float = 0.0
-    order: int = 0
-    shard: int = -1
-    chunks: dict[int, Chunk] = field(default_factory=dict)
-    # of all chunks, kept as they change: every round asks for them of every job
-    finished: int = 0
-    planned: int = 0
-
-    def done_count(self) -> int:
-        if self.end == DONE:
-            return self.spec.tasks if self.spec else 0
-        return self.finished
-
-    def row_count(self) -> int:
-        return self.planned
-
-    def rows(self) -> Iterator[Row]:
-        for chunk in self.chunks.values():
-            yield from chunk.rows.values()
-
-    def waiting_count(self) -> int:
-        if self.spec is None or self.end != ACTIVE:
-            return 0
-        return self.spec.tasks - self.done_count() - self.row_count()
-
-
-def encode_job(spec: JobSpec, submitted: float) -> dict[str, Any]:
-    return {"end": ACTIVE, "at": submitted, "spec": asdict(spec)}
-
-
-def encode_end(end: str, spec: JobSpec) -> dict[str, Any]:
-    """The spec stays: a withdrawn job's tasks hold room until they are proved gone."""
-    return {"end": end, "spec": asdict(spec)}
-
-
-def encode_archived(job: Job) -> dict[str, Any]:
-    return {"end": job.end, "done": job.done_count()}
-
-
-def decode_spec(value: dict[str, Any]) -> JobSpec:
-    types = value["types"]
-    return JobSpec(**{**value, "types": None if types is None else tuple(types)})
-
-
-@dataclass(slots=True)
-class Machine:
-    id: str
-    type: str
-    zone: str
-    spot: bool
-    shard: int
-    rented: float
-    retiring: str
-    up: bool
-    # a machine that came from another shard has a token of its own: it is higher than any that
-    # its worker can have seen, and than any that a command still under way can carry
-    token: int = 0
-    version: int = 0
-    cpus: float = 0.0
-    gpus: float = 0.0
-    memory_gb: float = 0.0
-    rows: dict[tuple[str, int], Row] = field(default_factory=dict)
-    images: dict[str, float] = field(default_factory=dict)
-
-    def encode(
-        self,
-        retiring: str | None = None,
-        up: bool | None = None,
-        moved: tuple[int, int] | None = None,
-    ) -> dict[str, Any]:
-        """Its record, changed; `moved` is the shard that gets it and its new token."""
-        shard, token = moved or (self.shard, self.token)
-        return {
-            "type": self.type,
-            "zone": self.zone,
-            "spot": self.spot,
-            "shard": shard,
-            "token": token,
-            "at": self.rented,
-            "retiring": self.retiring if retiring is None else retiring,
-            "up": self.up if up is None else up,
-        }
-
-
-@dataclass(frozen=True, slots=True)
-class Shard:
-    owner: str
-    token: int
-    version: int
+from .dependencies import DependencyGraph
+from .feature_level import Level, decode_level
+from .layout import ChunkRange, PlanLayout
+from .model import ACTIVE, Chunk, Job, Machine, Row, Shard
+from .records import decode_chunk, decode_job
 
 
 class World:
@@ -145,6 +19,15 @@
         self._settings = settings
         self.mirror = mirror
         self.jobs: dict[str, Job] = {}
+        self.graph = DependencyGraph(self.jobs)
+        # jobs cancelled with one that they need, whose records do not say so yet
+        self.unrecorded: dict[int, dict[str, Job]] = {k: {} for k in range(settings.nodes)}
+        self.level: Level | None = None
+        # the controllers that run a version of the next feature level, with their notes' versions
+        self.upgraded: dict[str, int] = {}
+        self.layout = PlanLayout(settings.state_now.chunk_tasks)
+        # the legacy chunks there are, by job and name
+        self.legacy_chunks: dict[tuple[str, str], Job] = {}
         self.active: dict[int, dict[str, Job]] = {k: {} for k in range(settings.nodes)}
         # ended jobs whose plans are not yet cleared away
         self.ended: dict[int, dict[str, Job]] = {k: {} for k in range(settings.nodes)}
@@ -161,7 +44,6 @@
         self.leader: str | None = None
         self.catalog: dict[str, MachineType] = {}
         self._orphans: dict[str, dict[tuple[str, int], Row]] = {}
-        self.changed_jobs: set[int] = set()
         mirror.listen(self._on_key)
 
     def _on_key(self, key: str, value: Any, version: int) -> None:
@@ -169,7 +51,7 @@
             self._on_job(key[len(keys.JOB) :], value, version)
         elif key.startswith(keys.PLAN):
             job_id, _, chunk = key[len(keys.PLAN) :].rpartition("/")
-            self._on_plan(job_id, int(chunk), value, version)
+            self._on_plan(job_id, chunk, value, version)
         elif key.startswith(keys.MACHINE):
             self._on_machine(key[len(keys.MACHINE) :], value, version)
         elif key.startswith(keys.SHARD):
@@ -191,6 +73,10 @@
                 self.ending.pop(job_id, None)
             else:
                 self.ending[job_id] = version, value["at"]
+        elif key.startswith(keys.FEATURE):
+            self._on_feature(key[len(keys.FEATURE) :], value, version)
+        elif key == keys.LEVEL and value:
+            self._on_level(decode_level(value))
         elif key == keys.LEADER:
             self.leader = value["owner"] if value else None
         elif key == keys.CATALOG and value:
@@ -201,22 +87,55 @@
     def _job(self, job_id: str) -> Job:
         return self.jobs.setdefault(job_id, Job(job_id))
 
+    @property
+    def limits(self) -> StateLimits:
+        """The state service's limits to keep to now."""
+        s = self._settings
+        return s.state_now if self.level is None else s.state_lowest
+
+    def _on_feature(self, label: str, value: Any, version: int) -> None:
+        if value is None:
+            self.upgraded.pop(label, None)
+        else:
+            self.upgraded[label] = version
+
+    def _on_level(self, level: Level) -> None:
+        self.level = level
+        self.layout = PlanLayout(level.legacy_tasks, level.segment_tasks)
+
     def _on_job(self, job_id: str, value: Any, version: int) -> None:
         if value is None:
-            gone = self.jobs.pop(job_id, None)
-            if gone is not None and gone.shard >= 0:
-                for index in (self.active, self.ended, self.over):
-                    index[gone.shard].pop(job_id, None)
+            self._forget_job(job_id)
             return
         job = self._job(job_id)
-        job.version, job.end = version, value["end"]
-        if job.spec is None:
-            job.spec = decode_spec(value["spec"])
-            job.submitted = value.get("at", 0.0)
+        record = decode_job(value)
+        job.version, job.recorded, job.ended_at = version, record.end, record.ended_at
+        is_new = job.spec is None
+        if is_new:
+            job.spec = record.spec
+            job.submitted = record.submitted
+            job.needs = record.needs
             job.order = version
             job.shard = self._settings.shard_of_team(job.spec.team)
             self._recount(job, 1)
+        if record.end != ACTIVE:
+            job.end = record.end
+            self.unrecorded[job.shard].pop(job.id, None)
+        cancelled = self.graph.add(job) if is_new else []
+        if record.end != ACTIVE:
+            cancelled += self.graph.ended(job)
         self._file(job)
+        for other in cancelled:
+            self.unrecorded[other.shard][other.id] = other
+            self._file(other)
+
+    def _forget_job(self, job_id: str) -> None:
+        gone = self.jobs.pop(job_id, None)
+        if gone is None or gone.shard < 0:
+            return
+        self.graph.remove(gone)
+        for index in (self.active, self.ended, self.over, self.unrecorded):
+            index[gone.shard].pop(job_id, None)
 
     def _file(self, job: Job) -> None:
         if job.spec is None:
@@ -226,12 +145,11 @@
             active[job.id] = job
         else:
             active.pop(job.id, None)
-            if job.chunks:
+            if job.chunks or job.staged:
                 ended[job.id] = job
             else:
                 ended.pop(job.id, None)
                 self.over[job.shard].setdefault(job.id, job)
-        self.changed_jobs.add(job.shard)
 
     def _recount(self, job: Job, sign: int) -> None:
         for row in job.rows():
@@ -269,10 +187,43 @@
             if image not in used and image != newest:
                 size -= machine.images.pop(image)
 
-    def _on_plan(self, job_id: str, index: int, value: Any, version: int) -> None:
+    def _on_plan(self, job_id: str, name: str, value: Any, version: int) -> None:
         job = self._job(job_id)
-        old = job.chunks.get(index)
-        new = decode_chunk(job_id, value, version) if value is not None else None
+        where = self.layout.parse(name)
+        new = None if value is None else decode_chunk(job_id, value, version, where.first)
+        if where.is_segment and self.layout.legacy_of(where.first).name in job.chunks:
+            # a copy, in force only when the chunk that it was taken from is deleted
+            job.staged.pop(name, None)
+            if new is not None:
+                job.staged[name] = new
+        else:
+            self._replace_chunk(job, name, new)
+            if not where.is_segment:
+                self._switch_layout(job, where, new is not None)
+        self._file(job)
+
+    def _switch_layout(self, job: Job, legacy: ChunkRange, present: bool) -> None:
+        """Segments are in force exactly where no legacy chunk is."""
+        if present:
+            self.legacy_chunks[job.id, legacy.name] = job
+            for name, chunk in self._segments(job.chunks, legacy):
+                self._replace_chunk(job, name, None)
+                job.staged[name] = chunk
+            return
+        self.legacy_chunks.pop((job.id, legacy.name), None)
+        for name, chunk in self._segments(job.staged, legacy):
+            del job.staged[name]
+            self._replace_chunk(job, name, chunk)
+
+    def _segments(self, chunks: dict[str, Chunk], legacy: ChunkRange) -> list[tuple[str, Chunk]]:
+        return [
+            (name, chunk)
+            for name, chunk in chunks.items()
+            if name != legacy.name and legacy.first <= chunk.first < legacy.end
+        ]
+
+    def _replace_chunk(self, job: Job, name: str, new: Chunk | None) -> None:
+        old = job.chunks.get(name)
         old_rows = old.rows if old else {}
         new_rows = new.rows if new else {}
         job.planned += len(new_rows) - len(old_rows)
@@ -286,10 +237,9 @@
                 self._place(row, True)
                 self._use(job, row, 1)
         if new is None:
-            job.chunks.pop(index, None)
+            job.chunks.pop(name, None)
         else:
-            job.chunks[index] = new
-        self._file(job)
+            job.chunks[name] = new
 
     def _place(self, row: Row, on: bool) -> None:
         machine = self.machines.get(row.machine)
--- a/crossmill/fleet/outlook.py
+++ b/crossmill/fleet/outlook.py
@@ -4,15 +4,16 @@
 from dataclasses import dataclass, field, replace
 from math import inf
 
-from ..cluster.world import Job, Machine, World
+from ..cluster.model import Job, Machine
+from ..cluster.world import World
 from ..net.clock import Clock
 from ..planning.demand import Outcome, Source, Want, demand, room_of, slots_on
 from ..planning.estimates import Estimates
-from ..planning.queue import budget_end, place_in_queue
 from ..planning.rooms import Room, Share, Zones, allowed, assign
 from ..settings import Settings
 from ..wire.cloud import MachineType
 from ..wire.users import JobSpec
+from .pipelines import PipelineBudgets
 
 
 @dataclass(slots=True)
@@ -30,6 +31,7 @@
         self._clock = clock
         self._world = world
         self.estimates = Estimates()
+        self._pipelines = PipelineBudgets(settings, clock, world, self.estimates)
         self.blocked: dict[tuple[str, str, bool], float] = {}
         self._arrivals: dict[tuple[int, str], _Arrivals] = {}
         self._seen_order = 0
@@ -179,15 +181,12 @@
 
     def queue_place(self, job: Job) -> tuple[tuple[int, float], int]:
         """Priority, then budget end, then order of acceptance."""
-        spec = job.spec
-        assert spec is not None
-        return place_in_queue(spec, self.budget_end(job)), job.order
+        place = self._pipelines.place(job)
+        return (place.priority, place.budget_end), job.order
 
-    def budget_end(self, job: Job) -> float:
-        spec = job.spec
-        assert spec is not None
-        margin = self.estimates.margin_s(spec.job_class, spec.estimate_s)
-        return budget_end(spec, job.submitted, margin, self._s.fixed_wait_s)
+    def priority(self, job: Job) -> int:
+        """The job's priority, or a higher one of a job that needs it; 0 is the highest."""
+        return self._pipelines.place(job).priority
 
     def waiting(self, shard: int) -> list[Job]:
         """Jobs with tasks to be placed, in the queue's order."""
@@ -212,12 +211,12 @@
         wants: list[Want] = []
         coming, promised = self._coming_free(shard), 0
         for job in self.waiting(shard):
-            spec, end = job.spec, self.budget_end(job)
+            spec, place = job.spec, self._pipelines.place(job)
             assert spec is not None
             zones = self._world.zones_of(job)
             task_s = self.estimates.task_s(spec.job_class, spec.estimate_s)
             # the fixed wait is a place in the queue; without a deadline no option is too slow
-            budget_s = inf if spec.deadline_s is None else end - wall
+            budget_s = place.budget_end - wall if place.has_deadline else inf
             want = Want(spec, job.waiting_count(), Zones(spec, zones), budget_s, task_s)
             if spec.kind == "array" and task_s > 0:
                 # slots of running arrays come free one after the other, and again; those that
@@ -275,14 +274,14 @@
         slots that come free counted in."""
         old = wall - self._s.give_every_s
         waiting = self._world.active[shard].values()
-        if not any(j.submitted < old and j.waiting_count() > 0 for j in waiting):
+        if not any(j.ready_at < old and j.waiting_count() > 0 for j in waiting):
             return []
         rooms = self._rooms(shard, wall)
         result: list[Want] = []
         for want in self._wants(shard, wall):
             taken = assign(want.spec, want.tasks, rooms, want.zones)
             left = want.tasks - sum(number for _, number in taken) - want.covered
-            if left > 0 and self._world.jobs[want.spec.id].submitted < old:
+            if left > 0 and self._world.jobs[want.spec.id].ready_at < old:
                 result.append(replace(want, tasks=left, covered=0))
         return result
 
--- /dev/null
+++ b/crossmill/jobs/cancellation.py
@@ -0,0 +1,112 @@
+"""Cancelling jobs."""
+
+import logging
+
+from ..cluster import keys
+from ..cluster.deputies import Deputies
+from ..cluster.model import ACTIVE, CANCELLED, Job
+from ..cluster.records import encode_end
+from ..cluster.world import World
+from ..net.clock import Clock
+from ..net.server import Response
+from ..settings import Settings
+from ..state.writer import OK, URGENT, Intent, Writer
+from ..wire import users as wire
+from ..wire.state import Put, Txn
+from .lookup import NO_SUCH_JOB, NOT_NOW, JobLookup
+
+log = logging.getLogger(__name__)
+
+# how often a cancellation is begun anew when what it rested on has changed
+ATTEMPTS = 3
+
+
+class CancellationHandler:
+    """Answers cancellations. A confirmed one rests on the job's record alone; the jobs that need
+    it are cancelled by that, whatever their number (cluster/dependencies.py)."""
+
+    def __init__(
+        self,
+        settings: Settings,
+        clock: Clock,
+        world: World,
+        writer: Writer,
+        deputies: Deputies,
+        lookup: JobLookup,
+    ) -> None:
+        self._s = settings
+        self._clock = clock
+        self._world = world
+        self._writer = writer
+        self._deputies = deputies
+        self._lookup = lookup
+
+    async def handle(self, job_id: str) -> Response:
+        """The answer to one request to cancel."""
+        if not wire.is_job_id(job_id):
+            return NO_SUCH_JOB
+        for _ in range(ATTEMPTS):
+            job = self._lookup.final(job_id)
+            if job is not None:
+                return Response(200, wire.status_body(job_id, job.end))
+            if not await self._lookup.is_current():
+                return NOT_NOW
+            job = self._lookup.known(job_id)
+            if job is None:
+                return await self._lookup.archived(job_id)
+            if job.end != ACTIVE or job.spec is None:
+                continue
+            rests = await self._rests(job)
+            if rests is None:
+                return NOT_NOW
+            if await self._commit(job, rests):
+                log.info("job cancelled job=%s", job_id)
+                return Response(200, wire.status_body(job_id, CANCELLED))
+        return NOT_NOW
+
+    async def _rests(self, job: Job) -> dict[str, int] | None:
+        """What the cancellation is to rest on; None if it can't be confirmed yet."""
+        waits_for = next(self._world.graph.unfinished_needs(job), None)
+        if waits_for is not None:
+            # it has no task anywhere, and gets none before this record changes
+            return {keys.job(waits_for.id): waits_for.version}
+        # as of before the others are told: no task may move meanwhile
+        zones, plan = self._zones(job), {n: c.version for n, c in job.chunks.items()}
+        rests = await self._deputies.announce_end(job.id, zones)
+        if rests is None:
+            await self._note(job)
+            return None
+        if not zones.issuperset(self._s.zones):
+            # those of other zones were not told: no task may have moved there meanwhile
+            rests |= {keys.plan(job.id, name): version for name, version in plan.items()}
+        return rests
+
+    async def _note(self, job: Job) -> None:
+        """Controllers that can't be reached read the note, and say so in their keys."""
+        if job.id in self._world.ending:
+            return
+        note = keys.ending(job.id)
+        put = Put(note, {"at": self._clock.wall()})
+        txn = Txn({keys.job(job.id): job.version, note: 0}, [put])
+        await self._writer.submit(Intent(txn, URGENT, until=self._until()))
+
+    async def _commit(self, job: Job, rests: dict[str, int]) -> bool:
+        assert job.spec is not None
+        key = keys.job(job.id)
+        record = encode_end(CANCELLED, job.spec, self._clock.wall())
+        intent = Intent(
+            Txn({key: job.version, **rests}, [Put(key, record)]), URGENT, until=self._until()
+        )
+        await self._writer.submit(intent)
+        outcome = await intent.future.wait(self._s.accept_s)
+        return bool(outcome == OK)
+
+    def _until(self) -> float:
+        return self._clock.now() + self._s.accept_s
+
+    def _zones(self, job: Job) -> set[str]:
+        """Where tasks of the job are, or may be before its end is durable."""
+        zones = {zone for zone, number in self._world.zones_of(job).items() if number}
+        if job.waiting_count() and job.spec is not None:
+            zones.update((job.spec.zone,) if job.spec.zone else self._s.zones)
+        return zones
--- /dev/null
+++ b/crossmill/jobs/dependency_check.py
@@ -0,0 +1,85 @@
+"""Resolves the jobs that a submission names, wherever their records are."""
+
+from dataclasses import dataclass, field
+
+from ..cluster import keys
+from ..cluster.model import CANCELLED, DONE, Job
+from ..cluster.world import World
+from ..state.client import Doubt, Refused, StateClient
+from ..state.mirror import Mirror
+
+# ends of archived jobs that are remembered; they never change
+REMEMBERED_ENDS = 1000
+
+
+class DependencyRefused(Exception):
+    """The submission can never be accepted; the text says why."""
+
+
+class DependencyUnknown(Exception):
+    """It can't be said now whether a job that is named was accepted."""
+
+
+@dataclass(slots=True)
+class Dependencies:
+    """What the jobs named by a submission come to."""
+
+    unfinished: list[str] = field(default_factory=list)
+    is_cancelled: bool = False
+
+
+class DependencyCheck:
+    """Reads what the mirror does not hold straight from the state service: the job's key, then
+    the archive, in the order in which a record moves, so that none is missed."""
+
+    def __init__(self, world: World, mirror: Mirror, client: StateClient) -> None:
+        self._world = world
+        self._mirror = mirror
+        self._client = client
+        self._archived_ends: dict[str, str] = {}
+
+    async def resolve(self, job_id: str, needs: tuple[str, ...]) -> Dependencies:
+        """Raises DependencyRefused or DependencyUnknown when a job can't be waited for."""
+        result = Dependencies()
+        for need in needs:
+            if need == job_id:
+                raise DependencyRefused("a job can't wait for itself")
+            job = self._at_hand(need) or await self._read(need)
+            if job is not None and job.spec is not None and job.spec.kind == "service":
+                raise DependencyRefused(f"{need} is a service and is never done")
+            end = job.end if job is not None else await self._archived_end(need)
+            if end == CANCELLED:
+                result.is_cancelled = True
+            elif end != DONE:
+                result.unfinished.append(need)
+        return result
+
+    def _at_hand(self, need: str) -> Job | None:
+        job = self._world.jobs.get(need)
+        return job if job is not None and job.spec is not None else None
+
+    async def _read(self, need: str) -> Job | None:
+        if need in self._archived_ends:
+            return None
+        try:
+            row = await self._client.get(keys.job(need))
+        except (Refused, Doubt) as exc:
+            raise DependencyUnknown(need) from exc
+        if row is not None:
+            self._mirror.learned(row)
+        return self._at_hand(need)
+
+    async def _archived_end(self, need: str) -> str:
+        end = self._archived_ends.get(need)
+        if end is not None:
+            return end
+        try:
+            row = await self._client.get(keys.archived(need))
+        except (Refused, Doubt) as exc:
+            raise DependencyUnknown(need) from exc
+        if row is None:
+            raise DependencyRefused(f"{need} was never accepted")
+        if len(self._archived_ends) >= REMEMBERED_ENDS:
+            self._archived_ends.pop(next(iter(self._archived_ends)))
+        end = self._archived_ends[need] = str(row.value["end"])
+        return end
--- a/crossmill/jobs/guarantees.py
+++ b/crossmill/jobs/guarantees.py
@@ -3,7 +3,8 @@
 from itertools import groupby
 from operator import itemgetter
 
-from ..cluster.world import Job, World
+from ..cluster.model import Job
+from ..cluster.world import World
 from ..settings import Settings
 
 # CPUs and GPUs by team
@@ -48,7 +49,8 @@
         ones took two fifths of a controller's time with some 600 machines."""
         by_team: dict[str, list[tuple[int, float, str]]] = {}
         for job in self._world.active[shard].values():
-            if job.spec is not None:
+            # a job that waits for others holds no part of a guarantee
+            if job.spec is not None and not job.blocked:
                 left = job.spec.gpus * (job.spec.tasks - job.done_count())
                 by_team.setdefault(job.spec.team, []).append((job.order, left, job.id))
         fitting: set[str] = set()
--- /dev/null
+++ b/crossmill/jobs/lookup.py
@@ -0,0 +1,76 @@
+"""What users are told of a job: from memory where that is final, else shown to be current."""
+
+from ..cluster import keys
+from ..cluster.model import ACTIVE, Job
+from ..cluster.world import World
+from ..net.server import Response
+from ..settings import Settings
+from ..state.client import Doubt, Refused, StateClient
+from ..state.follower import Follower
+from ..wire import users as wire
+
+RETRY_AFTER_S = 1
+NOT_NOW = Response(503, wire.error_body("not now"), retry_after_s=RETRY_AFTER_S)
+NO_SUCH_JOB = Response(404, wire.error_body("no such job"))
+
+
+def status_of(job: Job) -> bytes:
+    """The job's state as every controller derives it from the same records."""
+    running = job.row_count()
+    state = job.end or ("running" if running else "queued")
+    return wire.status_body(job.id, state, job.done_count(), 0 if job.end else running)
+
+
+class JobLookup:
+    """Reads jobs for the handlers of the users' interface."""
+
+    def __init__(
+        self, settings: Settings, world: World, follower: Follower, client: StateClient
+    ) -> None:
+        self._s = settings
+        self._world = world
+        self._follower = follower
+        self._client = client
+
+    def is_served(self) -> bool:
+        """Whether the state service can be asked. In an outage users are refused at once:
+        nobody's answer could be shown to be current."""
+        is_down = self._client.down_for_s() > self._s.renew_s / 2
+        return self._follower.ready.is_set() and not is_down
+
+    async def is_current(self) -> bool:
+        """Whether the mirror holds all that anybody can have been told by now."""
+        return self.is_served() and await self._follower.sync(self._s.accept_s)
+
+    def final(self, job_id: str) -> Job | None:
+        """The job, if it has ended for good."""
+        job = self._world.jobs.get(job_id)
+        return job if job is not None and job.end != ACTIVE else None
+
+    def known(self, job_id: str) -> Job | None:
+        """The job, if it is accepted and not archived."""
+        job = self._world.jobs.get(job_id)
+        return job if job is not None and job.spec is not None else None
+
+    async def show(self, job_id: str) -> Response:
+        """The answer to a poll, or to a repeated submission."""
+        if not wire.is_job_id(job_id):
+            return NO_SUCH_JOB
+        job = self.final(job_id)
+        if job is None:
+            if not await self.is_current():
+                return NOT_NOW
+            job = self.known(job_id)
+        if job is None:
+            return await self.archived(job_id)
+        return Response(200, status_of(job))
+
+    async def archived(self, job_id: str) -> Response:
+        """A job that is not at hand: long over, or never accepted."""
+        try:
+            row = await self._client.get(keys.archived(job_id))
+        except (Refused, Doubt):
+            return NOT_NOW
+        if row is None:
+            return NO_SUCH_JOB
+        return Response(200, wire.status_body(job_id, row.value["end"], row.value["done"]))
--- a/crossmill/jobs/preemption.py
+++ b/crossmill/jobs/preemption.py
@@ -6,10 +6,10 @@
 from math import inf
 
 from ..cluster.membership import Owned
-from ..cluster.world import Job, Machine, Row, World
+from ..cluster.model import Job, Machine, Row
+from ..cluster.world import World
 from ..fleet.outlook import Outlook
 from ..net.clock import Clock
-from ..planning.queue import PRIORITY
 from ..planning.rooms import Room, Zones, allowed
 from ..settings import Settings
 from ..wire.users import JobSpec
@@ -159,7 +159,7 @@
         # a replica stopped costs as much as one started late, while machines can be had
         replicas = spec.kind == "service" and self._outlook.short(spec)
         within = self._guarantees.speaks_for(job)
-        rank = PRIORITY[spec.priority]
+        rank = self._outlook.priority(job)
         key = (job.shard, rank, spec.team if within else "", replicas)
         if key in self._stoppable:
             return self._stoppable[key]
@@ -168,7 +168,7 @@
             victim = other.spec
             if victim is None or not other.chunks or (victim.kind == "service" and not replicas):
                 continue
-            if PRIORITY[victim.priority] > rank:
+            if self._outlook.priority(other) > rank:
                 result[other.id] = ""
             elif (
                 within
--- a/crossmill/jobs/reassignment.py
+++ b/crossmill/jobs/reassignment.py
@@ -6,11 +6,11 @@
 import logging
 from collections.abc import Iterator
 
-from ..cluster.world import Machine, Row, World
+from ..cluster.model import Machine, Row
+from ..cluster.world import World
 from ..fleet.outlook import Outlook
 from ..net.clock import Clock
 from ..planning.demand import Want, slots_on
-from ..planning.queue import PRIORITY
 from ..planning.rooms import allowed
 from ..settings import Settings
 from ..workers.reports import Reports
@@ -65,7 +65,7 @@
             return
         # an idle machine is better moved than rented; running work is stopped only for
         # replicas, and only when the cloud has had its time
-        busy = want.spec.kind == "service" and wall - job.submitted > self._s.lease_s
+        busy = want.spec.kind == "service" and wall - job.ready_at > self._s.lease_s
         for stop in (False, True) if busy else (False,):
             mine = self._suiting(shard, want, stop)
             if not mine or any(
@@ -127,4 +127,4 @@
         job = self._world.jobs.get(row.job)
         if job is None or job.spec is None or job.spec.kind == "service":
             return False
-        return PRIORITY[job.spec.priority] > PRIORITY[want.spec.priority]
+        return self._outlook.priority(job) > self._outlook.priority(self._world.jobs[want.spec.id])
--- a/crossmill/jobs/rounds.py
+++ b/crossmill/jobs/rounds.py
@@ -11,12 +11,8 @@
 from ..cluster import keys
 from ..cluster.deputies import Deputies
 from ..cluster.membership import Membership, Owned
-from ..cluster.world import (
-    Job,
-    Machine,
-    Row,
-    World,
-)
+from ..cluster.model import Job, Machine, Row
+from ..cluster.world import World
 from ..fleet.outlook import Outlook
 from ..net.clock import Clock
 from ..planning.rooms import Room, Zones, allowed, assign
@@ -25,8 +21,10 @@
 from ..wire.users import JobSpec
 from ..workers.direct import Direct
 from ..workers.reports import Finding, Reports
+from .cleanup import Cleanup
 from .durable import Durable, Edit
 from .guarantees import Guarantees, Use
+from .plan_migration import PlanMigration
 from .preemption import Preemption
 from .reassignment import Reassignment
 from .upkeep import Upkeep
@@ -75,7 +73,9 @@
         self._guarantees = Guarantees(settings, world)
         self._preemption = Preemption(settings, clock, world, reports, outlook, self._guarantees)
         self._reassignment = Reassignment(settings, clock, world, reports, outlook)
-        self._durable = Durable(settings, clock, world, membership)
+        self._migration = PlanMigration(world, membership)
+        self._durable = Durable(clock, world, membership, self._migration)
+        self._cleanup = Cleanup(settings, clock, world, membership)
         self._upkeep = Upkeep(
             settings,
             clock,
@@ -104,7 +104,7 @@
     # -- one round -------------------------------------------------------------------
 
     async def round(self, shard: int, own: Owned) -> None:
-        edits: dict[tuple[str, int], Edit] = {}
+        edits: dict[tuple[str, str], Edit] = {}
         machines = list(self._world.machines_of[shard].values())
         for machine in machines:
             self._reports.expire(machine, own)
@@ -127,7 +127,8 @@
             if intent is not None:
                 intents.append(intent)
                 starts[id(intent)] = edit.starts
-        cleared = self._durable.clear_ended(shard, own)
+        intents += self._migration.steps(shard, own)
+        cleared = self._cleanup.intents(shard, own)
         if cleared:
             active = self._world.active[shard]
             self._troubles = {
@@ -157,7 +158,7 @@
                     if put.key.startswith(keys.JOB):
                         log.info("job done job=%s", put.key[len(keys.JOB) :])
 
-    def _gather(self, shard: int, edits: dict[tuple[str, int], Edit]) -> None:
+    def _gather(self, shard: int, edits: dict[tuple[str, str], Edit]) -> None:
         findings = self._reports.findings
         for key, finding in list(findings.items()):
             job = self._world.jobs.get(key[0])
@@ -166,12 +167,12 @@
                     del findings[key]
                 continue
             del findings[key]
-            number, _ = divmod(key[1], self._s.tasks_per_chunk)
-            chunk = job.chunks.get(number)
+            name = self._world.layout.chunk_of(key[1], job.chunks).name
+            chunk = job.chunks.get(name)
             if chunk is None or chunk.rows.get(key[1]) != finding.row:
                 continue
             self._learn(job, finding)
-            edit = edits.setdefault((job.id, number), Edit(job, number))
+            edit = edits.setdefault((job.id, name), Edit(job, name))
             edit.over.append(finding)
 
     def _learn(self, job: Job, finding: Finding) -> None:
@@ -234,7 +235,7 @@
         shard: int,
         own: Owned,
         machines: list[Machine],
-        edits: dict[tuple[str, int], Edit],
+        edits: dict[tuple[str, str], Edit],
     ) -> None:
         self._preemption.settle()
         self._guarantees.begin(shard)
@@ -277,7 +278,7 @@
         job: Job,
         rooms: list[Room],
         used: Use,
-        edits: dict[tuple[str, int], Edit],
+        edits: dict[tuple[str, str], Edit],
     ) -> None:
         spec = job.spec
         assert spec is not None
@@ -378,31 +379,32 @@
             self._stops.extend(stops)
         return taken + more
 
-    def _waiting(self, job: Job, edits: dict[tuple[str, int], Edit]) -> list[int]:
+    def _waiting(self, job: Job, edits: dict[tuple[str, str], Edit]) -> list[int]:
         """Tasks with no attempt in the plan and no outcome, lowest first, bounded."""
         assert job.spec is not None
-        size = self._s.tasks_per_chunk
+        layout = self._world.layout
         result: list[int] = []
-        for number in range((job.spec.tasks + size - 1) // size):
-            chunk = job.chunks.get(number)
-            for index in range(number * size, min((number + 1) * size, job.spec.tasks)):
+        for where in layout.chunks(job.spec.tasks, job.chunks):
+            chunk = job.chunks.get(where.name)
+            for index in range(where.first, where.end):
                 if chunk is None or (
-                    index not in chunk.rows and not chunk.done >> (index - number * size) & 1
+                    index not in chunk.rows and not chunk.done >> (index - where.first) & 1
                 ):
                     result.append(index)
-            if len(result) >= size:
+            if len(result) >= layout.legacy_tasks:
                 break
         return result
 
     def _start(
-        self, job: Job, index: int, machine_id: str, edits: dict[tuple[str, int], Edit]
+        self, job: Job, index: int, machine_id: str, edits: dict[tuple[str, str], Edit]
     ) -> None:
         view = self._reports.peek(machine_id)
-        number = index // self._s.tasks_per_chunk
-        edit = edits.setdefault((job.id, number), Edit(job, number))
-        if view is None or len({r.machine for r in edit.starts}) >= self._s.machines_per_txn:
+        name = self._world.layout.chunk_of(index, job.chunks).name
+        edit = edits.setdefault((job.id, name), Edit(job, name))
+        most = self._world.limits.machines_per_txn
+        if view is None or len({r.machine for r in edit.starts}) >= most:
             return
-        chunk = job.chunks.get(number)
+        chunk = job.chunks.get(name)
         attempt = chunk.next if chunk else 1
         if job.spec is not None and job.spec.kind != "gang":
             # a gang's tasks find one another by a common attempt number
--- /dev/null
+++ b/crossmill/jobs/submission.py
@@ -0,0 +1,170 @@
+"""Accepting jobs."""
+
+import logging
+
+import orjson
+
+from ..cluster import keys
+from ..cluster.model import CANCELLED
+from ..cluster.records import encode_end, encode_job
+from ..cluster.world import World
+from ..net.clock import Clock
+from ..net.server import Request, Response
+from ..planning.demand import slots_on
+from ..settings import Settings
+from ..state.writer import OK, URGENT, Intent, Writer
+from ..wire import users as wire
+from ..wire.checks import Malformed, load_object
+from ..wire.state import Put, Txn
+from ..wire.users import JobSpec, Submission
+from .dependency_check import (
+    Dependencies,
+    DependencyCheck,
+    DependencyRefused,
+    DependencyUnknown,
+)
+from .lookup import NOT_NOW, JobLookup, status_of
+
+log = logging.getLogger(__name__)
+
+CREATED, OK_STATUS, MALFORMED, NEVER, NOT_FOUND = 201, 200, 400, 422, 404
+# far above what users name; each may have to be read from the archive
+MOST_NEEDS = 256
+
+
+class SubmissionHandler:
+    """Answers submissions: a job is accepted once its record is durable."""
+
+    def __init__(
+        self,
+        settings: Settings,
+        clock: Clock,
+        world: World,
+        writer: Writer,
+        lookup: JobLookup,
+        dependencies: DependencyCheck,
+    ) -> None:
+        self._s = settings
+        self._clock = clock
+        self._world = world
+        self._writer = writer
+        self._lookup = lookup
+        self._dependencies = dependencies
+
+    async def handle(self, request: Request) -> Response:
+        """The answer to one submission."""
+        try:
+            if request.too_large:
+                raise Malformed("body over 64 KiB")
+            data = load_object(request.body)
+            job_id = wire.parse_id(data)
+        except Malformed as exc:
+            return Response(MALFORMED, wire.error_body(str(exc)))
+        job = self._lookup.final(job_id)
+        if job is not None:
+            return Response(OK_STATUS, status_of(job))
+        if self._lookup.known(job_id) is not None:
+            return await self._lookup.show(job_id)
+        try:
+            submission = wire.parse_submission(data)
+        except Malformed as exc:
+            return await self._refuse(job_id, MALFORMED, str(exc))
+        return await self._decide(submission)
+
+    async def _refuse(self, job_id: str, status: int, why: str) -> Response:
+        """A repeat of an accepted job gets its state, whatever the rest of it says."""
+        known = await self._lookup.show(job_id)
+        if known.status != NOT_FOUND:
+            return known
+        return Response(status, wire.error_body(why))
+
+    async def _decide(self, submission: Submission) -> Response:
+        spec, needs = submission.spec, submission.needs
+        if not self._world.catalog:
+            return NOT_NOW
+        why = self._never(spec)
+        if why is None and len(needs) > MOST_NEEDS:
+            why = f"more than {MOST_NEEDS} jobs to wait for"
+        if why is not None:
+            return await self._refuse(spec.id, NEVER, why)
+        if not self._lookup.is_served():
+            return NOT_NOW
+        if not needs:
+            return await self._accept(spec, Dependencies())
+        return await self._accept_dependent(spec, needs)
+
+    async def _accept_dependent(self, spec: JobSpec, needs: tuple[str, ...]) -> Response:
+        if self._world.level is None:
+            # a controller of the version before would start it at once
+            return NOT_NOW
+        try:
+            dependencies = await self._dependencies.resolve(spec.id, needs)
+        except DependencyRefused as exc:
+            return await self._refuse(spec.id, NEVER, str(exc))
+        except DependencyUnknown:
+            return NOT_NOW
+        return await self._accept(spec, dependencies)
+
+    def _never(self, spec: JobSpec) -> str | None:
+        """Why the job can never run, if so."""
+        team = self._s.team(spec.team)
+        if team is None:
+            return "unknown team"
+        kinds = [
+            kind
+            for name, kind in self._world.catalog.items()
+            if (spec.types is None or name in spec.types)
+            and (spec.zone is None or spec.zone in kind.zones)
+        ]
+        if not any(slots_on(spec, kind) for kind in kinds):
+            return "a task fits no allowed machine type"
+        tasks = 1 if spec.kind == "array" else spec.tasks
+        for most, each in ((team.cpus_max, spec.cpus), (team.gpus_max, spec.gpus)):
+            if most > 0 and tasks * each > most + 1e-6:
+                return "more than the team's limit"
+        return None
+
+    async def _accept(self, spec: JobSpec, dependencies: Dependencies) -> Response:
+        now, wall = self._clock.now(), self._clock.wall()
+        key = keys.job(spec.id)
+        conditions = {key: 0, keys.archived(spec.id): 0}
+        if dependencies.is_cancelled:
+            record = encode_end(CANCELLED, spec, wall)
+        else:
+            record = encode_job(spec, wall, tuple(dependencies.unfinished))
+        if dependencies.unfinished:
+            # none of them may be archived before this job is known to wait for it
+            conditions[keys.ARCHIVINGS] = self._world.mirror.version(keys.ARCHIVINGS)
+        encoded = orjson.dumps(record)
+        if len(encoded) > self._world.limits.record_bytes:
+            return await self._refuse(spec.id, NEVER, "too long to be stored")
+        txn = Txn(conditions, [Put(key, orjson.loads(encoded))])
+        intent = Intent(txn, URGENT, until=now + self._s.accept_s)
+        await self._writer.submit(intent)
+        outcome = await intent.future.wait(self._s.accept_s)
+        if outcome == OK:
+            log.info(
+                "job accepted job=%s class=%s team=%s tasks=%d needs=%d",
+                spec.id,
+                spec.job_class,
+                spec.team,
+                spec.tasks,
+                len(dependencies.unfinished),
+            )
+            # others see the job as soon as it is durable, and may have told of its end before
+            # a slow answer is here
+            is_slow = intent.doubtful or self._clock.now() - now > self._s.renew_s / 4
+            return await self._accepted(spec.id, is_slow)
+        if outcome is None or not await self._lookup.is_current():
+            return NOT_NOW
+        known = await self._lookup.show(spec.id)
+        # not accepted after all: something that it rests on has changed
+        return NOT_NOW if known.status == NOT_FOUND else known
+
+    async def _accepted(self, job_id: str, is_slow: bool) -> Response:
+        if is_slow and not await self._lookup.is_current():
+            return NOT_NOW
+        job = self._lookup.known(job_id)
+        if job is None:
+            return await self._lookup.archived(job_id)
+        return Response(CREATED, status_of(job))
--- a/crossmill/jobs/upkeep.py
+++ b/crossmill/jobs/upkeep.py
@@ -8,7 +8,8 @@
 from ..cluster import keys
 from ..cluster.deputies import Deputies
 from ..cluster.membership import Membership, Owned
-from ..cluster.world import Machine, World
+from ..cluster.model import Machine
+from ..cluster.world import World
 from ..fleet.outlook import Outlook
 from ..net.clock import Clock
 from ..settings import Settings
--- a/crossmill/planning/split.py
+++ b/crossmill/planning/split.py
@@ -4,8 +4,9 @@
 option; the switch that saves most cost per second of finish time added is made as long as the
 pipeline keeps its deadline."""
 
-from collections.abc import Sequence
+from collections.abc import Iterator, Sequence
 from dataclasses import dataclass
+from math import inf
 
 
 @dataclass(frozen=True, slots=True)
@@ -38,6 +39,15 @@
     budget_s: float
 
 
+@dataclass(frozen=True, slots=True)
+class _Switch:
+    """Another option for a stage, and what it saves per second of finish time added."""
+
+    gain: float
+    stage: int
+    option: Option
+
+
 def _path_ends(stages: Sequence[Stage], chosen: Sequence[Option]) -> list[float]:
     """Longest path up to and with each stage; stages stand after those they need."""
     ends: list[float] = []
@@ -57,27 +67,41 @@
     return [e + t for e, t in zip(ends, tails, strict=True)]
 
 
-def split(stages: Sequence[Stage], deadline_s: float) -> list[Share]:
+def _switches(stage: Stage, index: int, old: Option, slack_s: float) -> Iterator[_Switch]:
+    """The cheaper options that add no more than the slack of the paths through the stage."""
+    cost = old.cost(stage.tasks)
+    for new in stage.options:
+        saved = cost - new.cost(stage.tasks)
+        added = new.finish_s - old.finish_s
+        if new is old or saved <= 0 or added > slack_s:
+            continue
+        # a switch that is cheaper and not slower beats every trade
+        yield _Switch(saved / added if added > 0 else inf, index, new)
+
+
+def _choose(stages: Sequence[Stage], deadline_s: float) -> list[Option]:
+    """Every stage's option. A switch lengthens only the paths through its stage, so that one
+    pass over the edges serves all candidates of a step."""
     chosen = [min(s.options, key=lambda o: (o.finish_s, -o.price)) for s in stages]
     while True:
-        best: tuple[float, int, Option] | None = None
-        for index, stage in enumerate(stages):
-            old = chosen[index]
-            for new in stage.options:
-                saved = old.cost(stage.tasks) - new.cost(stage.tasks)
-                added = new.finish_s - old.finish_s
-                if new is old or saved <= 0:
-                    continue
-                # a switch that is cheaper and not slower beats every trade
-                gain = saved / added if added > 0 else float("inf")
-                if best is not None and gain <= best[0]:
-                    continue
-                tried = [*chosen[:index], new, *chosen[index + 1 :]]
-                if max(_path_ends(stages, tried)) <= deadline_s:
-                    best = (gain, index, new)
+        paths = _path_through(stages, chosen)
+        # from the fastest options on, a pipeline that is too long can't be made shorter
+        if max(paths, default=0.0) > deadline_s:
+            return chosen
+        candidates = (
+            switch
+            for index, stage in enumerate(stages)
+            for switch in _switches(stage, index, chosen[index], deadline_s - paths[index])
+        )
+        best = max(candidates, key=lambda switch: switch.gain, default=None)
         if best is None:
-            break
-        chosen[best[1]] = best[2]
+            return chosen
+        chosen[best.stage] = best.option
+
+
+def split(stages: Sequence[Stage], deadline_s: float) -> list[Share]:
+    """Each stage's option and budget, stages given after those they need."""
+    chosen = _choose(stages, deadline_s)
     paths = _path_through(stages, chosen)
     return [
         Share(option, option.finish_s / path * deadline_s if path > 0 else deadline_s)
--- a/crossmill/settings.py
+++ b/crossmill/settings/model.py
@@ -1,13 +1,8 @@
-"""The settings file: TOML into checked, frozen types, and the ratios derived from it."""
+"""The checked, frozen settings, and every ratio derived from them."""
 
-import math
-import tomllib
 from dataclasses import dataclass
-from typing import Any
 
-
-class BadSettings(ValueError):
-    """The settings can't be used; the text names the field."""
+from .limits import StateLimits
 
 
 @dataclass(frozen=True, slots=True)
@@ -56,10 +51,9 @@
     report_s: float
     lease_s: float
     cancel_s: float
-    state_rps: float
-    state_write_rps: float
-    value_bytes: int
-    txn_ops: int
+    state_now: StateLimits
+    # what the state service will take from some moment after an upgrade; None: no change
+    state_next: StateLimits | None
     cloud_rps: float
     list_lag_s: float
     fd_limit: int
@@ -137,13 +131,19 @@
         """How long a controller that hears no worker leaves the shards to others."""
         return 2 * self.lease_s
 
+    @property
+    def state_lowest(self) -> StateLimits:
+        """The state service's limits that hold both today and after they were lowered."""
+        return self.state_now if self.state_next is None else self.state_now.least(self.state_next)
+
     @property
     def requests_share(self) -> float:
-        return 0.9 * self.state_rps / self.nodes
+        """A controller's part of the state service's requests, safe under either limit."""
+        return 0.9 * self.state_lowest.rps / self.nodes
 
-    def writes_of(self, weight: float, total: float) -> float:
+    def writes_of(self, weight: float, total: float, limits: StateLimits | None = None) -> float:
         """A controller's part of the changes a second that all of them together may make."""
-        return 0.92 * self.state_write_rps * weight / total
+        return 0.92 * (limits or self.state_now).write_rps * weight / total
 
     @property
     def writes_share(self) -> float:
@@ -163,11 +163,6 @@
     def list_every_s(self) -> float:
         return max(self.list_lag_s / 2, 4 / self.cloud_rps)
 
-    @property
-    def tasks_per_chunk(self) -> int:
-        """A plan row takes at most 48 bytes; three quarters of a value leave room to spare."""
-        return max(16, int(self.value_bytes * 0.75 / 48))
-
     @property
     def ended_kept(self) -> int:
         """Ended jobs of a shard kept at hand; older ones are archived and read when asked for.
@@ -179,6 +174,12 @@
         """Where a job without a deadline stands in the queue: arrival plus this."""
         return 3 * self.lease_s
 
+    @property
+    def replan_s(self) -> float:
+        """A pipeline with a late stage is split anew at most this often (DESIGN's ten seconds
+        on its reference lease)."""
+        return self.lease_s
+
     @property
     def round_s(self) -> float:
         """Rounds of decisions start at least this far apart."""
@@ -199,11 +200,6 @@
         """The longest wait before a job that fails everywhere is tried again."""
         return 3 * self.lease_s
 
-    @property
-    def machines_per_txn(self) -> int:
-        """A transaction takes four conditions for each change; some are spoken for."""
-        return max(1, 4 * self.txn_ops - 8)
-
     @property
     def together(self) -> float:
         """The largest part of a service's replicas put on one machine while others have room."""
@@ -308,115 +304,3 @@
                 return shard
             loads[shard] = (gpus + team.gpus, cpus + team.cpus, number + 1, shard)
         return 0
-
-
-class _Table:
-    """A TOML table whose fields are read with checks that name them."""
-
-    def __init__(self, data: Any, where: str) -> None:
-        if not isinstance(data, dict):
-            raise BadSettings(f"{where or 'file'}: a table is needed")
-        self.data = data
-        self.where = where
-
-    def _name(self, field: str) -> str:
-        return f"{self.where}.{field}" if self.where else field
-
-    def table(self, field: str) -> "_Table":
-        return _Table(self.data.get(field), self._name(field))
-
-    def tables(self, field: str) -> list["_Table"]:
-        rows = self.data.get(field, [])
-        if not isinstance(rows, list):
-            raise BadSettings(f"{self._name(field)}: a list of tables is needed")
-        return [_Table(r, f"{self._name(field)}[{i}]") for i, r in enumerate(rows)]
-
-    def text(self, field: str) -> str:
-        value = self.data.get(field)
-        if not isinstance(value, str) or not value:
-            raise BadSettings(f"{self._name(field)}: a non-empty string is needed")
-        return value
-
-    def number(self, field: str, low: float, default: float | None = None) -> float:
-        value = self.data.get(field, default)
-        ok = isinstance(value, int | float) and not isinstance(value, bool)
-        if not ok or not math.isfinite(value) or value < low:
-            raise BadSettings(f"{self._name(field)}: a number of at least {low:g} is needed")
-        return float(value)
-
-    def endpoint(self, field: str) -> Endpoint:
-        host, _, port = self.text(field).rpartition(":")
-        if not host or not port.isdigit() or not 0 < int(port) < 65536:
-            raise BadSettings(f"{self._name(field)}: HOST:PORT is needed")
-        return Endpoint(host, int(port))
-
-    def texts(self, field: str) -> tuple[str, ...]:
-        value = self.data.get(field)
-        if not isinstance(value, list) or not all(isinstance(v, str) and v for v in value):
-            raise BadSettings(f"{self._name(field)}: a list of strings is needed")
-        return tuple(value)
-
-
-def parse(data: dict[str, Any]) -> Settings:
-    top = _Table(data, "")
-    params = top.table("settings")
-    external = top.table("external")
-    workers, state = params.table("workers"), params.table("state")
-    cloud, limits = params.table("cloud"), params.table("resources")
-    settings = Settings(
-        label=top.text("label"),
-        zone=top.text("site"),
-        bind=top.endpoint("bind"),
-        peer_listen=top.endpoint("peer_listen"),
-        peers=tuple(
-            Peer(p.text("label"), p.text("site"), p.endpoint("endpoint"))
-            for p in top.tables("members")
-        ),
-        cloud=external.endpoint("cloud"),
-        state=external.endpoint("state"),
-        zones=params.texts("zones"),
-        teams=tuple(_team(t) for t in params.tables("teams")),
-        objectives=tuple(_objective(o) for o in params.tables("objectives")),
-        report_s=workers.number("report_s", 0.01),
-        lease_s=workers.number("lease_s", 0.1),
-        cancel_s=workers.number("cancel_s", 0.1),
-        state_rps=state.number("rps", 1),
-        state_write_rps=state.number("write_rps", 1),
-        value_bytes=int(state.number("value_kb", 1) * 1024),
-        txn_ops=int(state.number("txn_ops", 4)),
-        cloud_rps=cloud.number("rps", 0.01),
-        list_lag_s=cloud.number("list_lag_s", 0),
-        fd_limit=int(limits.number("fd_limit", 32)),
-        ram_mb=limits.number("ram_mb", 1),
-    )
-    if len(set(settings.labels)) != settings.nodes:
-        raise BadSettings("members: labels must differ from one another and from label")
-    return settings
-
-
-def _team(t: _Table) -> Team:
-    return Team(
-        t.text("name"),
-        *(t.number(f, 0, 0.0) for f in ("cpus", "cpus_max", "gpus", "gpus_max")),
-    )
-
-
-def _objective(o: _Table) -> Objective:
-    return Objective(
-        kind=o.text("kind"),
-        job_class=str(o.data.get("class", "")),
-        within_s=o.number("within_s", 0, 0.0),
-        share=o.number("share", 0, 0.0),
-        times=o.number("times", 0, 1.0),
-    )
-
-
-def load(path: str) -> Settings:
-    try:
-        with open(path, "rb") as file:
-            data = tomllib.load(file)
-    except OSError as exc:
-        raise BadSettings(f"{path}: {exc.strerror}") from exc
-    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as exc:
-        raise BadSettings(f"{path}: not TOML: {exc}") from exc
-    return parse(data)
--- /dev/null
+++ b/crossmill/settings/table.py
@@ -0,0 +1,57 @@
+"""Checked access to the fields of a TOML table."""
+
+import math
+from typing import Any
+
+from .model import Endpoint
+
+
+class BadSettings(ValueError):
+    """The settings can't be used; the text names the field."""
+
+
+class Table:
+    """A TOML table whose fields are read with checks that name them."""
+
+    def __init__(self, data: Any, where: str) -> None:
+        if not isinstance(data, dict):
+            raise BadSettings(f"{where or 'file'}: a table is needed")
+        self.data = data
+        self.where = where
+
+    def _name(self, field: str) -> str:
+        return f"{self.where}.{field}" if self.where else field
+
+    def table(self, field: str) -> "Table":
+        return Table(self.data.get(field), self._name(field))
+
+    def tables(self, field: str) -> list["Table"]:
+        rows = self.data.get(field, [])
+        if not isinstance(rows, list):
+            raise BadSettings(f"{self._name(field)}: a list of tables is needed")
+        return [Table(r, f"{self._name(field)}[{i}]") for i, r in enumerate(rows)]
+
+    def text(self, field: str) -> str:
+        value = self.data.get(field)
+        if not isinstance(value, str) or not value:
+            raise BadSettings(f"{self._name(field)}: a non-empty string is needed")
+        return value
+
+    def number(self, field: str, low: float, default: float | None = None) -> float:
+        value = self.data.get(field, default)
+        ok = isinstance(value, int | float) and not isinstance(value, bool)
+        if not ok or not math.isfinite(value) or value < low:
+            raise BadSettings(f"{self._name(field)}: a number of at least {low:g} is needed")
+        return float(value)
+
+    def endpoint(self, field: str) -> Endpoint:
+        host, _, port = self.text(field).rpartition(":")
+        if not host or not port.isdigit() or not 0 < int(port) < 65536:
+            raise BadSettings(f"{self._name(field)}: HOST:PORT is needed")
+        return Endpoint(host, int(port))
+
+    def texts(self, field: str) -> tuple[str, ...]:
+        value = self.data.get(field)
+        if not isinstance(value, list) or not all(isinstance(v, str) and v for v in value):
+            raise BadSettings(f"{self._name(field)}: a list of strings is needed")
+        return tuple(value)
--- a/crossmill/state/client.py
+++ b/crossmill/state/client.py
@@ -22,6 +22,10 @@
     """The changes asked for are no longer kept; the keys must be read again."""
 
 
+class TooLarge(Exception):
+    """Not executed, and never will be: beyond the state service's limits."""
+
+
 class NoLease(Exception):
     """The lease has ended."""
 
@@ -111,6 +115,8 @@
             return Outcome(*wire.parse_txn(status, orjson.loads(data)))
         if status == 400 and b"lease" in data:
             raise NoLease
+        if status == 400:
+            raise TooLarge(f"txn: {data[:200]!r}")
         raise Refused(f"txn: {status} {data[:200]!r}")
 
     async def changes(self, prefix: str, after: int, wait_s: float) -> tuple[int, list[wire.Event]]:
--- a/crossmill/state/mirror.py
+++ b/crossmill/state/mirror.py
@@ -52,6 +52,12 @@
         self._entries[key] = Entry(value, version)
         self._tell(key, value, version)
 
+    def learned(self, row: Row) -> None:
+        """A key read by itself. The answer may be older than what has been seen since: a key of
+        a revision already seen that is not here was deleted, and must not come back."""
+        if row.version > self.revision:
+            self.written(row.key, row.value, row.version)
+
     def deleted(self, key: str, version: int) -> None:
         if version > self.revision:
             self._gone[key] = max(version, self._gone.get(key, 0))
--- a/crossmill/state/writer.py
+++ b/crossmill/state/writer.py
@@ -10,9 +10,9 @@
 from ..net.clock import Clock
 from ..net.future import Future
 from ..net.pacer import Pacer
-from ..settings import Settings
+from ..settings import Settings, StateLimits
 from ..wire.state import Txn
-from .client import Doubt, NoLease, Outcome, Refused, StateClient
+from .client import Doubt, NoLease, Outcome, Refused, StateClient, TooLarge
 from .mirror import Mirror
 
 log = logging.getLogger(__name__)
@@ -35,6 +35,8 @@
     until: float | None = None
     holds: Callable[[], bool | None] | None = None
     doubtful: bool = False
+    # part of a batch that was too large: sent by itself from now on
+    alone: bool = False
     failed: list[str] = field(default_factory=list)
     future: Future = field(default_factory=Future)
 
@@ -52,13 +54,23 @@
 
 
 class Writer:
+    """Queues intents by rank and sends them in batches, within the limits in force."""
+
     def __init__(
-        self, client: StateClient, mirror: Mirror, clock: Clock, settings: Settings
+        self,
+        client: StateClient,
+        mirror: Mirror,
+        clock: Clock,
+        settings: Settings,
+        limits: Callable[[], StateLimits],
     ) -> None:
         self._client = client
         self._mirror = mirror
         self._clock = clock
-        self._max_ops = settings.txn_ops
+        self._limits = limits
+        # set by the first refusal for size: from then on whatever limits are announced are kept
+        self._lowest: StateLimits | None = None
+        self._announced = settings.state_lowest
         share = settings.writes_share
         self._pacer = Pacer(clock, share, max(share, 1.0))
         self._retry_s = settings.renew_s / 4
@@ -71,6 +83,11 @@
         """This controller's changes a second, from now on."""
         self._pacer.reset(share, max(share, 1.0))
 
+    @property
+    def limits(self) -> StateLimits:
+        """The state service's limits as far as they are known."""
+        return self._lowest or self._limits()
+
     @property
     def backlog(self) -> int:
         return len(self._queue)
@@ -106,6 +123,7 @@
         keys: set[str] = set()
         conditions: dict[str, int] = {}
         ops = size = 0
+        limits = self.limits
         nap_s: float | None = None
         now = self._clock.now()
         for intent in list(self._queue):
@@ -123,14 +141,16 @@
             clash = any(conditions.get(k, v) != v for k, v in intent.txn.conditions.items())
             more, bytes_more = intent.ops, intent.size()
             full = (
-                ops + more > self._max_ops
-                or len(merged) > 4 * self._max_ops
+                ops + more > limits.txn_ops
+                or len(merged) > limits.conditions
                 or size + bytes_more > MAX_TXN_BYTES
             )
             if batch and (full or clash or mine & keys or keys & intent.txn.conditions.keys()):
                 continue
             if batch and any(k in conditions for k in mine):
                 continue
+            if batch and (intent.alone or batch[0].alone):
+                continue
             if self._pacer.wait_s(ops + more) > 0:
                 nap_s = self._pacer.wait_s(ops + more)
                 break
@@ -175,12 +195,27 @@
                 intent.doubtful = True
             await curio.sleep(self._retry_s)
             self._queue[:0] = batch
+        except TooLarge as exc:
+            await self._split(batch, exc)
         except NoLease:
             for intent in batch:
                 await intent.future.settle(CONFLICT)
         else:
             await self._settle(batch, outcome)
 
+    async def _split(self, batch: list[Intent], exc: TooLarge) -> None:
+        """The limits were lowered: what went together is tried apart, what is too large by
+        itself is given back to be planned anew, and never repeated as it is."""
+        self._lowest = self._announced
+        if len(batch) > 1:
+            log.info("write too large, split intents=%d error=%s", len(batch), exc)
+            for intent in batch:
+                intent.alone = True
+            self._queue[:0] = batch
+            return
+        log.error("write too large keys=%s error=%s", sorted(batch[0].keys())[:3], exc)
+        await batch[0].future.settle(CONFLICT)
+
     async def _settle(self, batch: list[Intent], outcome: Outcome) -> None:
         if not outcome.failed:
             for intent in batch:
@@ -218,7 +253,7 @@
         for row in rows:
             # others may have written on top; what is read here is newer than what was known
             if row is not None:
-                self._mirror.written(row.key, row.value, row.version)
+                self._mirror.learned(row)
         if any(gone):
             return False
         for row, put in zip(rows, intent.txn.puts, strict=True):
--- a/crossmill/wire/users.py
+++ b/crossmill/wire/users.py
@@ -16,6 +16,7 @@
 PRIORITIES = {"production": "production", "high": "high", "standard": "normal", "idle": "low"}
 JOBS_PATH = "/v1/jobs"
 WITHDRAW = "withdraw"
+NEEDS = "awaits"
 
 
 @dataclass(frozen=True, slots=True)
@@ -42,11 +43,32 @@
     deadline_s: float | None
 
 
+@dataclass(frozen=True, slots=True)
+class Submission:
+    """A job as its user submits it, with the jobs that have to be done before it starts."""
+
+    spec: JobSpec
+    needs: tuple[str, ...] = ()
+
+
 def is_job_id(value: str) -> bool:
     return JOB_ID.match(value) is not None
 
 
-def parse_submission(data: dict[str, Any]) -> JobSpec:
+def parse_submission(data: dict[str, Any]) -> Submission:
+    return Submission(parse_spec(data), _parse_needs(data))
+
+
+def _parse_needs(data: dict[str, Any]) -> tuple[str, ...]:
+    needs = data.get(NEEDS)
+    if needs is None:
+        return ()
+    if type(needs) is not list or not all(type(n) is str and is_job_id(n) for n in needs):
+        raise Malformed(f"{NEEDS}: a list of job ids or null is needed")
+    return tuple(dict.fromkeys(needs))
+
+
+def parse_spec(data: dict[str, Any]) -> JobSpec:
     job_id = parse_id(data)
     types = data.get("frames")
     if types is not None and (
--- a/crossmill/workers/direct.py
+++ b/crossmill/workers/direct.py
@@ -9,7 +9,8 @@
 import curio
 
 from ..cluster.membership import Membership
-from ..cluster.world import Row, World
+from ..cluster.model import Row
+from ..cluster.world import World
 from ..net.client import Client, Http, Unanswered, Unreached
 from ..settings import Endpoint, Settings
 from ..wire.checks import Malformed, load_object
--- a/crossmill/workers/reports.py
+++ b/crossmill/workers/reports.py
@@ -8,7 +8,8 @@
 
 from ..cluster.deputies import Deputies
 from ..cluster.membership import Membership, Owned
-from ..cluster.world import ACTIVE, Machine, Row, World
+from ..cluster.model import ACTIVE, Machine, Row
+from ..cluster.world import World
 from ..net.clock import Clock
 from ..settings import Settings
 from ..wire.workers import MAX_ORDERS, Command, Report, TaskReport
--- a/tests/harness.py
+++ b/tests/harness.py
@@ -8,14 +8,16 @@
 
 from crossmill.cluster import keys
 from crossmill.cluster.deputies import Deputies
+from crossmill.cluster.feature_level import FeatureLevel
 from crossmill.cluster.keeper import Keeper
 from crossmill.cluster.membership import Membership
 from crossmill.cluster.promises import Promises
-from crossmill.cluster.world import World, encode_job
+from crossmill.cluster.records import encode_job
+from crossmill.cluster.world import World
 from crossmill.fleet.cloud import Cloud, stored_catalog
 from crossmill.fleet.leader import Leader
 from crossmill.fleet.outlook import Outlook
-from crossmill.jobs.desk import Desk
+from crossmill.jobs.api import JobApi
 from crossmill.jobs.rounds import Rounds
 from crossmill.net.client import Http, Unreached
 from crossmill.net.server import Request, Response
@@ -101,7 +103,7 @@
         self.follower = Follower(self.client, self.mirror, clock, keys.ROOT, s)
         # the held clock does not move in it
         self.follower._pause_s = 0.0
-        self.writer = Writer(self.client, self.mirror, clock, s)
+        self.writer = Writer(self.client, self.mirror, clock, s, lambda: self.world.limits)
         self.keeper = Keeper(self.client, clock, s)
 
         def line(peer: Peer) -> Http:
@@ -113,6 +115,9 @@
         self.membership = Membership(
             s, clock, self.keeper, self.world, self.follower, self.writer, self.promises
         )
+        self.feature_level = FeatureLevel(
+            s, clock, self.world, self.follower, self.writer, self.membership
+        )
         self.deputies = Deputies(s, clock, self.world, self.keeper, line)
         self.deputies.sync = self.follower.sync
         self.reports = Reports(s, clock, self.world, self.membership, self.deputies)
@@ -142,7 +147,7 @@
             self.writer,
             lambda: unique,
         )
-        self.desk = Desk(
+        self.jobs = JobApi(
             s, clock, self.world, self.follower, self.writer, self.client, self.deputies
         )
 
@@ -178,7 +183,7 @@
         return self.reports.handle(report)
 
     async def ask(self, method: str, path: str, body: bytes = b"") -> Response:
-        return await self.desk.handle(Request(method, path, body))
+        return await self.jobs.handle(Request(method, path, body))
 
 
 def seed(state: StateService, clock: FakeClock, machines: int = 2, shard: int = 0) -> None:
--- a/tests/simulation.py
+++ b/tests/simulation.py
@@ -469,6 +469,7 @@
             node.follower.run_syncs,
             node.writer.run,
             node.membership.run,
+            node.feature_level.run,
             node.deputies.run,
             node.rounds.run,
         ]
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -10,7 +10,7 @@
 from crossmill.net.client import Unanswered, Unreached
 from crossmill.net.clock import Clock
 from crossmill.settings import Settings, parse
-from crossmill.wire.users import JobSpec, parse_submission
+from crossmill.wire.users import JobSpec, parse_spec
 
 
 class FakeClock(Clock):
@@ -94,7 +94,7 @@
 
 
 def make_spec(**changes: Any) -> JobSpec:
-    return parse_submission(submission(**changes))
+    return parse_spec(submission(**changes))
 
 
 class StateService:
--- a/tests/test_deputies.py
+++ b/tests/test_deputies.py
@@ -1,7 +1,8 @@
 """A zone that is cut off: its controllers keep its workers alive, and nobody says otherwise."""
 
 from crossmill.cluster import keys
-from crossmill.cluster.world import CANCELLED, encode_end
+from crossmill.cluster.model import CANCELLED
+from crossmill.cluster.records import encode_end
 from crossmill.net.client import Unreached
 from crossmill.net.server import Request, Response
 from crossmill.state.writer import CONFLICT, Intent
@@ -305,7 +306,7 @@
         again = Node(state, clock, nodes, "node-0")
         await again.boot(waited=False)
         assert job.spec is not None
-        put = Put("cm/j/wk-000001", encode_end(CANCELLED, job.spec))
+        put = Put("cm/j/wk-000001", encode_end(CANCELLED, job.spec, 0.0))
         late = Intent(Txn({"cm/j/wk-000001": job.version, **rests}, [put]))
         assert await it.owner.writer.commit(late) == CONFLICT
 
@@ -377,10 +378,10 @@
         await other.boot()
         await it.owner.live()
         told = it.deputy.deputies.handle
-        plan = state.keys[keys.plan("wk-000001", 0)][0]
+        plan = state.keys[keys.plan("wk-000001", "0")][0]
 
         def moves(request: Request) -> Response:
-            state.put(keys.plan("wk-000001", 0), {**plan, "rows": [[0, 2, "s-0", 1]]})
+            state.put(keys.plan("wk-000001", "0"), {**plan, "rows": [[0, 2, "s-0", 1]]})
             return told(request)
 
         it.deputy.deputies.handle = moves  # type: ignore[method-assign]
--- a/tests/test_planning.py
+++ b/tests/test_planning.py
@@ -82,7 +82,7 @@
     urgent = make_spec(dueS=50.0)
     late = make_spec(dueS=500.0)
     free = make_spec(dueS=None)
-    ends = [budget_end(s, 100.0, 10.0, 33.0) for s in (urgent, late, free)]
+    ends = [budget_end(s, 100.0, 100.0, 10.0, 33.0) for s in (urgent, late, free)]
     assert ends == [140.0, 590.0, 133.0]
     first = place_in_queue(make_spec(precedence="production"), 999.0)
     assert first < place_in_queue(urgent, 0.0)
@@ -164,7 +164,7 @@
         if second == 10:
             arrivals.append(("large", make_spec(**large), number))
         for name, spec, tasks in arrivals:
-            end = budget_end(spec, float(second), 0.0, fixed_wait_s)
+            end = budget_end(spec, float(second), float(second), 0.0, fixed_wait_s)
             waiting.append((place_in_queue(spec, end), name, tasks))
         waiting.sort()
         free = slots
--- a/tests/test_safety.py
+++ b/tests/test_safety.py
@@ -4,7 +4,7 @@
 import orjson
 
 from crossmill.cluster import keys
-from crossmill.cluster.world import Row
+from crossmill.cluster.model import Row
 from crossmill.net.client import Unanswered
 from crossmill.state.writer import CONFLICT, OK, Intent
 from crossmill.wire.state import Put, Txn
@@ -199,7 +199,7 @@
         state.put(keys.job(job), {**state.keys[keys.job(job)][0], "end": "cancelled"})
         await node.round()
         assert node.world.jobs[job].row_count() == 0
-        assert keys.plan(job, 0) not in state.keys
+        assert keys.plan(job, "0") not in state.keys
 
     play(story)
 
@@ -565,7 +565,7 @@
         # nothing is placed where no report comes from
         assert not view.fresh(clock.now(), node.settings.suspect_s)
         node.world.mirror.written(
-            keys.plan("wk-000001", 0),
+            keys.plan("wk-000001", "0"),
             {"next": 3, "done": "0", "rows": [[0, 2, "n-0", 2]]},
             state.revision + 1,
         )
@@ -596,7 +596,7 @@
         node.worker.answer = lambda data: (200, beat("n-0", 1, 90, token))
         row = Row("wk-000001", 0, 1, "n-0", 1)
         plan = {"next": 2, "done": "0", "rows": [[0, 1, "n-0", 1]]}
-        state.put(keys.plan("wk-000001", 0), plan)
+        state.put(keys.plan("wk-000001", "0"), plan)
         await node.sync()
         node.reports.stopping["wk-000001", 0, 1] = "room"
         node.report("n-0", 1, 3, token)
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -8,7 +8,8 @@
 import pytest
 
 from crossmill.cluster import keys
-from crossmill.cluster.world import Chunk, Job, Row
+from crossmill.cluster.model import Chunk, Job, Row
+from crossmill.cluster.records import encode_chunk
 from crossmill.planning.rooms import Room
 from crossmill.settings import Team
 
@@ -39,7 +40,7 @@
         name = f"wk-{job:06d}"
         add_job(state, clock, nameId=name, sacks=16, grist="batch", precedence="production")
         rows = {i: Row(name, i, i + 1, f"n-{job * 4 + i // EACH}", 1) for i in range(16)}
-        state.put(keys.plan(name, 0), Chunk(17, 0, rows).encode())
+        state.put(keys.plan(name, "0"), encode_chunk(Chunk(17, 0, rows)))
 
 
 async def _heard(node: Node) -> None:
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -54,7 +54,7 @@
     data = submission(novel=[1])
     for field in ("frames", "yard", "dueS"):
         del data[field]
-    spec = parse_submission(data)
+    spec = parse_submission(data).spec
     assert (spec.types, spec.zone, spec.deadline_s) == (None, None, None)
 
 
