--- a/crossmill/cluster/world.py
+++ b/crossmill/cluster/world.py
@@ -22,6 +22,8 @@
         self.graph = DependencyGraph(self.jobs)
         # jobs cancelled with one that they need, whose records do not say so yet
         self.unrecorded: dict[int, dict[str, Job]] = {k: {} for k in range(settings.nodes)}
+        # unfinished jobs all of whose tasks are durably done
+        self.complete: dict[int, dict[str, Job]] = {k: {} for k in range(settings.nodes)}
         self.level: Level | None = None
         # the controllers that run a version of the next feature level, with their notes' versions
         self.upgraded: dict[str, int] = {}
@@ -134,15 +136,18 @@
         if gone is None or gone.shard < 0:
             return
         self.graph.remove(gone)
-        for index in (self.active, self.ended, self.over, self.unrecorded):
+        for index in (self.active, self.ended, self.over, self.unrecorded, self.complete):
             index[gone.shard].pop(job_id, None)
 
     def _file(self, job: Job) -> None:
         if job.spec is None:
             return
         active, ended = self.active[job.shard], self.ended[job.shard]
+        self.complete[job.shard].pop(job.id, None)
         if job.end == ACTIVE:
             active[job.id] = job
+            if job.spec.kind != "service" and job.finished == job.spec.tasks:
+                self.complete[job.shard][job.id] = job
         else:
             active.pop(job.id, None)
             if job.chunks or job.staged:
--- a/crossmill/jobs/durable.py
+++ b/crossmill/jobs/durable.py
@@ -73,6 +73,18 @@
         rank = PLACE if edit.starts or finished else OUTCOME
         return shard_intent(self._membership, shard, own, rank, txn)
 
+    def finish(self, shard: int, own: Owned) -> list[Intent]:
+        """Ends of jobs whose last chunks were finished side by side: the write of neither could
+        rest on the other. What is done stays done, so only the job's record is a condition."""
+        intents: list[Intent] = []
+        for job in self._world.complete[shard].values():
+            if job.spec is not None:
+                key = keys.job(job.id)
+                put = Put(key, encode_end(DONE, job.spec, self._clock.wall()))
+                txn = Txn({key: job.version}, [put])
+                intents.append(shard_intent(self._membership, shard, own, PLACE, txn))
+        return intents
+
     def _layout_conditions(self, job: Job, where: ChunkRange) -> dict[str, int]:
         """What creating a chunk rests on: a stretch of tasks is held by a legacy chunk or by
         segments, never by both, however late a transaction is carried out."""
--- a/crossmill/jobs/rounds.py
+++ b/crossmill/jobs/rounds.py
@@ -127,6 +127,7 @@
             if intent is not None:
                 intents.append(intent)
                 starts[id(intent)] = edit.starts
+        intents += self._durable.finish(shard, own)
         intents += self._migration.steps(shard, own)
         cleared = self._cleanup.intents(shard, own)
         if cleared:
--- a/crossmill/net/pacer.py
+++ b/crossmill/net/pacer.py
@@ -4,6 +4,8 @@
 
 
 class Pacer:
+    """Tokens come at a rate and are saved up to a burst."""
+
     def __init__(self, clock: Clock, rate: float, burst: float) -> None:
         self._clock = clock
         self.rate = rate
@@ -34,9 +36,15 @@
         self._tokens -= amount
         return True
 
-    def wait_s(self, amount: float = 1.0) -> float:
+    def spend(self, amount: float) -> None:
+        """Takes the amount whatever is there, and leaves a debt if need be."""
+        self._refill()
+        self._tokens -= amount
+
+    def wait_s(self, amount: float = 1.0, overdraft: float = 0.0) -> float:
+        """How long until the amount may be taken, with a debt of up to `overdraft` after it."""
         self._refill()
-        return max(0.0, (min(amount, self._burst) - self._tokens) / self.rate)
+        return max(0.0, (min(amount, self._burst) - overdraft - self._tokens) / self.rate)
 
     def drain(self) -> None:
         """After a refusal the far side's bucket is known to be empty."""
--- a/crossmill/settings/model.py
+++ b/crossmill/settings/model.py
@@ -150,6 +150,12 @@
         """The part of each while nobody is known to have more to do."""
         return self.writes_of(1, self.nodes)
 
+    @property
+    def urgent_writes(self) -> float:
+        """Urgent changes that a controller may make ahead of its share: a pipeline is submitted
+        as a burst to one controller, and the state service allows a second's worth at once."""
+        return self.state_lowest.write_rps / 5
+
     @property
     def busy_shards(self) -> frozenset[int]:
         """Shards that have a team; with fewer teams than controllers some have none."""
--- a/crossmill/state/writer.py
+++ b/crossmill/state/writer.py
@@ -73,6 +73,8 @@
         self._announced = settings.state_lowest
         share = settings.writes_share
         self._pacer = Pacer(clock, share, max(share, 1.0))
+        # users and leases do not wait for a share of the rate that others leave unused
+        self._overdraft = settings.urgent_writes
         self._retry_s = settings.renew_s / 4
         self._queue: list[Intent] = []
         self._busy: set[str] = set()
@@ -151,8 +153,10 @@
                 continue
             if batch and (intent.alone or batch[0].alone):
                 continue
-            if self._pacer.wait_s(ops + more) > 0:
-                nap_s = self._pacer.wait_s(ops + more)
+            overdraft = self._overdraft if intent.rank == URGENT else 0.0
+            wait_s = self._pacer.wait_s(ops + more, overdraft)
+            if wait_s > 0:
+                nap_s = wait_s
                 break
             batch.append(intent)
             keys |= mine
@@ -160,7 +164,7 @@
             ops += more
             size += bytes_more
         if batch:
-            self._pacer.take(ops)
+            self._pacer.spend(ops)
             for intent in batch:
                 self._queue.remove(intent)
         return batch, nap_s
--- a/tests/simulation.py
+++ b/tests/simulation.py
@@ -287,6 +287,10 @@
     done: float | None = None
     finished: set[int] = field(default_factory=set)
 
+    def needs(self) -> list[str]:
+        """The jobs that it names."""
+        return list(self.spec.get("awaits") or [])
+
 
 class Judge:
     """PROTOCOL's rules, looked at on every start and every half second."""
@@ -304,6 +308,7 @@
     def started(self, worker: Worker, key: tuple[str, int]) -> None:
         now, facts = self._region.clock.now(), self.jobs[key[0]]
         self.starts.append((now, *key, worker.machine))
+        self._judge_order(key[0])
         for other in self._region.workers.values():
             task = other.tasks.get(key)
             alive = other is not worker and other.answered + self._region.lease_s >= now
@@ -313,6 +318,33 @@
             self.late_starts += 1
         self.look()
 
+    def _judge_order(self, job: str) -> None:
+        """A task starts only when all jobs that its job needs are done."""
+        self.look()
+        for need in self.jobs[job].needs():
+            before = self.jobs[need]
+            if len(before.finished) < before.spec["sacks"]:
+                self.blame(f"too_early {job} before {need}")
+
+    def _before(self, job: str) -> set[str]:
+        """All jobs that this one needs, directly or through others."""
+        found: set[str] = set()
+        pending = [job]
+        while pending:
+            for need in self.jobs[pending.pop()].needs():
+                if need not in found:
+                    found.add(need)
+                    pending.append(need)
+        return found
+
+    def _judge_orphans(self, job: str, stage: str, asked_at: float) -> None:
+        """A job is not called queued or running long after one before it was cancelled."""
+        for before in self._before(job):
+            told = self.jobs[before].cancelled
+            late = told is not None and asked_at - told > self._region.cancel_s
+            if late and stage in ("queued", "running"):
+                self.blame(f"orphaned {job}: {stage}, {before} is cancelled")
+
     def look(self) -> None:
         now, region = self._region.clock.now(), self._region
         used: dict[str, float] = {}
@@ -348,12 +380,14 @@
             return
         stage = load_object(response.body)["stage"]
         facts.accepted = facts.accepted if facts.accepted is not None else now
+        self._judge_orphans(job, stage, asked_at)
         if facts.cancelled is not None and stage != "withdrawn":
             self.blame(f"went_back {job}: {stage} after withdrawn")
         if facts.done is not None and stage != "done":
             self.blame(f"went_back {job}: {stage} after done")
         if stage == "withdrawn":
-            if not facts.cancel_asked:
+            asked = any(self.jobs[x].cancel_asked for x in (job, *self._before(job)))
+            if not asked:
                 self.blame(f"went_back {job}: nobody cancelled it")
             facts.cancelled = facts.cancelled if facts.cancelled is not None else now
         elif stage == "done":
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -9,7 +9,7 @@
 
 from crossmill.net.client import Unanswered, Unreached
 from crossmill.net.clock import Clock
-from crossmill.settings import Settings, parse
+from crossmill.settings import Settings, StateLimits, parse
 from crossmill.wire.users import JobSpec, parse_spec
 
 
@@ -53,7 +53,13 @@
                 {"kind": "guarantee", "within_s": 5.0, "share": 0.9},
             ],
             "workers": {"report_s": 1.0, "lease_s": 10.0, "cancel_s": 30.0},
-            "state": {"rps": 100.0, "write_rps": 60.0, "value_kb": 32.0, "txn_ops": 20},
+            "state": {
+                "rps": 100.0,
+                "write_rps": 60.0,
+                "value_kb": 32.0,
+                "txn_ops": 20,
+                "next": {"write_rps": 40.0, "value_kb": 2.0, "txn_ops": 6},
+            },
             "cloud": {"rps": 4.0, "list_lag_s": 4.0},
             "resources": {"cores": 0.3, "ram_mb": 100.0, "fd_limit": 500},
         },
@@ -111,6 +117,9 @@
         # "drop" does neither
         self.script: dict[str, list[str]] = {}
         self.puts = 0
+        self.limits = StateLimits(100.0, 60.0, 32 * 1024, 20)
+        # transactions refused for their size
+        self.too_large = 0
 
     def end_lease(self, lease: int) -> None:
         self.leases.discard(lease)
@@ -185,10 +194,21 @@
         value, version, _ = self.keys[key]
         return 200, {"k": key, "data": value, "stamp": version}
 
+    def _is_too_large(self, data: dict[str, Any]) -> bool:
+        values = [orjson.dumps(c["data"]) for c in data["apply"] if "write" in c]
+        return (
+            len(data["apply"]) > self.limits.txn_ops
+            or len(data["when"]) > self.limits.conditions
+            or any(len(value) > self.limits.value_bytes for value in values)
+        )
+
     def _txn(self, data: dict[str, Any]) -> tuple[int, dict[str, Any]]:
         for change in data["apply"]:
             if change.get("tenure") is not None and change["tenure"] not in self.leases:
                 return 400, {"error": "no such lease"}
+        if self._is_too_large(data):
+            self.too_large += 1
+            return 400, {"error": "too large"}
         failed = [
             c["k"] for c in data["when"] if self.keys.get(c["k"], (None, 0, None))[1] != c["stamp"]
         ]
--- /dev/null
+++ b/tests/test_dependencies.py
@@ -0,0 +1,385 @@
+"""Jobs that wait for others: accepting, starting, cancelling, archiving."""
+
+import curio
+import orjson
+import pytest
+
+from crossmill.cluster import keys
+from crossmill.cluster.dependencies import DependencyGraph
+from crossmill.cluster.feature_level import Level, encode_level
+from crossmill.cluster.model import ACTIVE, CANCELLED, DONE, Job
+from crossmill.cluster.records import encode_end, encode_job
+from crossmill.net.server import Response
+from crossmill.wire.checks import Malformed, load_object
+from crossmill.wire.users import parse_submission
+
+from .harness import Node, add_job, play, seed
+from .simulation import Region, simulate
+from .standins import FakeClock, StateService, make_spec, on, submission
+
+Nodes = dict[str, Node]
+A, B, C, D = (f"wk-00000{n}" for n in range(1, 5))
+
+
+def _raise_level(state: StateService) -> None:
+    state.put(keys.LEVEL, encode_level(Level(1, 512, 32)))
+
+
+async def _submit(node: Node, job: str, *needs: str, **fields: object) -> Response:
+    body = submission(nameId=job, awaits=list(needs), **{"sacks": 1, **fields})
+    return await node.ask("POST", "/v1/jobs", orjson.dumps(body))
+
+
+async def _stage(node: Node, job: str) -> str:
+    response = await node.ask("GET", f"/v1/jobs/{job}")
+    assert response.status == 200, response.status
+    return str(load_object(response.body)["stage"])
+
+
+async def _ready_node(state: StateService, clock: FakeClock, nodes: Nodes) -> Node:
+    seed(state, clock, machines=1)
+    _raise_level(state)
+    node = Node(state, clock, nodes)
+    await node.boot()
+    node.report("n-0", 1, 1, 0)
+    node.report("n-0", 1, 2, node.token())
+    return node
+
+
+def _starts(node: Node, seq: int, *tasks: object) -> list[str]:
+    commands = node.report("n-0", 1, seq, node.token(), *tasks).commands
+    return [c.task for c in commands if c.op == "start"]
+
+
+def test_needs_are_null_or_well_formed_ids_and_repeats_count_once() -> None:
+    assert parse_submission(submission(awaits=None)).needs == ()
+    assert parse_submission(submission()).needs == ()
+    assert parse_submission(submission(awaits=[B, C, B])).needs == (B, C)
+    for bad in ("wk-000002", ["x"], [1], {"a": 1}, [None], [[B]]):
+        with pytest.raises(Malformed):
+            parse_submission(submission(awaits=bad))
+
+
+def test_a_chain_runs_stage_by_stage() -> None:
+    # guards against too_early: the second stage is planned only on a durable end of the first
+    async def story(state: StateService, clock: FakeClock, nodes: Nodes) -> None:
+        node = await _ready_node(state, clock, nodes)
+        assert (await _submit(node, A)).status == 201
+        assert (await _submit(node, B, A)).status == 201
+        await node.round()
+        assert _starts(node, 3) == [f"{A}/0"]
+        assert await _stage(node, B) == "queued"
+        # the worker says done, but nothing of it is durable yet
+        done = on(A, 0, 1, "exited", "done")
+        assert _starts(node, 4, done) == []
+        await node.round()
+        clock.time += 5
+        await node.live()
+        assert node.world.jobs[B].ready_at == pytest.approx(clock.wall() - 5)
+        assert _starts(node, 5) == []
+        await node.round()
+        assert _starts(node, 6) == [f"{B}/0"]
+
+    play(story)
+
+
+def test_a_job_that_waits_holds_no_guarantee_and_asks_for_no_room() -> None:
+    async def story(state: StateService, clock: FakeClock, nodes: Nodes) -> None:
+        node = await _ready_node(state, clock, nodes)
+        await _submit(node, A, sacks=1, cards=1.0)
+        await _submit(node, B, A, sacks=4, cards=1.0)
+        await _submit(node, C, sacks=3, cards=1.0)
+        job = node.world.jobs[C]
+        node.rounds._guarantees.begin(0)
+        # red is guaranteed four GPUs: one and three fit, the four that wait do not count
+        assert node.rounds._guarantees.speaks_for(job)
+        assert [j.id for j in node.outlook.waiting(0)] == [A, C]
+
+    play(story)
+
+
+@pytest.mark.parametrize("state_of", ["at hand", "in the state service only", "archived"])
+def test_a_dependency_counts_wherever_its_record_is(state_of: str) -> None:
+    # guards against 422 for a job that another controller has accepted a moment ago, and
+    # against one that was archived
+    async def story(state: StateService, clock: FakeClock, nodes: Nodes) -> None:
+        node = await _ready_node(state, clock, nodes)
+        if state_of == "archived":
+            state.put(keys.archived(A), {"end": "done", "done": 1})
+        else:
+            add_job(state, clock, nameId=A, sacks=1)
+        if state_of == "at hand":
+            await node.sync()
+        assert (await _submit(node, B, A)).status == 201
+        assert node.world.jobs[B].blocked is (state_of != "archived")
+
+    play(story)
+
+
+def test_unknown_dependencies_are_refused_and_repeats_are_not() -> None:
+    async def story(state: StateService, clock: FakeClock, nodes: Nodes) -> None:
+        node = await _ready_node(state, clock, nodes)
+        assert (await _submit(node, B, A)).status == 422
+        assert (await _submit(node, B, B)).status == 422
+        add_job(state, clock, nameId=C, cut="service")
+        assert (await _submit(node, B, C)).status == 422
+        # while the state service can't be asked nothing is refused for good
+        state.script["/keys/" + keys.job(A)] = ["refuse"]
+        assert (await _submit(node, B, A)).status == 503
+        state.script["/keys/" + keys.archived(A)] = ["drop"]
+        assert (await _submit(node, B, A)).status == 503
+        # an accepted job's repeat is answered by its state, whatever it names now
+        add_job(state, clock, nameId=D, sacks=1)
+        for needs in ([A], [D], ["nonsense"]):
+            body = submission(nameId=D, awaits=needs)
+            assert (await node.ask("POST", "/v1/jobs", orjson.dumps(body))).status == 200
+
+    play(story)
+
+
+def test_a_list_too_long_is_refused_with_the_bound() -> None:
+    async def story(state: StateService, clock: FakeClock, nodes: Nodes) -> None:
+        node = await _ready_node(state, clock, nodes)
+        response = await _submit(node, B, *(f"wk-{n:06d}" for n in range(100, 400)))
+        assert response.status == 422 and b"256" in response.body
+        # unfinished ones that fit no record under the next limits
+        names = [f"wk-{n:06d}" for n in range(100, 300)]
+        for name in names:
+            add_job(state, clock, nameId=name, sacks=1)
+        await node.sync()
+        assert (await _submit(node, B, *names)).status == 422
+        assert (await _submit(node, C, *names[:60])).status == 201
+        assert state.too_large == 0
+
+    play(story)
+
+
+def test_a_fan_wider_than_a_transaction_is_cancelled_at_once_and_recorded_later() -> None:
+    # guards against orphaned: the first cancellation alone decides for all that need it
+    async def story(state: StateService, clock: FakeClock, nodes: Nodes) -> None:
+        node = await _ready_node(state, clock, nodes)
+        other = Node(state, clock, nodes, "node-1")
+        await other.boot()
+        # only controllers of its own zone have to be told, and this is the only one
+        await _submit(node, A, yard="north")
+        fan = [f"wk-{n:06d}" for n in range(100, 200)]
+        for name in fan:
+            state.put(keys.job(name), encode_job(make_spec(nameId=name), clock.wall(), (A,)))
+        await node.sync()
+        assert (await _submit(node, D, fan[0], fan[-1])).status == 201
+        response = await node.ask("POST", f"/v1/jobs/{A}/withdraw")
+        assert response.status == 200 and b"withdrawn" in response.body
+        # before any further write, and on a controller that only reads
+        for name in (*fan, D):
+            assert await _stage(other, name) == "withdrawn"
+        assert state.keys[keys.job(fan[0])][0]["end"] == ACTIVE
+        # outage: what is known to be final is still told
+        state.down = True
+        assert await _stage(other, D) == "withdrawn"
+        state.down = False
+        for _ in range(40):
+            clock.time += 1
+            await node.live()
+            await node.round()
+        ends = {state.keys[keys.job(name)][0]["end"] for name in (*fan, D)}
+        assert ends == {CANCELLED}
+        assert not node.world.unrecorded[0]
+
+    play(story)
+
+
+def test_a_chain_of_thousands_is_cancelled_without_recursion() -> None:
+    jobs: dict[str, Job] = {}
+    graph = DependencyGraph(jobs)
+    for number in range(5000):
+        needs = (f"wk-{number - 1:06d}",) if number else ()
+        spec = make_spec(nameId=f"wk-{number:06d}")
+        job = jobs[spec.id] = Job(spec.id, spec=spec, needs=needs)
+        graph.add(job)
+    first = jobs["wk-000000"]
+    first.end = CANCELLED
+    assert len(graph.ended(first)) == 4999
+    assert {job.end for job in jobs.values()} == {CANCELLED}
+
+
+@pytest.mark.parametrize("order", ["needed first", "needed last"])
+def test_a_restart_derives_the_same_whatever_comes_first(order: str) -> None:
+    # keys are read in their order, which says nothing about who needs whom
+    before, after = (A, B) if order == "needed first" else (B, A)
+
+    async def story(state: StateService, clock: FakeClock, nodes: Nodes) -> None:
+        seed(state, clock)
+        first, second = make_spec(nameId=before), make_spec(nameId=after)
+        state.put(keys.job(before), encode_end(CANCELLED, first, 5.0))
+        state.put(keys.job(after), encode_job(second, 1.0, (before,)))
+        done, waits = make_spec(nameId=C), make_spec(nameId=D)
+        state.put(keys.job(C), encode_end(DONE, done, 7.0))
+        state.put(keys.job(D), encode_job(waits, 1.0, (C,)))
+        node = Node(state, clock, nodes)
+        await node.boot()
+        assert node.world.jobs[after].end == CANCELLED
+        assert not node.world.jobs[D].blocked
+        assert node.world.jobs[D].ready_at == 7.0
+
+    play(story)
+
+
+def test_a_job_that_names_a_cancelled_one_is_accepted_and_cancelled() -> None:
+    async def story(state: StateService, clock: FakeClock, nodes: Nodes) -> None:
+        node = await _ready_node(state, clock, nodes)
+        state.put(keys.archived(A), {"end": "cancelled", "done": 0})
+        response = await _submit(node, B, A)
+        assert response.status == 201 and b"withdrawn" in response.body
+        assert await _stage(node, B) == "withdrawn"
+
+    play(story)
+
+
+def test_a_cancellation_answered_done_leaves_the_jobs_after_it() -> None:
+    async def story(state: StateService, clock: FakeClock, nodes: Nodes) -> None:
+        node = await _ready_node(state, clock, nodes)
+        state.put(keys.job(A), encode_end(DONE, make_spec(nameId=A), clock.wall()))
+        await _submit(node, B, A)
+        response = await node.ask("POST", f"/v1/jobs/{A}/withdraw")
+        assert b"done" in response.body
+        assert await _stage(node, B) == "queued"
+
+    play(story)
+
+
+def test_a_waiting_job_is_cancelled_without_asking_peers_but_not_while_it_begins() -> None:
+    # its cancellation rests on the job it waits for: ended in the meantime, a task may be on
+    # its way, and the peers have to be told first
+    async def story(state: StateService, clock: FakeClock, nodes: Nodes) -> None:
+        node = await _ready_node(state, clock, nodes)
+        await _submit(node, A)
+        await _submit(node, B, A)
+        job = node.world.jobs[B]
+        handler = node.jobs._cancellation
+        rests = await handler._rests(job)
+        assert rests == {keys.job(A): node.world.jobs[A].version}
+        state.put(keys.job(A), encode_end(DONE, make_spec(nameId=A), clock.wall()))
+        assert not await handler._commit(job, rests)
+        assert await _stage(node, B) == "queued"
+
+    play(story)
+
+
+def test_archiving_and_accepting_do_not_race() -> None:
+    # guards against a job that waits for ever for one whose record has gone
+    async def story(state: StateService, clock: FakeClock, nodes: Nodes) -> None:
+        node = await _ready_node(state, clock, nodes)
+        await _submit(node, A)
+        # another owner ends and archives it, unseen here, while the submission is on its way
+        value = encode_end(DONE, make_spec(nameId=A), clock.wall())
+        state.put(keys.job(A), value)
+        state.put(keys.archived(A), {"end": "done", "done": 1})
+        state.put(keys.ARCHIVINGS, {"n": 1})
+        state.revision += 1
+        state._delete(keys.job(A))
+        response = await _submit(node, B, A)
+        assert response.status == 503
+        await node.sync()
+        assert (await _submit(node, B, A)).status == 201
+        assert not node.world.jobs[B].blocked
+
+    play(story)
+
+
+def test_a_job_that_others_wait_for_is_not_archived() -> None:
+    async def story(state: StateService, clock: FakeClock, nodes: Nodes) -> None:
+        node = await _ready_node(state, clock, nodes)
+        await _submit(node, A)
+        await _submit(node, B, A)
+        state.put(keys.job(A), encode_end(DONE, make_spec(nameId=A), clock.wall()))
+        for number in range(node.settings.ended_kept + 5):
+            spec = make_spec(nameId=f"wk-{1000 + number:06d}")
+            state.put(keys.job(spec.id), encode_end(DONE, spec, clock.wall()))
+        await node.sync()
+        for _ in range(10):
+            clock.time += 1
+            await node.live()
+            await node.round()
+        assert keys.job(A) in state.keys
+        assert any(key.startswith(keys.ARCHIVE) for key in state.keys)
+        assert state.keys[keys.ARCHIVINGS][0]["n"] >= 1
+
+    play(story)
+
+
+async def _pipeline(region: Region, label: str = "node-0") -> None:
+    assert await region.submit(label, A, run_s=3.0, sacks=2) == 201
+    assert await region.submit(label, B, run_s=3.0, sacks=2, awaits=[A]) == 201
+    assert await region.submit(label, C, run_s=3.0, sacks=2, awaits=[A], crew="blue") == 201
+    assert await region.submit(label, D, run_s=2.0, sacks=1, awaits=[B, C], crew="green") == 201
+
+
+async def _begin(region: Region) -> None:
+    await region.begin(machines=0)
+    for shard in range(3):
+        await region.add_worker(f"n-{shard}", shard=shard)
+    await region.until(lambda: all(n.world.level is not None for n in region.nodes.values()))
+
+
+def test_a_diamond_over_three_teams_runs_in_order_through_a_restart_of_everybody() -> None:
+    async def story(region: Region) -> None:
+        await _begin(region)
+        await _pipeline(region)
+        await region.until(lambda: bool(region.running(A)))
+        for label in Region.LABELS:
+            await region.kill(label)
+        await curio.sleep(2)
+        for label in Region.LABELS:
+            await region.start(label)
+        await region.until(lambda: region.finished(D, 1), 120)
+
+    simulate(story)
+
+
+@pytest.mark.parametrize("outage_s", [0.0, 45.0])
+def test_all_controllers_end_between_a_cancellation_and_its_last_dependent(
+    outage_s: float,
+) -> None:
+    # the state service may also be down right after the confirmation, for longer than cancel_s
+    async def story(region: Region) -> None:
+        await _begin(region)
+        await _pipeline(region)
+        assert await region.cancel_until_told("node-1", A, 20)
+        region.state.down = outage_s > 0
+        for label in Region.LABELS:
+            await region.kill(label)
+        await curio.sleep(1)
+        for label in Region.LABELS:
+            await region.start(label)
+        await curio.sleep(outage_s)
+        region.state.down = False
+        await curio.sleep(10)
+        for job in (A, B, C, D):
+            await region.look_everywhere(job)
+            assert region.judge.jobs[job].cancelled is not None
+        assert not region.running(D)
+
+    simulate(story)
+
+
+def test_a_dependent_submitted_at_one_node_while_its_dependency_is_cancelled_at_another() -> None:
+    async def story(region: Region) -> None:
+        await _begin(region)
+        assert await region.submit("node-0", A, run_s=30.0, sacks=1) == 201
+        async with curio.TaskGroup() as group:
+            await group.spawn(region.cancel_until_told, "node-1", A, 20.0)
+            for number in range(100, 120):
+                name = f"wk-{number:06d}"
+                await group.spawn(_submit_until_accepted, region, name)
+                await curio.sleep(0.01)
+        for number in range(100, 120):
+            name = f"wk-{number:06d}"
+            await region.look_everywhere(name, 1)
+            assert region.judge.jobs[name].cancelled is not None
+
+    simulate(story)
+
+
+async def _submit_until_accepted(region: Region, name: str) -> None:
+    while not await region.submit("node-2", name, run_s=1.0, sacks=1, awaits=[A]) < 300:
+        await curio.sleep(0.5)
--- /dev/null
+++ b/tests/test_pipelines.py
@@ -0,0 +1,158 @@
+"""Budgets and priorities of pipelines."""
+
+import pytest
+
+from crossmill.cluster import keys
+from crossmill.cluster.records import encode_end, encode_job
+from crossmill.planning.pipelines import PipelineStage, plan_pipeline, topological_order
+from crossmill.planning.split import Option, Stage, _path_ends, split
+
+from .harness import Node, play, seed
+from .standins import FakeClock, StateService, make_spec
+
+Nodes = dict[str, Node]
+FAST, SLOW = Option("fast", 2.0, 1.0, 10.0), Option("slow", 1.0, 1.0, 20.0)
+
+
+def _stage(
+    name: str, *needs: str, priority: int = 3, deadline: float | None = None, margin_s: float = 0.0
+) -> PipelineStage:
+    return PipelineStage(name, priority, 4, (FAST, SLOW), margin_s, needs, deadline)
+
+
+def _diamond() -> dict[str, PipelineStage]:
+    stages = [
+        _stage("last", "left", "right", priority=1, deadline=100.0),
+        _stage("left", "first"),
+        _stage("right", "first", priority=2),
+        _stage("first"),
+    ]
+    return {stage.id: stage for stage in stages}
+
+
+def test_order_puts_each_stage_after_those_it_needs() -> None:
+    order = topological_order(_diamond())
+    assert order[0] == "first" and order[-1] == "last"
+
+
+def test_priority_is_inherited_and_the_deadline_is_shared_out() -> None:
+    plans = plan_pipeline(_diamond(), 10.0)
+    assert {plan.priority for plan in plans.values()} == {1}
+    # ninety seconds over three stages in a row, all on the slow option in the end
+    ends = {name: plan.budget_end for name, plan in plans.items()}
+    assert ends == pytest.approx({"first": 40.0, "left": 70.0, "right": 70.0, "last": 100.0})
+    # a margin is kept on the longest path
+    late = {**_diamond(), "left": _stage("left", "first", margin_s=30.0)}
+    assert plan_pipeline(late, 10.0)["last"].budget_end == pytest.approx(70.0)
+    # past the deadline the order among late ones stays
+    past = plan_pipeline(_diamond(), 130.0)["first"].budget_end
+    later = plan_pipeline(_diamond(), 160.0)["first"].budget_end
+    assert past is not None and later is not None and past > 100.0 - 30.0
+    # without any deadline there is no budget
+    free = {"a": _stage("a"), "b": _stage("b", "a")}
+    assert plan_pipeline(free, 0.0)["a"].budget_end is None
+
+
+def test_split_takes_the_same_switches_as_trying_each_on_all_paths() -> None:
+    options = (
+        Option("a", 4.0, 1.0, 5.0),
+        Option("b", 2.0, 1.0, 9.0),
+        Option("c", 1.0, 1.0, 21.0),
+        Option("d", 3.0, 1.0, 6.0),
+    )
+    stages = [
+        Stage(3, options),
+        Stage(8, options[:3], (0,)),
+        Stage(2, options, (0,)),
+        Stage(5, options[1:], (1, 2)),
+    ]
+    for deadline_s in range(10, 90, 3):
+        chosen = [min(s.options, key=lambda o: (o.finish_s, -o.price)) for s in stages]
+        while True:
+            best: tuple[float, int, Option] | None = None
+            for index, stage in enumerate(stages):
+                for new in stage.options:
+                    old = chosen[index]
+                    saved = old.cost(stage.tasks) - new.cost(stage.tasks)
+                    tried = [*chosen[:index], new, *chosen[index + 1 :]]
+                    if saved <= 0 or max(_path_ends(stages, tried)) > deadline_s:
+                        continue
+                    added = new.finish_s - old.finish_s
+                    gain = saved / added if added > 0 else float("inf")
+                    if best is None or gain > best[0]:
+                        best = (gain, index, new)
+            if best is None:
+                break
+            chosen[best[1]] = best[2]
+        assert [s.option for s in split(stages, float(deadline_s))] == chosen
+
+
+def test_a_wide_pipeline_is_split_in_passes_over_its_edges(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    # tried on all paths for each candidate, two hundred stages took 40,000 passes
+    passes = 0
+    original = _path_ends
+
+    def counted(*args: object) -> list[float]:
+        nonlocal passes
+        passes += 1
+        return original(*args)  # type: ignore[arg-type]
+
+    monkeypatch.setattr("crossmill.planning.split._path_ends", counted)
+    wide = [Stage(4, (FAST, SLOW)) for _ in range(200)]
+    wide.append(Stage(4, (FAST, SLOW), tuple(range(200))))
+    split(wide, 100.0)
+    assert passes <= 205
+
+
+def test_a_pipelines_place_follows_what_is_durable() -> None:
+    # inheritance begins when the last stage comes and ends with it; other jobs stay as they are
+    async def story(state: StateService, clock: FakeClock, nodes: Nodes) -> None:
+        seed(state, clock)
+        first, middle, last = (f"wk-00000{n}" for n in (1, 2, 3))
+        low = {"precedence": "idle", "dueS": None, "sacks": 4}
+        at = clock.wall()
+        state.put(keys.job(first), encode_job(make_spec(nameId=first, **low), at))
+        middle_spec = make_spec(nameId=middle, **low, crew="blue")
+        state.put(keys.job(middle), encode_job(middle_spec, at, (first,)))
+        node = Node(state, clock, nodes)
+        await node.boot()
+        outlook, jobs = node.outlook, node.world.jobs
+        (priority, end), _ = outlook.queue_place(jobs[first])
+        assert priority == 3 and end == pytest.approx(at + node.settings.fixed_wait_s)
+        final = make_spec(nameId=last, precedence="high", dueS=300.0, grindS=10.0)
+        state.put(keys.job(last), encode_job(final, clock.wall(), (middle,)))
+        await node.sync()
+        (priority, end), _ = outlook.queue_place(jobs[first])
+        assert priority == 1 and at < end < at + 300.0
+        # a later stage of another team has what is left, by the same function
+        other = Node(state, clock, nodes, "node-1")
+        await other.boot()
+        assert other.outlook.queue_place(jobs[first])[0][1] == pytest.approx(end)
+        # the heir is cancelled: inheritance ends
+        state.put(keys.job(last), encode_end("cancelled", final, clock.wall()))
+        await node.sync()
+        assert outlook.queue_place(jobs[first])[0][0] == 3
+
+    play(story)
+
+
+def test_times_count_from_the_last_dependencys_end_but_the_deadline_from_the_submission() -> None:
+    async def story(state: StateService, clock: FakeClock, nodes: Nodes) -> None:
+        seed(state, clock)
+        at = clock.wall()
+        waits = {"a": 0.0, "b": 300.0}
+        spec = make_spec(nameId="wk-000001", dueS=None)
+        state.put(keys.job("wk-000001"), encode_job(spec, at))
+        for number, due in enumerate(waits.values(), 2):
+            name = f"wk-00000{number}"
+            after = make_spec(nameId=name, dueS=due or None, grindS=0.0)
+            state.put(keys.job(name), encode_job(after, at, ("wk-000001",)))
+        state.put(keys.job("wk-000001"), encode_end("done", spec, at + 50.0))
+        node = Node(state, clock, nodes)
+        await node.boot()
+        ends = [node.outlook.queue_place(node.world.jobs[f"wk-00000{n}"])[0][1] for n in (2, 3)]
+        assert ends == pytest.approx([at + 50.0 + node.settings.fixed_wait_s, at + 300.0])
+
+    play(story)
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -12,6 +12,8 @@
 from crossmill.cluster.records import encode_chunk
 from crossmill.planning.rooms import Room
 from crossmill.settings import Team
+from crossmill.state.writer import OK, URGENT, Intent
+from crossmill.wire.state import Put, Txn
 
 from . import harness
 from .harness import Node, add_job, add_machine, play, seed
@@ -150,3 +152,22 @@
         assert len(asked) == 1 and asked[0] < 64 * 1024
 
     play(story)
+
+
+def test_a_burst_of_submissions_does_not_wait_for_this_controllers_share_of_the_rate() -> None:
+    # guards against a pipeline's stages, submitted one after the other, taking a second each
+    async def story(state: StateService, clock: FakeClock, nodes: dict[str, Node]) -> None:
+        node = Node(state, clock, nodes)
+        await node.boot()
+        clock.time += 2
+        node.writer.allot(1.0)
+        intents = [Intent(Txn({}, [Put(f"cm/x/{n}", n)]), URGENT) for n in range(5)]
+        for intent in intents:
+            await node.writer.submit(intent)
+        assert [await i.future.wait(1.0) for i in intents] == [OK] * 5
+        # lesser writes wait until the debt is paid
+        late = Intent(Txn({}, [Put("cm/x/late", 0)]))
+        await node.writer.submit(late)
+        assert await late.future.wait(0.05) is None
+
+    play(story)
--- /dev/null
+++ b/tests/test_upgrade.py
@@ -0,0 +1,435 @@
+"""Upgrading while serving: formats of the production version, the feature level, lower limits."""
+
+from typing import Any
+
+import curio
+import orjson
+import pytest
+
+from crossmill.cluster import keys
+from crossmill.cluster.feature_level import Level, encode_level
+from crossmill.cluster.layout import PlanLayout
+from crossmill.cluster.records import decode_job, encode_chunk, encode_end, encode_job
+from crossmill.settings import BadSettings, StateLimits, parse
+from crossmill.state.writer import CONFLICT, OK, Intent
+from crossmill.wire.state import Put, Txn
+
+from .harness import Node, add_job, add_machine, play, seed
+from .simulation import Region, simulate
+from .standins import (
+    FakeClock,
+    StateService,
+    make_settings,
+    make_spec,
+    on,
+    settings_table,
+    submission,
+)
+
+Nodes = dict[str, Node]
+JOB = "wk-000001"
+
+# what the version in production writes, and all that it reads
+PRODUCTION_SPEC = {
+    "id": JOB,
+    "job_class": "chat",
+    "team": "red",
+    "kind": "array",
+    "priority": "normal",
+    "tasks": 2,
+    "cpus": 4.0,
+    "gpus": 1.0,
+    "memory_gb": 16.0,
+    "image": "img-1",
+    "image_gb": 10.0,
+    "types": None,
+    "zone": None,
+    "one_zone": False,
+    "spread": False,
+    "spot": False,
+    "estimate_s": 40.0,
+    "checkpoint_s": 0.0,
+    "save_s": 0.0,
+    "deadline_s": 100.0,
+}
+PRODUCTION_JOB = {"end": "", "at": 5.0, "spec": PRODUCTION_SPEC}
+PRODUCTION_PREFIXES = (keys.JOB, keys.PLAN, keys.MACHINE, keys.SHARD, keys.NODE, keys.ENDING)
+
+
+def _production_reads(state: StateService) -> None:
+    """Parses every key as the production version does; what it can't read ends its process."""
+    for key, (value, _, _) in state.keys.items():
+        if key.startswith(keys.PLAN):
+            int(key.rpartition("/")[2])
+            assert set(value) == {"next", "done", "rows"}
+        elif key.startswith(keys.JOB):
+            # it builds the job from every field of the spec, and knows no others
+            assert set(value["spec"]) == set(PRODUCTION_SPEC)
+            assert "needs" not in value
+        elif key.startswith(keys.SHARD):
+            int(key[len(keys.SHARD) :])
+        else:
+            known = (*PRODUCTION_PREFIXES, keys.FEATURE, keys.ARCHIVE)
+            assert key.startswith(known) or key in (keys.LEADER, keys.TOKEN, keys.CATALOG)
+
+
+def test_formats_are_those_of_production() -> None:
+    spec = make_spec(nameId=JOB)
+    assert encode_job(spec, 5.0) == PRODUCTION_JOB
+    assert decode_job(PRODUCTION_JOB).spec == spec
+    # an end that production wrote has no time, and drops what it did not know
+    assert decode_job({"end": "done", "spec": PRODUCTION_SPEC}).ended_at == 0.0
+    # unknown fields of a later version end nobody
+    later = {**PRODUCTION_JOB, "new": 1, "spec": {**PRODUCTION_SPEC, "new": 1}}
+    assert decode_job(later).spec == spec
+    assert set(encode_end("done", spec, 7.0)) == {"end", "spec", "ended"}
+
+
+@pytest.mark.parametrize("upgraded", [(), ("node-1",), ("node-1", "node-2")])
+def test_the_level_is_raised_once_all_have_noted_and_by_the_leader(
+    upgraded: tuple[str, ...],
+) -> None:
+    async def story(state: StateService, clock: FakeClock, nodes: Nodes) -> None:
+        seed(state, clock)
+        for label in upgraded:
+            state.put(keys.feature(label), {"level": 1})
+        node = Node(state, clock, nodes)
+        await node.boot()
+        await node.feature_level.step()
+        assert keys.feature("node-0") in state.keys
+        for _ in range(4):
+            clock.time += node.settings.hold_ttl_s / 3
+            await node.live()
+            await node.membership.step()
+        assert node.membership.leading() is not None
+        await node.feature_level.step()
+        assert (keys.LEVEL in state.keys) is (len(upgraded) == 2)
+        # a job that waits for others is only accepted after that
+        add_job(state, clock, nameId="wk-000009", sacks=1)
+        await node.sync()
+        body = orjson.dumps(submission(nameId="wk-000010", awaits=["wk-000009"]))
+        response = await node.ask("POST", "/v1/jobs", body)
+        assert response.status == (201 if len(upgraded) == 2 else 503)
+        assert response.retry_after_s is not None or response.status == 201
+
+    play(story)
+
+
+def test_the_raise_rests_on_every_note_and_survives_lost_answers() -> None:
+    async def story(region: Region) -> None:
+        lost: list[str] = []
+
+        def fate(label: str, method: str, path: str) -> tuple[float, bool] | None:
+            # every controller's first transactions are carried out without an answer
+            if path == "/txn" and lost.count(label) < 6:
+                lost.append(label)
+                return 0.0, True
+            return None
+
+        region.fate = fate
+        await region.begin(machines=0)
+        region.state.down = True
+        await curio.sleep(3)
+        region.state.down = False
+        await region.restart("node-1", 1.0)
+        await region.until(lambda: all(n.world.level for n in region.nodes.values()), 90)
+        assert region.state.keys[keys.LEVEL][0]["level"] == 1
+
+    simulate(story)
+
+
+def test_until_the_level_is_raised_production_reads_all_that_is_written() -> None:
+    async def story(state: StateService, clock: FakeClock, nodes: Nodes) -> None:
+        seed(state, clock, machines=2)
+        state.put(keys.job(JOB), PRODUCTION_JOB)
+        node = Node(state, clock, nodes)
+        await node.boot()
+        await node.feature_level.step()
+        for machine in ("n-0", "n-1"):
+            node.report(machine, 1, 1, node.token())
+        body = orjson.dumps(submission(nameId="wk-000002", sacks=600, cards=0.0, cpus=0.01))
+        assert (await node.ask("POST", "/v1/jobs", body)).status == 201
+        await node.round()
+        _production_reads(state)
+        done = [on(JOB, i, 1 + i, "exited", "done") for i in range(2)]
+        node.report("n-0", 1, 2, node.token(), *done)
+        node.report("n-1", 1, 2, node.token(), *done)
+        await node.round()
+        assert state.keys[keys.job(JOB)][0]["end"] == "done"
+        _production_reads(state)
+
+    play(story)
+
+
+def test_a_late_write_of_production_after_the_raise_does_no_harm() -> None:
+    # it ends a job in its own format: the jobs after it count from their submission
+    async def story(state: StateService, clock: FakeClock, nodes: Nodes) -> None:
+        seed(state, clock)
+        state.put(keys.LEVEL, encode_level(Level(1, 512, 32)))
+        state.put(keys.job(JOB), PRODUCTION_JOB)
+        waits = make_spec(nameId="wk-000002")
+        state.put(keys.job("wk-000002"), encode_job(waits, clock.wall(), (JOB,)))
+        node = Node(state, clock, nodes)
+        await node.boot()
+        assert node.world.jobs["wk-000002"].blocked
+        state.put(keys.job(JOB), {"end": "done", "spec": PRODUCTION_SPEC})
+        await node.sync()
+        job = node.world.jobs["wk-000002"]
+        assert not job.blocked and job.ready_at == job.submitted
+
+    play(story)
+
+
+# -- plans ---------------------------------------------------------------------------
+
+
+def test_layout_is_durable_and_segments_nest_in_legacy_chunks() -> None:
+    layout = PlanLayout(100, 32)
+    names = [(c.name, c.first, c.end) for c in layout.chunks(230, ["1"])]
+    assert names[:4] == [("0-32", 0, 32), ("32-32", 32, 64), ("64-32", 64, 96), ("96-4", 96, 100)]
+    assert names[4] == ("1", 100, 200)
+    assert names[5] == ("200-32", 200, 230)
+    for name, first, _ in names:
+        assert layout.parse(name).first == first
+
+
+def test_chunk_sizes_come_from_the_level_and_not_from_todays_settings() -> None:
+    # guards against reading stored plans wrongly once the settings name the lower limit
+    async def story(state: StateService, clock: FakeClock, nodes: Nodes) -> None:
+        seed(state, clock)
+        state.put(keys.LEVEL, encode_level(Level(1, 1024, 64)))
+        state.put(keys.job(JOB), {**PRODUCTION_JOB, "spec": {**PRODUCTION_SPEC, "tasks": 3000}})
+        state.put(keys.plan(JOB, "1"), {"next": 2, "done": "1", "rows": [[1025, 1, "n-0", 1]]})
+        node = Node(state, clock, nodes)
+        await node.boot()
+        job = node.world.jobs[JOB]
+        assert job.chunks["1"].first == 1024
+        assert node.world.layout.chunk_of(1030, job.chunks).name == "1"
+        waiting = node.rounds._waiting(job, {})
+        assert 1024 not in waiting and 1025 not in waiting
+
+    play(story)
+
+
+def _old_plan(tasks: int, done: int = 0) -> dict[str, Any]:
+    rows = [[i, i + 1, f"n-{i % 2}", 1] for i in range(tasks) if not done >> i & 1]
+    return {"next": tasks + 1, "done": f"{done:x}", "rows": rows}
+
+
+async def _with_old_plan(state: StateService, clock: FakeClock, nodes: Nodes, tasks: int) -> Node:
+    seed(state, clock, machines=2)
+    spec = {**PRODUCTION_SPEC, "tasks": tasks, "cpus": 0.01, "gpus": 0.0, "memory_gb": 0.1}
+    state.put(keys.job(JOB), {**PRODUCTION_JOB, "spec": spec})
+    state.put(keys.plan(JOB, "0"), _old_plan(tasks, done=0b101))
+    node = Node(state, clock, nodes)
+    await node.boot()
+    for machine in ("n-0", "n-1"):
+        node.report(machine, 1, 1, node.token())
+    return node
+
+
+def _stored_rows(state: StateService) -> list[int]:
+    """Task indices in the chunks that are in force, by what stands in the state service."""
+    prefix = keys.PLAN + JOB + "/"
+    chunks = {k[len(prefix) :]: v[0] for k, v in state.keys.items() if k.startswith(prefix)}
+    names = ["0"] if "0" in chunks else list(chunks)
+    return sorted(row[0] for name in names for row in chunks[name]["rows"])
+
+
+@pytest.mark.parametrize("tasks", [40, 160, 400])
+@pytest.mark.parametrize("is_lowered", [False, True])
+def test_a_large_plan_moves_into_segments_and_no_task_seems_free(
+    tasks: int, is_lowered: bool
+) -> None:
+    # also when the limit bites before the move: 400 tasks need more than one transaction
+    async def story(state: StateService, clock: FakeClock, nodes: Nodes) -> None:
+        node = await _with_old_plan(state, clock, nodes, tasks)
+        planned = [i for i in range(tasks) if i not in (0, 2)]
+        state.put(keys.LEVEL, encode_level(Level(1, 512, 32)))
+        if is_lowered:
+            state.limits = StateLimits(100, 40, 2048, 6)
+        await node.sync()
+        assert node.writer.limits.txn_ops == 6
+        for turn in range(8):
+            # ends and restarts of the owner in between must change nothing
+            if turn == 1:
+                node = Node(state, clock, nodes)
+                await node.boot()
+            clock.time += 0.5
+            await node.live()
+            await node.round()
+            assert _stored_rows(state) == planned
+            job = node.world.jobs[JOB]
+            assert sorted(r.index for r in job.rows()) == planned
+            assert job.waiting_count() == 0 and job.done_count() == 2
+        assert keys.plan(JOB, "0") not in state.keys
+        assert not node.world.jobs[JOB].staged
+        assert state.too_large == 0
+        limit = 2048
+        assert all(len(orjson.dumps(encode_chunk(c))) < limit for c in job.chunks.values())
+        # attempt numbers go on where they stood
+        assert all(c.next == tasks + 1 for c in job.chunks.values())
+
+    play(story)
+
+
+def test_a_plan_that_changes_while_it_is_copied_is_copied_again() -> None:
+    async def story(state: StateService, clock: FakeClock, nodes: Nodes) -> None:
+        node = await _with_old_plan(state, clock, nodes, 400)
+        state.put(keys.LEVEL, encode_level(Level(1, 512, 32)))
+        await node.sync()
+        await node.round()
+        assert node.world.jobs[JOB].staged
+        # as by a transaction that was on its way: task 7 is done
+        old = state.keys[keys.plan(JOB, "0")][0]
+        rows = [r for r in old["rows"] if r[0] != 7]
+        state.put(keys.plan(JOB, "0"), {**old, "done": f"{0b10000101:x}", "rows": rows})
+        await node.sync()
+        for _ in range(8):
+            clock.time += 0.5
+            await node.live()
+            await node.round()
+        job = node.world.jobs[JOB]
+        assert keys.plan(JOB, "0") not in state.keys
+        assert 7 not in _stored_rows(state) and job.done_count() == 3
+
+    play(story)
+
+
+def test_a_cancelled_jobs_copies_never_come_into_force() -> None:
+    async def story(state: StateService, clock: FakeClock, nodes: Nodes) -> None:
+        node = await _with_old_plan(state, clock, nodes, 400)
+        state.put(keys.LEVEL, encode_level(Level(1, 512, 32)))
+        await node.sync()
+        await node.round()
+        assert node.world.jobs[JOB].staged
+        state.put(keys.job(JOB), {"end": "cancelled", "spec": state.keys[keys.job(JOB)][0]["spec"]})
+        state.put(keys.plan(JOB, "0"), {"next": 401, "done": "5", "rows": []})
+        await node.sync()
+        for _ in range(20):
+            clock.time += 0.5
+            await node.live()
+            await node.round()
+            assert node.world.jobs[JOB].row_count() == 0
+        assert not [k for k in state.keys if k.startswith(keys.PLAN)]
+
+    play(story)
+
+
+def test_a_legacy_chunk_created_late_does_not_meet_segments() -> None:
+    # the layout is among the conditions of whatever creates a chunk
+    async def story(state: StateService, clock: FakeClock, nodes: Nodes) -> None:
+        seed(state, clock, machines=1)
+        add_job(state, clock, nameId=JOB, sacks=1)
+        node = Node(state, clock, nodes)
+        await node.boot()
+        node.report("n-0", 1, 1, node.token())
+        # raised, but not seen here yet
+        state.put(keys.LEVEL, encode_level(Level(1, 512, 32)))
+        await node.round()
+        assert not [k for k in state.keys if k.startswith(keys.PLAN)]
+        await node.sync()
+        await node.round()
+        assert [k for k in state.keys if k.startswith(keys.PLAN)] == [keys.plan(JOB, "0-32")]
+
+    play(story)
+
+
+# -- limits --------------------------------------------------------------------------
+
+
+def test_next_limits_are_checked_and_only_what_is_lower_counts() -> None:
+    table = settings_table()
+    del table["settings"]["state"]["next"]
+    assert parse(table).state_lowest == parse(table).state_now
+    table["settings"]["state"]["next"] = {"value_kb": 64, "txn_ops": 6}
+    lowest = parse(table).state_lowest
+    assert (lowest.value_bytes, lowest.txn_ops, lowest.write_rps) == (32 * 1024, 6, 60.0)
+    for bad in ({"value_kb": 0}, {"txn_ops": -1}, {"write_rps": "fast"}, 7):
+        table["settings"]["state"]["next"] = bad
+        with pytest.raises(BadSettings, match=r"settings\.state\.next"):
+            parse(table)
+
+
+def test_rates_and_sizes_follow_the_lower_limits_once_the_level_is_raised() -> None:
+    async def story(state: StateService, clock: FakeClock, nodes: Nodes) -> None:
+        node = Node(state, clock, nodes)
+        await node.boot()
+        assert node.world.limits == node.settings.state_now
+        state.put(keys.LEVEL, encode_level(Level(1, 512, 32)))
+        await node.sync()
+        assert node.world.limits == StateLimits(100.0, 40.0, 2048, 6)
+        await node.membership.step()
+        share = node.writer._pacer
+        assert share.wait_s(40.0) > 0
+
+    play(story)
+
+
+def test_a_batch_that_became_too_large_is_split_and_one_alone_is_given_back() -> None:
+    # guards against repeating for ever what the state service refuses for its size, and
+    # against taking that for a lost lease
+    async def story(state: StateService, clock: FakeClock, nodes: Nodes) -> None:
+        node = Node(state, clock, nodes)
+        await node.boot()
+        # the pacer's bucket is full again
+        clock.time += 2
+        state.limits = StateLimits(100, 40, 2048, 2)
+        intents = [Intent(Txn({}, [Put(f"cm/x/{n}", n)])) for n in range(5)]
+        large = Intent(Txn({}, [Put("cm/x/large", "y" * 3000)]))
+        for intent in (*intents, large):
+            await node.writer.submit(intent)
+        assert [await i.future.wait() for i in intents] == [OK] * 5
+        assert await large.future.wait() == CONFLICT
+        assert state.too_large <= 3
+        assert node.membership.acting(0) is not None
+
+    play(story)
+
+
+@pytest.mark.parametrize("seed_s", [2.0, 6.0, 11.0])
+def test_limits_lowered_while_pipelines_run_and_controllers_end(seed_s: float) -> None:
+    async def story(region: Region) -> None:
+        await region.begin(machines=0)
+        for number in range(3):
+            await region.add_worker(f"n-{number}", shard=0)
+        await region.until(lambda: all(n.world.level for n in region.nodes.values()))
+        small: dict[str, Any] = {"cpus": 0.1, "cards": 0.0, "ramGb": 0.1, "pullGb": 0.0}
+        first, second = "wk-000101", "wk-000102"
+        assert await region.submit("node-0", first, run_s=4.0, sacks=150, **small) == 201
+        assert (
+            await region.submit("node-1", second, run_s=4.0, sacks=40, awaits=[first], **small)
+            == 201
+        )
+        await curio.sleep(seed_s)
+        region.state.limits = StateLimits(100, 40, 2048, 6)
+        owner = region.owners()[0]
+        await region.restart(owner, 2.0)
+        await region.until(lambda: region.finished(second, 40), 120)
+        assert region.state.too_large == 0
+
+    simulate(story)
+
+
+def test_machines_of_one_plan_write_stay_within_the_conditions() -> None:
+    # a job of many tasks, one to a machine, under six changes and twenty-four conditions
+    async def story(state: StateService, clock: FakeClock, nodes: Nodes) -> None:
+        seed(state, clock, machines=0)
+        for number in range(40):
+            add_machine(state, clock, f"n-{number}")
+        state.put(keys.LEVEL, encode_level(Level(1, 512, 32)))
+        state.limits = StateLimits(100, 40, 2048, 6)
+        add_job(state, clock, nameId=JOB, sacks=40, cpus=32.0, cards=0.0, ramGb=1.0)
+        node = Node(state, clock, nodes)
+        await node.boot()
+        for turn in range(6):
+            clock.time += 0.5
+            await node.live()
+            for number in range(40):
+                node.report(f"n-{number}", 1, turn + 1, node.token())
+            await node.round()
+        assert node.world.jobs[JOB].row_count() == 40
+        assert state.too_large == 0
+        assert make_settings().state_lowest.conditions == 24
+
+    play(story)
--- a/tests/test_work.py
+++ b/tests/test_work.py
@@ -6,7 +6,7 @@
 from crossmill.wire.users import JobSpec
 
 from .harness import Node, add_job, add_machine, play, seed
-from .standins import FakeClock, StateService, on, submission
+from .standins import FakeClock, StateService, make_settings, on, submission
 
 Nodes = dict[str, Node]
 
@@ -321,3 +321,24 @@
         assert 1 <= len(asked) <= 2
 
     play(story)
+
+
+def test_a_job_ends_when_its_last_chunks_finish_in_one_round() -> None:
+    # guards against a job that is never called done: each chunk's write saw the other unfinished
+    async def story(state: StateService, clock: FakeClock, nodes: Nodes) -> None:
+        seed(state, clock, machines=1)
+        size = make_settings().state_now.chunk_tasks
+        job = add_job(state, clock, sacks=size + 1, cpus=0.01, cards=0.0, ramGb=0.01)
+        almost = "f" * (size // 4 - 1) + "e"
+        for name, index, done in (("0", 0, almost), ("1", size, "0")):
+            plan = {"next": 2, "done": done, "rows": [[index, 1, "n-0", 1]]}
+            state.put(keys.plan(job, name), plan)
+        node = Node(state, clock, nodes)
+        await node.boot()
+        over = [on(job, index, 1, "exited", "done") for index in (0, size)]
+        node.report("n-0", 1, 1, node.token(), *over)
+        for _ in range(2):
+            await node.round()
+        assert state.keys[keys.job(job)][0]["end"] == "done"
+
+    play(story)
