Rounds write what their share of the rate takes; cleanup holds no round up; segments of 48 tasks

Under the lowered limits the owner of one team may make 3 to 5 changes a second; its rounds wrote the outcomes of some 30 chunks each, one change a chunk, waited for all of them and for the clearing of ended jobs, and took 5 to 7 s; a stage's end and the next one's start are three rounds. Now outcomes that nobody waits for gather until a later round, the clearing of ended jobs is sent without waiting, and segments hold 48 tasks (rows of 32 bytes at the most, where legacy chunks count 48).

--- a/crossmill/jobs/rounds.py
+++ b/crossmill/jobs/rounds.py
@@ -24,6 +24,7 @@
 from .cleanup import Cleanup
 from .durable import Durable, Edit
 from .guarantees import Guarantees, Use
+from .outcome_batch import collect, select
 from .plan_migration import PlanMigration
 from .preemption import Preemption
 from .reassignment import Reassignment
@@ -76,6 +77,8 @@
         self._migration = PlanMigration(world, membership)
         self._durable = Durable(clock, world, membership, self._migration)
         self._cleanup = Cleanup(settings, clock, world, membership)
+        # by shard: the writes for ended jobs that are under way
+        self._cleaning: dict[int, list[Intent]] = {}
         self._upkeep = Upkeep(
             settings,
             clock,
@@ -129,15 +132,13 @@
                 starts[id(intent)] = edit.starts
         intents += self._durable.finish(shard, own)
         intents += self._migration.steps(shard, own)
-        cleared = self._cleanup.intents(shard, own)
-        if cleared:
+        if await self._clean_up(shard, own):
             active = self._world.active[shard]
             self._troubles = {
                 k: t
                 for k, t in self._troubles.items()
                 if k in active or ((job := self._world.jobs.get(k)) and job.shard != shard)
             }
-        intents += cleared
         intents += self._upkeep.give_up(shard, own, machines)
         moves = self._upkeep.moves(shard, own, machines)
         intents += moves.values()
@@ -159,22 +160,30 @@
                     if put.key.startswith(keys.JOB):
                         log.info("job done job=%s", put.key[len(keys.JOB) :])
 
+    async def _clean_up(self, shard: int, own: Owned) -> bool:
+        """Sends what is due for ended jobs, once all that was sent before is settled. No round
+        waits for it. Returns whether there was anything."""
+        if not all(intent.future.settled for intent in self._cleaning.get(shard, ())):
+            return False
+        intents = self._cleaning[shard] = self._cleanup.intents(shard, own)
+        for intent in intents:
+            await self._writer.submit(intent)
+        return bool(intents)
+
     def _gather(self, shard: int, edits: dict[tuple[str, str], Edit]) -> None:
         findings = self._reports.findings
-        for key, finding in list(findings.items()):
+        news = collect(self._world, findings, shard)
+        wanted = {(f.row.job, f.row.index) for entry in news for f in entry.findings}
+        for key in [key for key in findings if key not in wanted]:
             job = self._world.jobs.get(key[0])
-            if job is None or job.shard != shard:
-                if job is None or self._membership.acting(job.shard) is None:
-                    del findings[key]
-                continue
-            del findings[key]
-            name = self._world.layout.chunk_of(key[1], job.chunks).name
-            chunk = job.chunks.get(name)
-            if chunk is None or chunk.rows.get(key[1]) != finding.row:
-                continue
-            self._learn(job, finding)
-            edit = edits.setdefault((job.id, name), Edit(job, name))
-            edit.over.append(finding)
+            if job is None or job.shard == shard or self._membership.acting(job.shard) is None:
+                del findings[key]
+        for entry in select(news, self._writer.writes_within(self._s.report_s)):
+            edit = edits.setdefault((entry.job.id, entry.name), Edit(entry.job, entry.name))
+            for finding in entry.findings:
+                del findings[finding.row.job, finding.row.index]
+                self._learn(entry.job, finding)
+                edit.over.append(finding)
 
     def _learn(self, job: Job, finding: Finding) -> None:
         spec, row = job.spec, finding.row
--- a/crossmill/settings/limits.py
+++ b/crossmill/settings/limits.py
@@ -2,8 +2,10 @@
 
 from dataclasses import dataclass
 
-# the longest encoding of one planned task, and the part of a value that plans may fill
+# the longest encoding of one planned task, as legacy chunks and as segments count it, and the
+# part of a value that plans may fill
 PLAN_ROW_BYTES = 48
+SEGMENT_ROW_BYTES = 32
 PLAN_VALUE_SHARE = 0.75
 LEAST_CHUNK_TASKS = 16
 # PROTOCOL: a transaction takes this many conditions for each of its changes
@@ -47,8 +49,9 @@
 
     @property
     def segment_tasks(self) -> int:
-        """The same as a power of two, the size of a segment once the feature level is raised."""
-        return 1 << (self.chunk_tasks.bit_length() - 1)
+        """The size of a segment, once the feature level is raised."""
+        tasks = int(self.value_bytes * PLAN_VALUE_SHARE / SEGMENT_ROW_BYTES)
+        return max(LEAST_CHUNK_TASKS, tasks)
 
     @property
     def record_bytes(self) -> int:
--- a/crossmill/state/writer.py
+++ b/crossmill/state/writer.py
@@ -90,6 +90,10 @@
         """The state service's limits as far as they are known."""
         return self._lowest or self._limits()
 
+    def writes_within(self, span_s: float) -> int:
+        """How many changes this controller may make in such a time, at least one."""
+        return max(1, int(self._pacer.rate * span_s))
+
     @property
     def backlog(self) -> int:
         return len(self._queue)
--- a/tests/harness.py
+++ b/tests/harness.py
@@ -174,6 +174,9 @@
         own = self.membership.acting(shard)
         assert own is not None
         await self.rounds.round(shard, own)
+        # rounds do not wait for these
+        for intent in self.rounds._cleaning.get(shard, ()):
+            await intent.future.wait()
 
     def token(self, shard: int = 0) -> int:
         return self.membership.owned[shard].token
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -10,10 +10,12 @@
 from crossmill.cluster import keys
 from crossmill.cluster.model import Chunk, Job, Row
 from crossmill.cluster.records import encode_chunk
+from crossmill.jobs.outcome_batch import ChunkNews, select
 from crossmill.planning.rooms import Room
 from crossmill.settings import Team
 from crossmill.state.writer import OK, URGENT, Intent
 from crossmill.wire.state import Put, Txn
+from crossmill.workers.reports import Finding
 
 from . import harness
 from .harness import Node, add_job, add_machine, play, seed
@@ -171,3 +173,18 @@
         assert await late.future.wait(0.05) is None
 
     play(story)
+
+
+def test_a_round_writes_no_more_chunks_than_the_rate_takes_and_urgent_ones_first() -> None:
+    # guards against rounds of many seconds: the next stage of a pipeline waits for each
+    def news(number: int, rows: int, why: str = "done") -> ChunkNews:
+        row = Row(f"wk-{number:06d}", 0, 1, "n-0", 1)
+        chunk = Chunk(2, 0, {i: row for i in range(rows)})
+        return ChunkNews(Job(row.job), "0", chunk, [Finding(row, why)])
+
+    many = [news(number, 9) for number in range(20)]
+    last, failed = news(90, 1), news(91, 9, "error")
+    assert select(many[:3], 4) == many[:3]
+    assert select([*many, last, failed], 4) == [last, failed, *many[:2]]
+    # some progress even where all is urgent
+    assert select([*many, last, failed], 1) == [last, failed, many[0]]
