--- a/crossmill/jobs/rounds.py
+++ b/crossmill/jobs/rounds.py
@@ -4,27 +4,26 @@
 transactions that carry the stamps of all they rest on. Starts are sent only from durable plans."""
 
 import logging
-from dataclasses import dataclass, field, replace
 
 import curio
 
 from ..cluster import keys
 from ..cluster.deputies import Deputies
 from ..cluster.membership import Membership, Owned
-from ..cluster.model import Job, Machine, Row
+from ..cluster.model import Job, Row
 from ..cluster.world import World
 from ..fleet.outlook import Outlook
 from ..net.clock import Clock
-from ..planning.rooms import Room, Zones, allowed, assign
 from ..settings import Settings
 from ..state.writer import OK, Intent, Writer
-from ..wire.users import JobSpec
 from ..workers.direct import Direct
 from ..workers.reports import Finding, Reports
 from .cleanup import Cleanup
 from .durable import Durable, Edit
-from .guarantees import Guarantees, Use
+from .failures import TaskFailures
+from .guarantees import Guarantees
 from .outcome_batch import collect, select
+from .placement import Placement
 from .plan_migration import PlanMigration
 from .preemption import Preemption
 from .reassignment import Reassignment
@@ -33,17 +32,9 @@
 log = logging.getLogger(__name__)
 
 
-@dataclass(slots=True)
-class Trouble:
-    """A job whose tasks failed: where, and when the next may be tried."""
-
-    machines: set[str] = field(default_factory=set)
-    failures: int = 0
-    succeeded: bool = False
-    not_before: float = 0.0
-
-
 class Rounds:
+    """Runs rounds for each shard, and carries out what they decide."""
+
     def __init__(
         self,
         settings: Settings,
@@ -65,12 +56,7 @@
         self._outlook = outlook
         self._direct = direct
         self.estimates = outlook.estimates
-        self._troubles: dict[str, Trouble] = {}
-        self._resume: dict[int, str] = {}
-        self._again = False
-        # of this round: kinds of tasks for which no room is left; rooms only fill up meanwhile
-        self._full: set[tuple[object, ...]] = set()
-        self._stops: list[Row] = []
+        self._failures = TaskFailures(settings, clock, world)
         self._guarantees = Guarantees(settings, world)
         self._preemption = Preemption(settings, clock, world, reports, outlook, self._guarantees)
         self._reassignment = Reassignment(settings, clock, world, reports, outlook)
@@ -89,14 +75,26 @@
             deputies,
             self._preemption,
             self._reassignment,
+            self._failures,
+        )
+        self._placement = Placement(
+            settings,
+            clock,
+            world,
+            reports,
+            outlook,
+            self._guarantees,
+            self._preemption,
+            self._reassignment,
+            self._failures,
         )
         self.wake = curio.Event()
 
     async def run(self) -> None:
         while True:
-            if not self._again:
+            if not self._placement.is_unfinished:
                 await curio.ignore_after(self._s.report_s / 2, self.wake.wait)
-            self._again = False
+            self._placement.is_unfinished = False
             self.wake.clear()
             for shard in range(self._s.nodes):
                 own = self._membership.acting(shard)
@@ -119,10 +117,10 @@
         self._gather(shard, edits)
         # machines to be given are chosen before tasks are placed: a start planned in the same
         # round would follow its machine to a shard that knows nothing of the job
-        self._stops = list(self._reassignment.look(shard, machines))
-        self._place(shard, own, machines, edits)
-        if self._stops:
-            await self._direct.send([], self._stops)
+        stops = list(self._reassignment.look(shard, machines))
+        stops += self._placement.place(shard, own, machines, edits)
+        if stops:
+            await self._direct.send([], stops)
         starts: dict[int, list[Row]] = {}
         intents: list[Intent] = []
         for edit in edits.values():
@@ -133,12 +131,7 @@
         intents += self._durable.finish(shard, own)
         intents += self._migration.steps(shard, own)
         if await self._clean_up(shard, own):
-            active = self._world.active[shard]
-            self._troubles = {
-                k: t
-                for k, t in self._troubles.items()
-                if k in active or ((job := self._world.jobs.get(k)) and job.shard != shard)
-            }
+            self._failures.forget_ended(shard)
         intents += self._upkeep.give_up(shard, own, machines)
         moves = self._upkeep.moves(shard, own, machines)
         intents += moves.values()
@@ -198,234 +191,6 @@
         if spec is None:
             return
         self._reports.stopping.pop((row.job, row.index, row.attempt), None)
-        trouble = self._troubles.setdefault(job.id, Trouble())
-        if finding.why == "done":
-            trouble.succeeded = True
-            self._upkeep.errors.pop(row.machine, None)
-            if finding.took_s is not None:
-                self.estimates.saw(spec.job_class, spec.estimate_s, finding.took_s)
-        elif finding.why in ("error", "unknown"):
-            trouble.failures += 1
-            trouble.machines.add(row.machine)
-            # a job that fails on several machines is itself at fault, and is tried ever
-            # more rarely; it says nothing against the machines
-            if len(trouble.machines) >= 2 or finding.why == "unknown":
-                wait = self._s.report_s * 2 ** min(trouble.failures, 8)
-                trouble.not_before = self._clock.now() + min(wait, self._s.backoff_most_s)
-            if not (len(trouble.machines) >= 3 and not trouble.succeeded):
-                self._upkeep.errors.setdefault(row.machine, set()).add(job.id)
-
-    # -- placing ---------------------------------------------------------------------
-
-    def _usable(self, machine: Machine, own_now: float) -> bool:
-        view = self._reports.peek(machine.id)
-        return (
-            view is not None
-            and not machine.retiring
-            and view.fresh(own_now, self._s.suspect_s)
-            and view.notice_at is None
-            and len(self._upkeep.errors.get(machine.id, ())) < 2
-            and machine.id not in self._preemption.draining
-            and machine.id not in self._reassignment.going
-            and machine.id not in self._reports.leaving
-        )
-
-    def _rooms(self, machines: list[Machine]) -> list[Room]:
-        now = self._clock.now()
-        rooms: list[Room] = []
-        for machine in machines:
-            kind = self._world.catalog.get(machine.type)
-            if kind is None or not self._usable(machine, now):
-                continue
-            rooms.append(self._outlook.room(machine, kind))
-        return rooms
-
-    def _place(
-        self,
-        shard: int,
-        own: Owned,
-        machines: list[Machine],
-        edits: dict[tuple[str, str], Edit],
-    ) -> None:
-        self._preemption.settle()
-        self._guarantees.begin(shard)
-        self._full.clear()
-        queue = self._outlook.waiting(shard)
-        if not queue:
-            self._stops.extend(self._preemption.drain(shard, own, lambda: self._rooms(machines)))
-            return
-        started = self._clock.now()
-        rooms = self._rooms(machines)
-        used = self._guarantees.use(shard)
-        # a round that ran out of time goes on where it stopped
-        resume = self._resume.pop(shard, None)
-        if resume is not None:
-            start = next((i for i, job in enumerate(queue) if job.id == resume), 0)
-            queue = queue[start:] + queue[:start]
-        for job in queue:
-            if self._clock.now() - started > self._s.round_budget_s:
-                self._resume[shard] = job.id
-                self._again = True
-                break
-            self._place_job(job, rooms, used, edits)
-
-    def _within_limit(self, spec: JobSpec, used: Use) -> int:
-        team = self._s.team(spec.team)
-        now = used.setdefault(spec.team, [0.0, 0.0])
-        count = spec.tasks
-        if team is None:
-            return 0
-        for most, held, each in (
-            (team.cpus_max, now[0], spec.cpus),
-            (team.gpus_max, now[1], spec.gpus),
-        ):
-            if most > 0 and each > 0:
-                count = min(count, int((most - held + 1e-6) / each))
-        return max(0, count)
-
-    def _place_job(
-        self,
-        job: Job,
-        rooms: list[Room],
-        used: Use,
-        edits: dict[tuple[str, str], Edit],
-    ) -> None:
-        spec = job.spec
-        assert spec is not None
-        trouble = self._troubles.get(job.id)
-        wanted = min(job.waiting_count(), self._within_limit(spec, used))
-        if trouble is not None and trouble.not_before > self._clock.now():
-            return
-        if trouble is not None and len(trouble.machines) >= 2 and not trouble.succeeded:
-            wanted = min(wanted, 1 - job.row_count())
-        if wanted <= 0:
-            return
-        zones = Zones(spec, self._world.zones_of(job))
-        bad = trouble.machines if trouble is not None else set()
-        free = self._free(spec, rooms)
-        free = [r for r in free if r.machine not in bad and self._preemption.open_to(r, job)]
-        if spec.kind == "gang" and not self._whole(job, spec, wanted, free):
-            return
-        # a replica that ended with its machine says nothing against the job: only failures of
-        # its own keep it from taking others' room. Arrays take it once, for their guarantee:
-        # for each task anew they would stop one another's work over and over
-        blameless = trouble is None or (spec.kind == "service" and trouble.failures == 0)
-        if blameless and self._preemption.could(job, used):
-            rooms = [r for r in rooms if r.machine not in bad and self._preemption.open_to(r, job)]
-        else:
-            blameless, rooms = False, free
-            if not free:
-                return
-        taken = self._find_rooms(job, spec, wanted, free, rooms, zones, used, blameless)
-        if not taken:
-            return
-        slots = [room.machine for room, number in taken for _ in range(number)]
-        for index, machine_id in zip(self._waiting(job, edits), slots, strict=False):
-            self._start(job, index, machine_id, edits)
-        used[spec.team][0] += len(slots) * spec.cpus
-        used[spec.team][1] += len(slots) * spec.gpus
-
-    def _free(self, spec: JobSpec, rooms: list[Room]) -> list[Room]:
-        """Rooms where at least one such task fits. Most jobs that wait are like others that
-        wait, and most rooms are full: it is asked once for all that are alike."""
-        kind = (spec.cpus, spec.gpus, spec.memory_gb, spec.types, spec.zone, spec.spot)
-        if kind in self._full:
-            return []
-        free = [
-            room
-            for room in rooms
-            if room.fits(spec) and allowed(spec, room.type, room.zone, room.spot)
-        ]
-        if not free:
-            self._full.add(kind)
-        return free
-
-    def _whole(self, job: Job, spec: JobSpec, wanted: int, rooms: list[Room]) -> bool:
-        """A gang's tasks wait for one another, so they are placed together or not at all."""
-        if job.row_count():
-            return False
-        trial = [replace(room, images=dict(room.images)) for room in rooms]
-        zones = Zones(spec, self._world.zones_of(job))
-        found = sum(n for _, n in assign(spec, wanted, trial, zones))
-        return found == job.waiting_count()
-
-    def _find_rooms(
-        self,
-        job: Job,
-        spec: JobSpec,
-        wanted: int,
-        free: list[Room],
-        rooms: list[Room],
-        zones: Zones,
-        used: Use,
-        may_preempt: bool,
-    ) -> list[tuple[Room, int]]:
-        """Room that is free; but a class that must start soon rather gets the place of lesser
-        work where its image is than a free one where it would wait for the image."""
-        prompt_s = self._s.prompt_s(spec.job_class) if spec.kind == "service" else None
-        taken: list[tuple[Room, int]] = []
-        # a claim that came to nothing is not repeated: then any room will do
-        again = self._preemption.failed(job)
-        if prompt_s is not None and not again:
-            # room made for the job counts wherever it is, or it would stand empty until the
-            # claim ends
-            def near(room: Room) -> bool:
-                return room.delay_s(spec) < 0.75 * prompt_s or self._preemption.made_for(room, job)
-
-            taken = assign(spec, wanted, list(filter(near, free)), zones, self._s.together)
-            wanted -= sum(number for _, number in taken)
-            if wanted and may_preempt:
-                if self._preemption.claimed(job):
-                    return taken
-                stops, covered = self._preemption.preempt(
-                    job, wanted, list(filter(near, rooms)), used
-                )
-                self._stops.extend(stops)
-                wanted -= covered
-        more = assign(spec, wanted, free, zones, self._s.together) if wanted else []
-        wanted -= sum(number for _, number in more)
-        if wanted and may_preempt and not again:
-            stops, _ = self._preemption.preempt(job, wanted, rooms, used)
-            self._stops.extend(stops)
-        return taken + more
-
-    def _waiting(self, job: Job, edits: dict[tuple[str, str], Edit]) -> list[int]:
-        """Tasks with no attempt in the plan and no outcome, lowest first, bounded."""
-        assert job.spec is not None
-        layout = self._world.layout
-        result: list[int] = []
-        for where in layout.chunks(job.spec.tasks, job.chunks):
-            chunk = job.chunks.get(where.name)
-            for index in range(where.first, where.end):
-                if chunk is None or (
-                    index not in chunk.rows and not chunk.done >> (index - where.first) & 1
-                ):
-                    result.append(index)
-            if len(result) >= layout.legacy_tasks:
-                break
-        return result
-
-    def _start(
-        self, job: Job, index: int, machine_id: str, edits: dict[tuple[str, str], Edit]
-    ) -> None:
-        view = self._reports.peek(machine_id)
-        name = self._world.layout.chunk_of(index, job.chunks).name
-        edit = edits.setdefault((job.id, name), Edit(job, name))
-        most = self._world.limits.machines_per_txn
-        if view is None or len({r.machine for r in edit.starts}) >= most:
-            return
-        chunk = job.chunks.get(name)
-        attempt = chunk.next if chunk else 1
-        if job.spec is not None and job.spec.kind != "gang":
-            # a gang's tasks find one another by a common attempt number
-            attempt += len(edit.starts)
-        edit.starts.append(Row(job.id, index, attempt, machine_id, view.session))
-        cached = job.spec is not None and job.spec.image in self._world.machines[machine_id].images
-        log.info(
-            "task placed job=%s task=%d attempt=%d machine=%s cached=%s",
-            job.id,
-            index,
-            attempt,
-            machine_id,
-            cached,
-        )
+        self._failures.record(job, finding)
+        if finding.why == "done" and finding.took_s is not None:
+            self.estimates.saw(spec.job_class, spec.estimate_s, finding.took_s)
--- a/crossmill/jobs/upkeep.py
+++ b/crossmill/jobs/upkeep.py
@@ -15,6 +15,7 @@
 from ..state.writer import LATER, Intent
 from ..wire.state import Put, Txn
 from ..workers.reports import Reports
+from .failures import TaskFailures
 from .preemption import Preemption
 from .reassignment import Reassignment
 from .shard_writes import shard_intent
@@ -34,6 +35,7 @@
         deputies: Deputies,
         preemption: Preemption,
         reassignment: Reassignment,
+        failures: TaskFailures,
     ) -> None:
         self._s = settings
         self._clock = clock
@@ -44,8 +46,7 @@
         self._deputies = deputies
         self._preemption = preemption
         self._reassignment = reassignment
-        # the jobs that failed on a machine and on no other
-        self.errors: dict[str, set[str]] = {}
+        self._failures = failures
         self._spare_at: dict[int, float] = {}
         self._silent_until: dict[tuple[int, str], float] = {}
 
@@ -138,7 +139,7 @@
             return "never-up" if age > self._s.boot_patience * kind.boot_s else ""
         if not view.fresh(now, patience):
             return "silent"
-        if len(self.errors.get(machine.id, ())) >= 2:
+        if self._failures.is_faulty(machine.id):
             return "faulty" if not machine.rows else ""
         if machine.rows or view.tasks:
             view.idle_since = None
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -205,7 +205,7 @@
         job = node.world.jobs[JOB]
         assert job.chunks["1"].first == 1024
         assert node.world.layout.chunk_of(1030, job.chunks).name == "1"
-        waiting = node.rounds._waiting(job, {})
+        waiting = node.rounds._placement._waiting(job)
         assert 1024 not in waiting and 1025 not in waiting
 
     play(story)
