--- a/crossmill/cluster/membership.py
+++ b/crossmill/cluster/membership.py
@@ -188,15 +188,20 @@
     def _allot(self) -> None:
         """The state service's write rate is parted by what there is to do: a controller whose
         shards have no team takes submissions only, the leader also writes every machine's
-        record. All see the same keys; while they differ, a refusal or two is the worst."""
-        weights = dict.fromkeys(self._world.nodes, 1)
+        record, and shards with many running arrays have more outcomes to write. All see the
+        same keys; while they differ, a refusal or two is the worst."""
+        weights = dict.fromkeys(self._world.nodes, 1.0)
         if self._s.label not in weights:
-            weights = dict.fromkeys(self._labels, 1)
+            weights = dict.fromkeys(self._labels, 1.0)
+        busy = self._s.busy_shards
+        loads = {shard: self._world.write_load(shard) for shard in busy}
+        total_load = sum(loads.values())
         for index, shard in self._world.shards.items():
-            if shard.owner in weights and index in self._s.busy_shards:
-                weights[shard.owner] += 2
+            if shard.owner in weights and index in busy:
+                part = loads[index] / total_load if total_load else 1 / len(busy)
+                weights[shard.owner] += self._s.shard_weight(part)
         if self._world.leader in weights:
-            weights[self._world.leader] += 2
+            weights[self._world.leader] += self._s.leader_weight
         mine = weights[self._s.label]
         limits = self._world.limits
         self._writer.allot(self._s.writes_of(mine, sum(weights.values()), limits))
--- a/crossmill/cluster/world.py
+++ b/crossmill/cluster/world.py
@@ -95,6 +95,14 @@
         s = self._settings
         return s.state_now if self.level is None else s.state_lowest
 
+    def write_load(self, shard: int) -> int:
+        """How many records of running arrays the shard's owner keeps up to date."""
+        return sum(
+            max(1, len(job.chunks))
+            for job in self.active[shard].values()
+            if job.spec is not None and job.spec.kind != "service" and not job.blocked
+        )
+
     def _on_feature(self, label: str, value: Any, version: int) -> None:
         if value is None:
             self.upgraded.pop(label, None)
--- a/crossmill/settings/model.py
+++ b/crossmill/settings/model.py
@@ -150,6 +150,16 @@
         """The part of each while nobody is known to have more to do."""
         return self.writes_of(1, self.nodes)
 
+    def shard_weight(self, part: float) -> float:
+        """The weight that a shard with this part of all running work gives its owner, beside 1
+        for being there: 2 on average over all shards with a team."""
+        return 0.5 + 1.5 * len(self.busy_shards) * part
+
+    @property
+    def leader_weight(self) -> float:
+        """The weight that renting machines and recording them gives the leader."""
+        return 2.0
+
     @property
     def urgent_writes(self) -> float:
         """Urgent changes that a controller may make ahead of its share: a pipeline is submitted
--- a/tests/test_work.py
+++ b/tests/test_work.py
@@ -1,12 +1,14 @@
 """Placing, preempting, retrying, returning machines: what the rounds decide."""
 
 import orjson
+import pytest
 
 from crossmill.cluster import keys
+from crossmill.cluster.records import encode_job
 from crossmill.wire.users import JobSpec
 
 from .harness import Node, add_job, add_machine, play, seed
-from .standins import FakeClock, StateService, make_settings, on, submission
+from .standins import FakeClock, StateService, make_settings, make_spec, on, submission
 
 Nodes = dict[str, Node]
 
@@ -342,3 +344,32 @@
         assert state.keys[keys.job(job)][0]["end"] == "done"
 
     play(story)
+
+
+@pytest.mark.parametrize(("team", "is_hot"), [("red", True), ("blue", False)])
+def test_the_write_rate_goes_to_the_shard_with_the_running_arrays(team: str, is_hot: bool) -> None:
+    # guards against the outcomes of one team's many arrays waiting while others' shares lie idle
+    async def story(state: StateService, clock: FakeClock, nodes: Nodes) -> None:
+        seed(state, clock)
+        for shard, label in ((1, "node-1"), (2, "node-2")):
+            state.put(keys.node(label), {"lease": 1, "deaf": False, "seen": 0})
+            state.put(keys.shard(shard), {"owner": label, "token": shard})
+        node = Node(state, clock, nodes)
+        await node.boot()
+        await node.membership.step()
+        assert set(node.membership.owned) == {node.settings.shard_of_team("red")}
+        even = node.writer._pacer.rate
+        add_job(state, clock, nameId="wk-000001", crew=team)
+        # neither replicas nor jobs that wait have outcomes to write
+        add_job(state, clock, nameId="wk-000002", crew="green", cut="service")
+        spec = make_spec(nameId="wk-000003", crew="green")
+        state.put(keys.job(spec.id), encode_job(spec, clock.wall(), ("wk-000001",)))
+        await node.sync()
+        await node.membership.step()
+        assert (node.writer._pacer.rate > even) is is_hot
+        assert node.writer._pacer.rate != even
+        s = node.settings
+        parts = [s.shard_weight(part) for part in (0.5, 0.25, 0.25)]
+        assert sum(parts) == pytest.approx(2 * len(s.busy_shards))
+
+    play(story)
