--- a/crossmill/app.py
+++ b/crossmill/app.py
@@ -5,16 +5,16 @@
 
 import curio
 
+from .cluster.cluster_state import ClusterState
 from .cluster.deputies import Deputies
 from .cluster.feature_level import FeatureLevel
 from .cluster.keeper import Keeper
 from .cluster.keys import ROOT
 from .cluster.membership import Membership
 from .cluster.promises import Promises
-from .cluster.world import World
 from .fleet.cloud import Cloud
+from .fleet.forecast import DemandForecast
 from .fleet.leader import Leader
-from .fleet.outlook import Outlook
 from .jobs.api import JobApi
 from .jobs.rounds import Rounds
 from .net.clock import Clock
@@ -37,32 +37,32 @@
         self.settings = settings
         client = StateClient(settings, clock)
         mirror = Mirror()
-        self.world = World(mirror, settings)
+        self.cluster = ClusterState(mirror, settings)
         self.follower = Follower(client, mirror, clock, ROOT, settings)
-        self.writer = Writer(client, mirror, clock, settings, lambda: self.world.limits)
+        self.writer = Writer(client, mirror, clock, settings, lambda: self.cluster.limits)
         self.keeper = Keeper(client, clock, settings)
         self.promises = Promises(settings, clock)
         self.promises.served_ago_s = client.served_ago_s
         self.promises.refused_at = client.refused_at
         self.membership = Membership(
-            settings, clock, self.keeper, self.world, self.follower, self.writer, self.promises
+            settings, clock, self.keeper, self.cluster, self.follower, self.writer, self.promises
         )
         self.feature_level = FeatureLevel(
-            settings, clock, self.world, self.follower, self.writer, self.membership
+            settings, clock, self.cluster, self.follower, self.writer, self.membership
         )
-        self.deputies = Deputies(settings, clock, self.world, self.keeper)
+        self.deputies = Deputies(settings, clock, self.cluster, self.keeper)
         self.deputies.sync = self.follower.sync
-        self.reports = Reports(settings, clock, self.world, self.membership, self.deputies)
-        self.outlook = Outlook(settings, clock, self.world)
-        direct = Direct(settings, self.world, self.membership, self.reports)
+        self.reports = Reports(settings, clock, self.cluster, self.membership, self.deputies)
+        self.forecast = DemandForecast(settings, clock, self.cluster)
+        direct = Direct(settings, self.cluster, self.membership, self.reports)
         self.rounds = Rounds(
             settings,
             clock,
-            self.world,
+            self.cluster,
             self.membership,
             self.reports,
             self.writer,
-            self.outlook,
+            self.forecast,
             direct,
             self.deputies,
         )
@@ -71,15 +71,15 @@
         self.leader = Leader(
             settings,
             clock,
-            self.world,
+            self.cluster,
             self.membership,
-            self.outlook,
+            self.forecast,
             Cloud(settings, clock),
             self.writer,
             lambda: secrets.token_hex(8),
         )
         self.jobs = JobApi(
-            settings, clock, self.world, self.follower, self.writer, client, self.deputies
+            settings, clock, self.cluster, self.follower, self.writer, client, self.deputies
         )
         self.server = Server(
             settings.bind, self._handle, settings.server_sockets, 6 * settings.lease_s
@@ -102,7 +102,7 @@
             return await self.jobs.handle(request)
         if request.path == "/healthz":
             # users are sent elsewhere while this controller alone can't decide anything
-            ready = self.follower.ready.is_set() and bool(self.world.catalog)
+            ready = self.follower.ready.is_set() and bool(self.cluster.catalog)
             ready = ready and not self.promises.alone
             return Response(200 if ready else 503)
         return Response(404, users.error_body("no such path"))
--- a/crossmill/cluster/world.py
+++ b/crossmill/cluster/cluster_state.py
@@ -14,7 +14,7 @@
 from .records import decode_chunk, decode_job
 
 
-class World:
+class ClusterState:
     def __init__(self, mirror: Mirror, settings: Settings) -> None:
         self._settings = settings
         self.mirror = mirror
--- a/crossmill/cluster/deputies.py
+++ b/crossmill/cluster/deputies.py
@@ -20,9 +20,9 @@
 from ..wire.checks import Malformed
 from ..wire.workers import Command, Report
 from . import keys
+from .cluster_state import ClusterState
 from .keeper import Keeper
 from .model import ACTIVE, Machine
-from .world import World
 
 log = logging.getLogger(__name__)
 
@@ -42,13 +42,13 @@
         self,
         settings: Settings,
         clock: Clock,
-        world: World,
+        cluster: ClusterState,
         keeper: Keeper,
         connect: Callable[[Peer], Http] = lambda peer: Client(peer.endpoint, max_sockets=2),
     ) -> None:
         self._s = settings
         self._clock = clock
-        self._world = world
+        self._cluster = cluster
         self._keeper = keeper
         self._http = {peer.label: connect(peer) for peer in settings.peers}
         self._of_zone: dict[str, list[str]] = {}
@@ -78,7 +78,7 @@
         """All that was durable at `sent` is known. It counts while our key stands in the state
         service: its going bounds for others how long we may answer, and its change shows them
         that promises of the process before this one are void."""
-        mine = self._world.nodes.get(self._s.label)
+        mine = self._cluster.nodes.get(self._s.label)
         announced = mine is not None and mine["lease"] == self._keeper.lease
         if announced and self._keeper.authority():
             self._synced_at = sent
@@ -99,7 +99,7 @@
             return None
         if now < self._barred.get(machine_id, 0.0):
             return None
-        shard = self._world.shards.get(machine.shard)
+        shard = self._cluster.shards.get(machine.shard)
         # a token we don't know: somebody else acts for the machine, and it can be reached
         if report.token > max(machine.token, shard.token if shard is not None else 0):
             return None
@@ -116,8 +116,8 @@
         ]
 
     def _ended(self, job_id: str) -> bool:
-        job = self._world.jobs.get(job_id)
-        if job_id in self._ending or job_id in self._world.ending:
+        job = self._cluster.jobs.get(job_id)
+        if job_id in self._ending or job_id in self._cluster.ending:
             return True
         return job is not None and job.end != ACTIVE
 
@@ -159,7 +159,7 @@
         rests: dict[str, int] = {}
         for label in self._of_zone.get(machine.zone, ()):
             key = keys.node(label)
-            version = self._world.mirror.version(key)
+            version = self._cluster.mirror.version(key)
             word = self._quiet.get((label, machine.id))
             gone = self._gone_since(label)
             if word is not None and now < word.until and word.version == version:
@@ -173,13 +173,13 @@
         return rests if now - answered_at > self._s.worker_end_s else None
 
     def _comings(self, label: str) -> tuple[int, int]:
-        return self._world.node_changes.get(label, 0), self._world.mirror.readings
+        return self._cluster.node_changes.get(label, 0), self._cluster.mirror.readings
 
     def _gone_since(self, label: str) -> float | None:
         """Since when for certain a controller has had no key: a stall of ours may have hidden
         that it came back, learnt of what was durable then, and went again."""
         since, comings = self._absent.get(label, (0.0, (-1, -1)))
-        known = label not in self._world.nodes and comings == self._comings(label)
+        known = label not in self._cluster.nodes and comings == self._comings(label)
         return since if known else None
 
     def zone_lost(self, zone: str) -> bool:
@@ -193,7 +193,7 @@
         now = self._clock.now()
         for label in self._of_zone.get(machine.zone, ()):
             word = self._quiet.get((label, machine.id))
-            version = self._world.mirror.version(keys.node(label))
+            version = self._cluster.mirror.version(keys.node(label))
             if word is None or now >= word.until or word.version != version:
                 self._asked[machine.id] = machine.zone
 
@@ -217,17 +217,17 @@
         labels = [label for zone in zones for label in self._of_zone.get(zone, ())]
         rests: dict[str, int] = {}
         known: set[str] = set()
-        noted, _ = self._world.ending.get(job_id, (0, 0.0))
+        noted, _ = self._cluster.ending.get(job_id, (0, 0.0))
 
         async def tell(label: str) -> None:
             key = keys.node(label)
-            version = self._world.mirror.version(key)
+            version = self._cluster.mirror.version(key)
             body = wire.ending_body(job_id)
             answer = await self._call(label, "POST", wire.ENDING_PATH, body)
             if answer is not None or self.known_ending(label):
                 rests[key] = version
                 known.add(label)
-            elif noted and self._world.nodes.get(label, {}).get("seen", 0) >= noted:
+            elif noted and self._cluster.nodes.get(label, {}).get("seen", 0) >= noted:
                 # it has read the note, as any process that follows it will
                 rests[keys.ending(job_id)] = noted
                 known.add(label)
@@ -252,7 +252,7 @@
 
     async def _ask(self, label: str, machines: list[str]) -> None:
         sent = self._clock.now()
-        version = self._world.mirror.version(keys.node(label))
+        version = self._cluster.mirror.version(keys.node(label))
         data = await self._call(label, "POST", wire.QUIET_PATH, wire.machines_body(machines))
         if data is None:
             return
--- a/crossmill/cluster/feature_level.py
+++ b/crossmill/cluster/feature_level.py
@@ -19,8 +19,8 @@
 from . import keys
 
 if TYPE_CHECKING:
+    from .cluster_state import ClusterState
     from .membership import Membership
-    from .world import World
 
 log = logging.getLogger(__name__)
 
@@ -56,14 +56,14 @@
         self,
         settings: Settings,
         clock: Clock,
-        world: "World",
+        cluster: "ClusterState",
         follower: Follower,
         writer: Writer,
         membership: "Membership",
     ) -> None:
         self._s = settings
         self._clock = clock
-        self._world = world
+        self._cluster = cluster
         self._follower = follower
         self._writer = writer
         self._membership = membership
@@ -71,19 +71,19 @@
     async def run(self) -> None:
         """Works until the level is raised, then waits for ever."""
         await self._follower.ready.wait()
-        while self._world.level is None:
+        while self._cluster.level is None:
             await self.step()
             await curio.sleep(self._s.renew_s)
-        log.info("feature level raised level=%d", self._world.level.number)
+        log.info("feature level raised level=%d", self._cluster.level.number)
         await curio.Event().wait()
 
     async def step(self) -> None:
         """One look; whatever fails is tried again at the next."""
-        if self._world.level is not None:
+        if self._cluster.level is not None:
             return
-        if self._s.label not in self._world.upgraded:
+        if self._s.label not in self._cluster.upgraded:
             await self._note()
-        missing = [label for label in self._s.labels if label not in self._world.upgraded]
+        missing = [label for label in self._s.labels if label not in self._cluster.upgraded]
         if not missing and self._membership.leading() is not None:
             await self._raise()
 
@@ -95,7 +95,7 @@
         level = Level(
             DEPENDENCIES, self._s.state_now.chunk_tasks, self._s.state_lowest.segment_tasks
         )
-        conditions = {keys.feature(x): self._world.upgraded[x] for x in self._s.labels}
+        conditions = {keys.feature(x): self._cluster.upgraded[x] for x in self._s.labels}
         conditions[keys.LEVEL] = 0
         await self._commit(Txn(conditions, [Put(keys.LEVEL, encode_level(level))]))
 
--- a/crossmill/cluster/keeper.py
+++ b/crossmill/cluster/keeper.py
@@ -6,7 +6,7 @@
 
 from ..net.clock import Clock
 from ..settings import Settings
-from ..state.client import Doubt, NoLease, Refused, StateClient
+from ..state.client import NoLease, OutcomeUnknown, Refused, StateClient
 
 log = logging.getLogger(__name__)
 
@@ -60,7 +60,7 @@
             self.epoch += 1
             await self.changed.set()
             return 0.0
-        except (Refused, Doubt) as exc:
+        except (Refused, OutcomeUnknown) as exc:
             log.debug("lease not renewed error=%s", exc)
             if not self.failing:
                 self.failing = True
--- a/crossmill/cluster/membership.py
+++ b/crossmill/cluster/membership.py
@@ -12,10 +12,10 @@
 from ..state.writer import OK, URGENT, Intent, Writer
 from ..wire.state import Put, Txn
 from . import keys
-from .hearing import Hearing
+from .cluster_state import ClusterState
 from .keeper import Keeper
 from .promises import Promises
-from .world import World
+from .reachability import WorkerReachability
 
 log = logging.getLogger(__name__)
 
@@ -37,7 +37,7 @@
         settings: Settings,
         clock: Clock,
         keeper: Keeper,
-        world: World,
+        cluster: ClusterState,
         follower: Follower,
         writer: Writer,
         promises: Promises,
@@ -45,12 +45,12 @@
         self._s = settings
         self._clock = clock
         self._keeper = keeper
-        self._world = world
+        self._cluster = cluster
         self._follower = follower
         self._writer = writer
         self._promises = promises
         promises.owned = lambda: self.owned
-        self.hearing = Hearing(settings, clock, world)
+        self.reachability = WorkerReachability(settings, clock, cluster)
         self._labels = settings.labels
         self._seen = 0
         self._started = clock.now()
@@ -125,16 +125,16 @@
 
     async def step(self) -> None:
         for shard, own in list(self.owned.items()):
-            known = self._world.shards.get(shard)
+            known = self._cluster.shards.get(shard)
             if own.epoch != self._keeper.epoch:
                 self._drop(shard, "lease ended")
             elif known is not None and known.version > own.version:
                 self._drop(shard, f"taken by {known.owner}")
-        if self.hearing.look({k: own.acquired_at for k, own in self.owned.items()}):
+        if self.reachability.look({k: own.acquired_at for k, own in self.owned.items()}):
             await self._give_away()
         await self._announce()
         self._allot()
-        missing = [k for k in range(self._s.nodes) if k not in self._world.shards]
+        missing = [k for k in range(self._s.nodes) if k not in self._cluster.shards]
         if any(not self._promises.may_start(k) for k in missing):
             await self._promises.inquire()
         for shard in range(self._s.nodes):
@@ -153,10 +153,10 @@
 
     async def _announce(self) -> None:
         key = keys.node(self._s.label)
-        mine = self._world.nodes.get(self._s.label)
-        lease, deaf = self._keeper.lease, self.hearing.deaf
+        mine = self._cluster.nodes.get(self._s.label)
+        lease, deaf = self._keeper.lease, self.reachability.deaf
         # whoever asks that a job be withdrawn may not reach us: this shows that we know of it
-        self._seen = max((self._seen, *(v for v, _ in self._world.ending.values())))
+        self._seen = max((self._seen, *(v for v, _ in self._cluster.ending.values())))
         value = {"lease": lease, "deaf": deaf, "seen": self._seen}
         if lease is None or mine == value:
             return
@@ -166,7 +166,7 @@
 
     def _deaf(self, label: str) -> bool:
         """Whether the controller says that no worker reaches it; said by all, it says nothing."""
-        nodes = self._world.nodes
+        nodes = self._cluster.nodes
         return bool(
             label in nodes
             and nodes[label].get("deaf")
@@ -177,7 +177,7 @@
         """Workers that can't reach us are sent to us by all others until somebody else acts
         for them; once nobody answers them their leases end."""
         shards = dict(self.owned)
-        if all(label == self._s.label or n.get("deaf") for label, n in self._world.nodes.items()):
+        if all(label == self._s.label or n.get("deaf") for label, n in self._cluster.nodes.items()):
             return
         log.info("no worker heard, shards given away number=%d", len(shards))
         await self._announce()
@@ -190,20 +190,20 @@
         shards have no team takes submissions only, the leader also writes every machine's
         record, and shards with many running arrays have more outcomes to write. All see the
         same keys; while they differ, a refusal or two is the worst."""
-        weights = dict.fromkeys(self._world.nodes, 1.0)
+        weights = dict.fromkeys(self._cluster.nodes, 1.0)
         if self._s.label not in weights:
             weights = dict.fromkeys(self._labels, 1.0)
         busy = self._s.busy_shards
-        loads = {shard: self._world.write_load(shard) for shard in busy}
+        loads = {shard: self._cluster.write_load(shard) for shard in busy}
         total_load = sum(loads.values())
-        for index, shard in self._world.shards.items():
+        for index, shard in self._cluster.shards.items():
             if shard.owner in weights and index in busy:
                 part = loads[index] / total_load if total_load else 1 / len(busy)
                 weights[shard.owner] += self._s.shard_weight(part)
-        if self._world.leader in weights:
-            weights[self._world.leader] += self._s.leader_weight
+        if self._cluster.leader in weights:
+            weights[self._cluster.leader] += self._s.leader_weight
         mine = weights[self._s.label]
-        limits = self._world.limits
+        limits = self._cluster.limits
         self._writer.allot(self._s.writes_of(mine, sum(weights.values()), limits))
 
     async def _commit(self, txn: Txn) -> bool:
@@ -213,9 +213,9 @@
 
     def _rank(self) -> int:
         """How many live controllers have fewer shards than this one."""
-        load = {label: 0 for label in self._world.nodes if not self._deaf(label)}
+        load = {label: 0 for label in self._cluster.nodes if not self._deaf(label)}
         load.setdefault(self._s.label, 0)
-        for shard in self._world.shards.values():
+        for shard in self._cluster.shards.values():
             if shard.owner in load:
                 load[shard.owner] += 1
         order = sorted(load, key=lambda label: (load[label], label))
@@ -226,13 +226,13 @@
         now = self._clock.now()
         since = self._missing.setdefault(key, now)
         wait = self._rank() * self._s.hold_ttl_s / 4
-        if not self._world.shards:
+        if not self._cluster.shards:
             # nobody has started yet: leave each its own
             wait += self._s.hold_ttl_s
         return now - since >= wait
 
     def _may_take(self, shard: int) -> bool:
-        known = self._world.shards.get(shard)
+        known = self._cluster.shards.get(shard)
         key = keys.shard(shard)
         if known is not None:
             self._missing.pop(key, None)
@@ -245,7 +245,7 @@
             return False
         if home == self._s.label:
             return True
-        if home in self._world.nodes and self._world.shards and not self._deaf(home):
+        if home in self._cluster.nodes and self._cluster.shards and not self._deaf(home):
             self._missing.setdefault(key, self._clock.now())
             return self._clock.now() - self._missing[key] > self._s.hold_ttl_s
         return self._patient(key)
@@ -259,11 +259,11 @@
 
     def next_token(self) -> tuple[int, int]:
         """The next token, and the counter's version that a write of it rests on."""
-        counter = self._world.mirror.value(keys.TOKEN) or {"n": 0}
-        return int(counter["n"]) + 1, self._world.mirror.version(keys.TOKEN)
+        counter = self._cluster.mirror.value(keys.TOKEN) or {"n": 0}
+        return int(counter["n"]) + 1, self._cluster.mirror.version(keys.TOKEN)
 
     async def _take_one(self, shard: int) -> None:
-        known = self._world.shards.get(shard)
+        known = self._cluster.shards.get(shard)
         token, counted = self.next_token()
         lease, epoch = self._keeper.lease, self._keeper.epoch
         key = keys.shard(shard)
@@ -280,7 +280,7 @@
         if not await self._commit(txn):
             await self._follower.sync(self._s.renew_s)
             return
-        version = self._world.mirror.version(key)
+        version = self._cluster.mirror.version(key)
         before = self.owned.get(shard)
         self.owned[shard] = Owned(token, version, self._clock.now(), epoch)
         if before is not None and before.epoch == epoch:
@@ -291,8 +291,8 @@
         log.info("shard taken shard=%d epoch=%d", shard, token)
 
     async def _lead(self) -> None:
-        known = self._world.leader
-        version = self._world.mirror.version(keys.LEADER)
+        known = self._cluster.leader
+        version = self._cluster.mirror.version(keys.LEADER)
         if self._leads is not None and self._leads == (self._keeper.epoch, version):
             return
         if self._leads is not None:
@@ -309,7 +309,7 @@
         )
         epoch = self._keeper.epoch
         if await self._commit(txn):
-            self._leads = (epoch, self._world.mirror.version(keys.LEADER))
+            self._leads = (epoch, self._cluster.mirror.version(keys.LEADER))
             self._missing.pop(keys.LEADER, None)
             log.info("lead taken epoch=%d", epoch)
         else:
@@ -319,7 +319,7 @@
         """A controller that came back gets its own teams again, once it has stood a while."""
         now = self._clock.now()
         for label in self._labels:
-            if label not in self._world.nodes or self._deaf(label):
+            if label not in self._cluster.nodes or self._deaf(label):
                 self._home_since.pop(label, None)
             else:
                 self._home_since.setdefault(label, now)
--- a/crossmill/cluster/hearing.py
+++ b/crossmill/cluster/reachability.py
@@ -5,18 +5,18 @@
 
 from ..net.clock import Clock
 from ..settings import Settings
-from .world import World
+from .cluster_state import ClusterState
 
 # looks in a row at which nothing had come: after a stall of our own, reports that wait in the
 # sockets are read between two of them
 LOOKS = 3
 
 
-class Hearing:
-    def __init__(self, settings: Settings, clock: Clock, world: World) -> None:
+class WorkerReachability:
+    def __init__(self, settings: Settings, clock: Clock, cluster: ClusterState) -> None:
         self._s = settings
         self._clock = clock
-        self._world = world
+        self._cluster = cluster
         self._heard_at = clock.now()
         self._looks = 0
         self._deaf_since: float | None = None
@@ -57,5 +57,5 @@
             machine.up and not machine.retiring
             for shard, since in shards.items()
             if now - since > self._s.unheard_s
-            for machine in self._world.machines_of[shard].values()
+            for machine in self._cluster.machines_of[shard].values()
         )
--- a/crossmill/fleet/outlook.py
+++ b/crossmill/fleet/forecast.py
@@ -4,8 +4,8 @@
 from dataclasses import dataclass, field, replace
 from math import inf
 
+from ..cluster.cluster_state import ClusterState
 from ..cluster.model import Job, Machine
-from ..cluster.world import World
 from ..net.clock import Clock
 from ..planning.demand import Outcome, Source, Want, demand, room_of, slots_on
 from ..planning.estimates import Estimates
@@ -25,13 +25,13 @@
     spec: JobSpec | None = None
 
 
-class Outlook:
-    def __init__(self, settings: Settings, clock: Clock, world: World) -> None:
+class DemandForecast:
+    def __init__(self, settings: Settings, clock: Clock, cluster: ClusterState) -> None:
         self._s = settings
         self._clock = clock
-        self._world = world
+        self._cluster = cluster
         self.estimates = Estimates()
-        self._pipelines = PipelineBudgets(settings, clock, world, self.estimates)
+        self._pipelines = PipelineBudgets(settings, clock, cluster, self.estimates)
         self.blocked: dict[tuple[str, str, bool], float] = {}
         self._arrivals: dict[tuple[int, str], _Arrivals] = {}
         self._seen_order = 0
@@ -42,7 +42,7 @@
         self._typical_at = -inf
 
     def _room(self, machine: Machine, wall: float) -> Room | None:
-        kind = self._world.catalog.get(machine.type)
+        kind = self._cluster.catalog.get(machine.type)
         if kind is None or machine.retiring:
             return None
         if not machine.up and wall - machine.rented > self._s.late_boot * kind.boot_s:
@@ -59,7 +59,7 @@
     def _note_catalog(self) -> None:
         """What follows from the catalog alone is worked out once for each: asked for every
         machine and task, it took most of a controller's time on a large fleet."""
-        catalog = self._world.catalog
+        catalog = self._cluster.catalog
         if catalog is self._catalog:
             return
         self._catalog = catalog
@@ -96,7 +96,7 @@
             self._typical_at = now
             tasks: dict[str, int] = {}
             specs: dict[str, JobSpec] = {}
-            for jobs in self._world.active.values():
+            for jobs in self._cluster.active.values():
                 for job in jobs.values():
                     if job.spec is not None and job.spec.gpus > 0:
                         name = job.spec.job_class
@@ -109,7 +109,7 @@
 
     def _note_arrivals(self, wall: float) -> None:
         newest = self._seen_order
-        for shard, jobs in self._world.active.items():
+        for shard, jobs in self._cluster.active.items():
             for job in jobs.values():
                 if job.order <= self._seen_order or job.spec is None:
                     continue
@@ -132,7 +132,7 @@
             if where != shard or spec is None or spec.kind != "service":
                 continue
             kinds = [
-                k for n, k in self._world.catalog.items() if spec.types is None or n in spec.types
+                k for n, k in self._cluster.catalog.items() if spec.types is None or n in spec.types
             ]
             if not kinds:
                 continue
@@ -167,13 +167,13 @@
             return
         rooms = [
             room_of(m.id, kind, m.zone, True)
-            for m in self._world.machines_of[shard].values()
+            for m in self._cluster.machines_of[shard].values()
             if m.spot
-            and (kind := self._world.catalog.get(m.type)) is not None
+            and (kind := self._cluster.catalog.get(m.type)) is not None
             and self._room(m, wall) is not None
         ]
         base = demand(wants, rooms, self.sources(), self._limit)
-        kept = {m.id for m in self._world.machines_of[shard].values() if m.spot}
+        kept = {m.id for m in self._cluster.machines_of[shard].values() if m.spot}
         outcome.spare -= kept - base.spare
         for key, need in base.needs.items():
             known = outcome.needs.setdefault(key, need)
@@ -192,7 +192,7 @@
         """Jobs with tasks to be placed, in the queue's order."""
         jobs = [
             job
-            for job in self._world.active[shard].values()
+            for job in self._cluster.active[shard].values()
             if job.spec is not None and job.waiting_count() > 0
         ]
         jobs.sort(key=self.queue_place)
@@ -213,7 +213,7 @@
         for job in self.waiting(shard):
             spec, place = job.spec, self._pipelines.place(job)
             assert spec is not None
-            zones = self._world.zones_of(job)
+            zones = self._cluster.zones_of(job)
             task_s = self.estimates.task_s(spec.job_class, spec.estimate_s)
             # the fixed wait is a place in the queue; without a deadline no option is too slow
             budget_s = place.budget_end - wall if place.has_deadline else inf
@@ -234,7 +234,7 @@
         """How long the image takes where it is fetched soonest."""
         rates = [
             k.fetch_gb_per_s
-            for n, k in self._world.catalog.items()
+            for n, k in self._cluster.catalog.items()
             if spec.types is None or n in spec.types
         ]
         return spec.image_gb / max(rates) if rates else 0.0
@@ -242,7 +242,7 @@
     def _coming_free(self, shard: int) -> int:
         return sum(
             job.row_count()
-            for job in self._world.active[shard].values()
+            for job in self._cluster.active[shard].values()
             if job.spec is not None and job.spec.kind == "array"
         )
 
@@ -257,7 +257,7 @@
     def _rooms(self, shard: int, wall: float) -> list[Room]:
         return [
             room
-            for machine in self._world.machines_of[shard].values()
+            for machine in self._cluster.machines_of[shard].values()
             if (room := self._room(machine, wall)) is not None
         ]
 
@@ -273,7 +273,7 @@
         """What has waited a while and finds no room in the shard, machines that still boot and
         slots that come free counted in."""
         old = wall - self._s.give_every_s
-        waiting = self._world.active[shard].values()
+        waiting = self._cluster.active[shard].values()
         if not any(j.ready_at < old and j.waiting_count() > 0 for j in waiting):
             return []
         rooms = self._rooms(shard, wall)
@@ -281,19 +281,19 @@
         for want in self._wants(shard, wall):
             taken = assign(want.spec, want.tasks, rooms, want.zones)
             left = want.tasks - sum(number for _, number in taken) - want.covered
-            if left > 0 and self._world.jobs[want.spec.id].ready_at < old:
+            if left > 0 and self._cluster.jobs[want.spec.id].ready_at < old:
                 result.append(replace(want, tasks=left, covered=0))
         return result
 
     def _quick(self, spec: JobSpec, room: Room) -> bool:
         """Whether the image is there as soon as the machine's next report."""
-        kind = self._world.catalog[room.type]
+        kind = self._cluster.catalog[room.type]
         return spec.image_gb < kind.fetch_gb_per_s * self._s.report_s
 
     def redundant(self, shard: int, machine: Machine, rooms: list[Room]) -> bool:
         """Whether all on this machine would fit where its images are, on machines in use or
         cheaper, with room left for what is expected."""
-        kind = self._world.catalog.get(machine.type)
+        kind = self._cluster.catalog.get(machine.type)
         if kind is None:
             return False
         own = room_of(machine.id, kind, machine.zone, machine.spot)
@@ -305,13 +305,13 @@
         moving: dict[str, int] = {}
         for row in machine.rows.values():
             moving[row.job] = moving.get(row.job, 0) + 1
-        jobs = [self._world.jobs[job_id] for job_id in moving]
+        jobs = [self._cluster.jobs[job_id] for job_id in moving]
         # in the order in which the round after the stops will place them
         for job in sorted(jobs, key=self.queue_place):
             spec = job.spec
             if spec is None or spec.kind != "service":
                 return False
-            zones = self._world.zones_of(job)
+            zones = self._cluster.zones_of(job)
             zones[machine.zone] -= moving[job.id]
             near = [r for r in rooms if spec.image in r.images or self._quick(spec, r)]
             taken = assign(spec, moving[job.id], near, Zones(spec, zones), self._s.together)
--- a/crossmill/fleet/leader.py
+++ b/crossmill/fleet/leader.py
@@ -7,8 +7,8 @@
 import curio
 
 from ..cluster import keys
+from ..cluster.cluster_state import ClusterState
 from ..cluster.membership import Membership
-from ..cluster.world import World
 from ..net.clock import Clock
 from ..planning.demand import Need
 from ..settings import Settings
@@ -16,7 +16,7 @@
 from ..wire.cloud import MAX_RELEASE, Listed
 from ..wire.state import Put, Txn
 from .cloud import Cloud, CloudTrouble, NoCapacity, stored_catalog
-from .outlook import Outlook
+from .forecast import DemandForecast
 
 log = logging.getLogger(__name__)
 
@@ -26,18 +26,18 @@
         self,
         settings: Settings,
         clock: Clock,
-        world: World,
+        cluster: ClusterState,
         membership: Membership,
-        outlook: Outlook,
+        forecast: DemandForecast,
         cloud: Cloud,
         writer: Writer,
         unique: Callable[[], str],
     ) -> None:
         self._s = settings
         self._clock = clock
-        self._world = world
+        self._cluster = cluster
         self._membership = membership
-        self._outlook = outlook
+        self._forecast = forecast
         self._cloud = cloud
         self._writer = writer
         # no incarnation ever uses a name of another: the prefix is drawn anew at each start
@@ -50,7 +50,7 @@
 
     async def run(self) -> None:
         while True:
-            if self._membership.leading() is not None or not self._world.catalog:
+            if self._membership.leading() is not None or not self._cluster.catalog:
                 try:
                     await self._step()
                 except CloudTrouble as exc:
@@ -75,8 +75,8 @@
     def _summarize(self) -> None:
         """The fleet in a few lines, so that an operator sees what the money goes to."""
         groups: dict[tuple[int, str, bool], list[float]] = {}
-        for machine in self._world.machines.values():
-            kind = self._world.catalog.get(machine.type)
+        for machine in self._cluster.machines.values():
+            kind = self._cluster.catalog.get(machine.type)
             if kind is None:
                 continue
             entry = groups.setdefault((machine.shard, machine.type, machine.spot), [0.0] * 6)
@@ -104,10 +104,10 @@
         self._summarize()
         catalog = await self._cloud.catalog()
         self._catalog_at = self._clock.now()
-        if not self._world.catalog:
-            self._world.catalog = catalog
+        if not self._cluster.catalog:
+            self._cluster.catalog = catalog
         version = self._membership.leading()
-        if version is None or stored_catalog(catalog) == self._world.mirror.value(keys.CATALOG):
+        if version is None or stored_catalog(catalog) == self._cluster.mirror.value(keys.CATALOG):
             return
         txn = Txn({keys.LEADER: version}, [Put(keys.CATALOG, stored_catalog(catalog))])
         await self._commit([Intent(txn, LATER, holds=self._leads)])
@@ -124,7 +124,7 @@
 
     async def _rent(self) -> None:
         for shard in range(self._s.nodes):
-            for need in list(self._outlook.look(shard).needs.values()):
+            for need in list(self._forecast.look(shard).needs.values()):
                 if self._membership.leading() is None:
                     return
                 await self._rent_one(shard, need)
@@ -141,7 +141,7 @@
                 )
                 break
             except NoCapacity:
-                self._outlook.blocked[key] = self._clock.now() + self._s.blocked_s
+                self._forecast.blocked[key] = self._clock.now() + self._s.blocked_s
                 log.info("no capacity type=%s zone=%s spot=%s", *key)
                 return
             except CloudTrouble:
@@ -158,7 +158,7 @@
             rented[0] if rented else "",
         )
         if len(rented) < need.number:
-            self._outlook.blocked[key] = self._clock.now() + self._s.blocked_s
+            self._forecast.blocked[key] = self._clock.now() + self._s.blocked_s
         await self._record([(m, *key) for m in rented], [shard] * len(rented), asked_at)
 
     async def _record(
@@ -190,7 +190,7 @@
         unknown for longer than a rental's answer and its record take."""
         fresh: list[Listed] = []
         for row in listed:
-            known = self._world.machines.get(row.id)
+            known = self._cluster.machines.get(row.id)
             if known is not None:
                 self._unlisted.pop(row.id, None)
                 if row.state == "failed" and not known.retiring:
@@ -205,7 +205,7 @@
 
     async def _adopt(self, rows: list[Listed]) -> None:
         """Machines nobody expected are taken in; those not needed go the way of idle ones."""
-        needy = max(range(self._s.nodes), key=lambda k: self._outlook.look(k).short)
+        needy = max(range(self._s.nodes), key=lambda k: self._forecast.look(k).short)
         for row in rows:
             log.info("machine adopted machine=%s shard=%d", row.id, needy)
             await self._record(
@@ -217,7 +217,7 @@
                 await self._retire(row.id, "failed")
 
     async def _retire(self, machine_id: str, why: str) -> None:
-        machine, version = self._world.machines.get(machine_id), self._membership.leading()
+        machine, version = self._cluster.machines.get(machine_id), self._membership.leading()
         if machine is None or version is None:
             return
         log.info("machine given up machine=%s why=%s", machine_id, why)
@@ -233,7 +233,7 @@
     async def _release(self) -> None:
         """Only what is durably retiring is released; the record goes after the 200, when the
         machine and all on it are gone."""
-        going = [m for m in self._world.machines.values() if m.retiring][:MAX_RELEASE]
+        going = [m for m in self._cluster.machines.values() if m.retiring][:MAX_RELEASE]
         if not going:
             return
         await self._cloud.release([m.id for m in going])
--- a/crossmill/fleet/pipelines.py
+++ b/crossmill/fleet/pipelines.py
@@ -6,8 +6,8 @@
 
 from dataclasses import dataclass
 
+from ..cluster.cluster_state import ClusterState
 from ..cluster.model import ACTIVE, Job
-from ..cluster.world import World
 from ..net.clock import Clock
 from ..planning.demand import slots_on
 from ..planning.estimates import Estimates
@@ -44,17 +44,17 @@
     """Plans pipelines when they change, and answers for single jobs directly."""
 
     def __init__(
-        self, settings: Settings, clock: Clock, world: World, estimates: Estimates
+        self, settings: Settings, clock: Clock, cluster: ClusterState, estimates: Estimates
     ) -> None:
         self._s = settings
         self._clock = clock
-        self._world = world
+        self._cluster = cluster
         self._estimates = estimates
         self._plans: dict[str, _Planned] = {}
 
     def place(self, job: Job) -> QueuePlace:
         """Where the job stands now."""
-        if self._world.graph.is_single(job):
+        if self._cluster.graph.is_single(job):
             return self._single(job)
         self._drop_changed()
         plan = self._plans.get(job.id)
@@ -70,12 +70,12 @@
 
     def priority(self, job: Job) -> int:
         """The job's own priority, or a higher one of an unfinished job that needs it."""
-        if job.spec is not None and self._world.graph.is_single(job):
+        if job.spec is not None and self._cluster.graph.is_single(job):
             return PRIORITY[job.spec.priority]
         return self.place(job).priority
 
     def _drop_changed(self) -> None:
-        changed = self._world.graph.changed
+        changed = self._cluster.graph.changed
         while changed:
             plan = self._plans.pop(changed.pop(), None)
             if plan is not None:
@@ -97,7 +97,7 @@
 
     def _members(self, job: Job) -> dict[str, Job]:
         """The unfinished jobs that are joined to this one."""
-        graph = self._world.graph
+        graph = self._cluster.graph
         members = {job.id: job}
         pending = [job]
         while pending:
@@ -135,7 +135,7 @@
             spec.tasks,
             self._options(spec),
             self._estimates.margin_s(spec.job_class, spec.estimate_s),
-            tuple(before.id for before in self._world.graph.unfinished_needs(job)),
+            tuple(before.id for before in self._cluster.graph.unfinished_needs(job)),
             deadline,
         )
 
@@ -144,7 +144,7 @@
         estimate_s = spec.estimate_s if spec.kind == "array" else REPLICA_S
         task_s = max(self._estimates.task_s(spec.job_class, estimate_s), 1e-3)
         options: list[Option] = []
-        for kind in self._world.catalog.values():
+        for kind in self._cluster.catalog.values():
             slots = slots_on(spec, kind)
             if slots and (spec.types is None or kind.name in spec.types):
                 finish_s = spec.image_gb / kind.fetch_gb_per_s + task_s
--- a/crossmill/jobs/api.py
+++ b/crossmill/jobs/api.py
@@ -1,7 +1,7 @@
 """The users' interface: which handler answers which request, on every controller."""
 
+from ..cluster.cluster_state import ClusterState
 from ..cluster.deputies import Deputies
-from ..cluster.world import World
 from ..net.clock import Clock
 from ..net.server import Request, Response
 from ..settings import Settings
@@ -25,19 +25,19 @@
         self,
         settings: Settings,
         clock: Clock,
-        world: World,
+        cluster: ClusterState,
         follower: Follower,
         writer: Writer,
         client: StateClient,
         deputies: Deputies,
     ) -> None:
-        self._lookup = JobLookup(settings, world, follower, client)
-        dependencies = DependencyCheck(world, world.mirror, client)
+        self._lookup = JobLookup(settings, cluster, follower, client)
+        dependencies = DependencyCheck(cluster, cluster.mirror, client)
         self._submission = SubmissionHandler(
-            settings, clock, world, writer, self._lookup, dependencies
+            settings, clock, cluster, writer, self._lookup, dependencies
         )
         self._cancellation = CancellationHandler(
-            settings, clock, world, writer, deputies, self._lookup
+            settings, clock, cluster, writer, deputies, self._lookup
         )
 
     async def handle(self, request: Request) -> Response:
--- a/crossmill/jobs/cancellation.py
+++ b/crossmill/jobs/cancellation.py
@@ -3,10 +3,10 @@
 import logging
 
 from ..cluster import keys
+from ..cluster.cluster_state import ClusterState
 from ..cluster.deputies import Deputies
 from ..cluster.model import ACTIVE, CANCELLED, Job
 from ..cluster.records import encode_end
-from ..cluster.world import World
 from ..net.clock import Clock
 from ..net.server import Response
 from ..settings import Settings
@@ -29,14 +29,14 @@
         self,
         settings: Settings,
         clock: Clock,
-        world: World,
+        cluster: ClusterState,
         writer: Writer,
         deputies: Deputies,
         lookup: JobLookup,
     ) -> None:
         self._s = settings
         self._clock = clock
-        self._world = world
+        self._cluster = cluster
         self._writer = writer
         self._deputies = deputies
         self._lookup = lookup
@@ -66,7 +66,7 @@
 
     async def _rests(self, job: Job) -> dict[str, int] | None:
         """What the cancellation is to rest on; None if it can't be confirmed yet."""
-        waits_for = next(self._world.graph.unfinished_needs(job), None)
+        waits_for = next(self._cluster.graph.unfinished_needs(job), None)
         if waits_for is not None:
             # it has no task anywhere, and gets none before this record changes
             return {keys.job(waits_for.id): waits_for.version}
@@ -83,7 +83,7 @@
 
     async def _note(self, job: Job) -> None:
         """Controllers that can't be reached read the note, and say so in their keys."""
-        if job.id in self._world.ending:
+        if job.id in self._cluster.ending:
             return
         note = keys.ending(job.id)
         put = Put(note, {"at": self._clock.wall()})
@@ -106,7 +106,7 @@
 
     def _zones(self, job: Job) -> set[str]:
         """Where tasks of the job are, or may be before its end is durable."""
-        zones = {zone for zone, number in self._world.zones_of(job).items() if number}
+        zones = {zone for zone, number in self._cluster.zones_of(job).items() if number}
         if job.waiting_count() and job.spec is not None:
             zones.update((job.spec.zone,) if job.spec.zone else self._s.zones)
         return zones
--- a/crossmill/jobs/cleanup.py
+++ b/crossmill/jobs/cleanup.py
@@ -4,10 +4,10 @@
 from collections.abc import Iterator
 
 from ..cluster import keys
+from ..cluster.cluster_state import ClusterState
 from ..cluster.membership import Membership, Owned
 from ..cluster.model import ACTIVE, CANCELLED, Job
 from ..cluster.records import encode_archived, encode_end
-from ..cluster.world import World
 from ..net.clock import Clock
 from ..settings import Settings
 from ..state.writer import LATER, Intent
@@ -19,16 +19,16 @@
     """Each round's writes for the ended jobs of a shard, bounded in number."""
 
     def __init__(
-        self, settings: Settings, clock: Clock, world: World, membership: Membership
+        self, settings: Settings, clock: Clock, cluster: ClusterState, membership: Membership
     ) -> None:
         self._s = settings
         self._clock = clock
-        self._world = world
+        self._cluster = cluster
         self._membership = membership
 
     def intents(self, shard: int, own: Owned) -> list[Intent]:
         """All that is due for the shard's ended jobs."""
-        most = self._world.limits.txn_ops
+        most = self._cluster.limits.txn_ops
         txns = [
             *self._record_cancelled(shard)[:most],
             *self._clear_plans(shard, most),
@@ -40,7 +40,7 @@
     def _record_cancelled(self, shard: int) -> list[Txn]:
         """Jobs cancelled with one that they need: their records follow within the write rate."""
         txns: list[Txn] = []
-        for job in list(self._world.unrecorded[shard].values()):
+        for job in list(self._cluster.unrecorded[shard].values()):
             if job.spec is not None:
                 key = keys.job(job.id)
                 value = encode_end(CANCELLED, job.spec, self._clock.wall())
@@ -50,7 +50,7 @@
     def _clear_plans(self, shard: int, most: int) -> list[Txn]:
         """An ended job's plan goes once nothing of it can be on a machine."""
         txns: list[Txn] = []
-        for job in list(self._world.ended[shard].values()):
+        for job in list(self._cluster.ended[shard].values()):
             for name, version in self._clearable(job):
                 if len(txns) >= most:
                     return txns
@@ -61,7 +61,7 @@
     def _clearable(self, job: Job) -> Iterator[tuple[str, int]]:
         """Chunks with no task on a machine. Copies of a chunk go before it: its deletion would
         put them in force."""
-        layout = self._world.layout
+        layout = self._cluster.layout
         copied: set[str] = set()
         for name, copy in job.staged.items():
             legacy = layout.legacy_of(copy.first).name
@@ -75,8 +75,8 @@
     def _forget_notes(self, shard: int) -> list[Txn]:
         """Notes of jobs that have ended, or whose users have long given up cancelling them."""
         txns: list[Txn] = []
-        for job_id, (version, at) in self._world.ending.items():
-            job = self._world.jobs.get(job_id)
+        for job_id, (version, at) in self._cluster.ending.items():
+            job = self._cluster.jobs.get(job_id)
             if (job.shard if job is not None else 0) != shard:
                 continue
             if job is None or job.end != ACTIVE or self._clock.wall() - at > self._s.note_s:
@@ -87,15 +87,15 @@
     def _archive(self, shard: int) -> list[Txn]:
         """What has long been over leaves memory, watch and start, but is never forgotten. Each
         archiving raises a counter that accepting a job with dependencies rests on."""
-        over = self._world.over[shard]
+        over = self._cluster.over[shard]
         excess = len(over) - self._s.ended_kept
         if excess <= 0:
             return []
-        mirror = self._world.mirror
+        mirror = self._cluster.mirror
         counter = mirror.value(keys.ARCHIVINGS) or {"n": 0}
         txn = Txn({keys.ARCHIVINGS: mirror.version(keys.ARCHIVINGS)})
         txn.puts.append(Put(keys.ARCHIVINGS, {"n": counter["n"] + 1}))
-        most = max(1, (self._world.limits.txn_ops - 1) // 2)
+        most = max(1, (self._cluster.limits.txn_ops - 1) // 2)
         for job in over.values():
             if len(txn.deletes) >= min(most, excess):
                 break
@@ -113,6 +113,6 @@
         return (
             job.spec is not None
             and job.recorded == job.end
-            and job.version <= self._world.mirror.revision
-            and not self._world.graph.is_needed(job.id)
+            and job.version <= self._cluster.mirror.revision
+            and not self._cluster.graph.is_needed(job.id)
         )
--- a/crossmill/jobs/dependency_check.py
+++ b/crossmill/jobs/dependency_check.py
@@ -3,9 +3,9 @@
 from dataclasses import dataclass, field
 
 from ..cluster import keys
+from ..cluster.cluster_state import ClusterState
 from ..cluster.model import CANCELLED, DONE, Job
-from ..cluster.world import World
-from ..state.client import Doubt, Refused, StateClient
+from ..state.client import OutcomeUnknown, Refused, StateClient
 from ..state.mirror import Mirror
 
 # ends of archived jobs that are remembered; they never change
@@ -32,8 +32,8 @@
     """Reads what the mirror does not hold straight from the state service: the job's key, then
     the archive, in the order in which a record moves, so that none is missed."""
 
-    def __init__(self, world: World, mirror: Mirror, client: StateClient) -> None:
-        self._world = world
+    def __init__(self, cluster: ClusterState, mirror: Mirror, client: StateClient) -> None:
+        self._cluster = cluster
         self._mirror = mirror
         self._client = client
         self._archived_ends: dict[str, str] = {}
@@ -55,7 +55,7 @@
         return result
 
     def _at_hand(self, need: str) -> Job | None:
-        job = self._world.jobs.get(need)
+        job = self._cluster.jobs.get(need)
         return job if job is not None and job.spec is not None else None
 
     async def _read(self, need: str) -> Job | None:
@@ -63,7 +63,7 @@
             return None
         try:
             row = await self._client.get(keys.job(need))
-        except (Refused, Doubt) as exc:
+        except (Refused, OutcomeUnknown) as exc:
             raise DependencyUnknown(need) from exc
         if row is not None:
             self._mirror.learned(row)
@@ -75,7 +75,7 @@
             return end
         try:
             row = await self._client.get(keys.archived(need))
-        except (Refused, Doubt) as exc:
+        except (Refused, OutcomeUnknown) as exc:
             raise DependencyUnknown(need) from exc
         if row is None:
             raise DependencyRefused(f"{need} was never accepted")
--- a/crossmill/jobs/durable.py
+++ b/crossmill/jobs/durable.py
@@ -3,11 +3,11 @@
 from dataclasses import dataclass, field
 
 from ..cluster import keys
+from ..cluster.cluster_state import ClusterState
 from ..cluster.layout import ChunkRange
 from ..cluster.membership import Membership, Owned
 from ..cluster.model import ACTIVE, DONE, Chunk, Job, Row
 from ..cluster.records import encode_chunk, encode_end
-from ..cluster.world import World
 from ..net.clock import Clock
 from ..state.writer import OUTCOME, PLACE, Intent
 from ..wire.state import Put, Txn
@@ -30,11 +30,11 @@
     """Turns a round's edits into write intents."""
 
     def __init__(
-        self, clock: Clock, world: World, membership: Membership, migration: PlanMigration
+        self, clock: Clock, cluster: ClusterState, membership: Membership, migration: PlanMigration
     ) -> None:
         self._migration = migration
         self._clock = clock
-        self._world = world
+        self._cluster = cluster
         self._membership = membership
 
     def intent(self, edit: Edit, shard: int, own: Owned) -> Intent | None:
@@ -45,7 +45,7 @@
             # it may no longer fit as it is; what is found now is found again at the next report
             return None
         old = job.chunks.get(edit.chunk)
-        where = self._world.layout.parse(edit.chunk)
+        where = self._cluster.layout.parse(edit.chunk)
         new = Chunk(old.next, old.done, dict(old.rows)) if old else Chunk()
         key = keys.plan(job.id, edit.chunk)
         txn = Txn({key: old.version if old else 0})
@@ -64,7 +64,7 @@
             # a job withdrawn or a machine retired in the meantime undoes the start
             txn.conditions[keys.job(job.id)] = job.version
             for row in edit.starts:
-                machine = self._world.machines[row.machine]
+                machine = self._cluster.machines[row.machine]
                 txn.conditions[keys.machine(machine.id)] = machine.version
         finished = job.end == ACTIVE and spec.kind != "service" and self._all_done(job, edit, new)
         if finished:
@@ -77,7 +77,7 @@
         """Ends of jobs whose last chunks were finished side by side: the write of neither could
         rest on the other. What is done stays done, so only the job's record is a condition."""
         intents: list[Intent] = []
-        for job in self._world.complete[shard].values():
+        for job in self._cluster.complete[shard].values():
             if job.spec is not None:
                 key = keys.job(job.id)
                 put = Put(key, encode_end(DONE, job.spec, self._clock.wall()))
@@ -89,7 +89,7 @@
         """What creating a chunk rests on: a stretch of tasks is held by a legacy chunk or by
         segments, never by both, however late a transaction is carried out."""
         if where.is_segment:
-            legacy = self._world.layout.legacy_of(where.first)
+            legacy = self._cluster.layout.legacy_of(where.first)
             return {keys.plan(job.id, legacy.name): 0}
         return {keys.LEVEL: 0}
 
--- a/crossmill/jobs/failures.py
+++ b/crossmill/jobs/failures.py
@@ -2,8 +2,8 @@
 
 from dataclasses import dataclass, field
 
+from ..cluster.cluster_state import ClusterState
 from ..cluster.model import Job
-from ..cluster.world import World
 from ..net.clock import Clock
 from ..settings import Settings
 from ..workers.reports import Finding
@@ -35,10 +35,10 @@
 class TaskFailures:
     """What failed since this process began; forgotten with the jobs."""
 
-    def __init__(self, settings: Settings, clock: Clock, world: World) -> None:
+    def __init__(self, settings: Settings, clock: Clock, cluster: ClusterState) -> None:
         self._s = settings
         self._clock = clock
-        self._world = world
+        self._cluster = cluster
         self._by_job: dict[str, JobFailures] = {}
         # the jobs that failed on a machine and on no other
         self._by_machine: dict[str, set[str]] = {}
@@ -74,10 +74,10 @@
 
     def forget_ended(self, shard: int) -> None:
         """Drops what is kept of the shard's jobs that are no longer unfinished."""
-        active = self._world.active[shard]
+        active = self._cluster.active[shard]
         self._by_job = {
             job_id: entry
             for job_id, entry in self._by_job.items()
             if job_id in active
-            or ((job := self._world.jobs.get(job_id)) is not None and job.shard != shard)
+            or ((job := self._cluster.jobs.get(job_id)) is not None and job.shard != shard)
         }
--- a/crossmill/jobs/guarantees.py
+++ b/crossmill/jobs/guarantees.py
@@ -3,8 +3,8 @@
 from itertools import groupby
 from operator import itemgetter
 
+from ..cluster.cluster_state import ClusterState
 from ..cluster.model import Job
-from ..cluster.world import World
 from ..settings import Settings
 
 # CPUs and GPUs by team
@@ -12,15 +12,15 @@
 
 
 class Guarantees:
-    def __init__(self, settings: Settings, world: World) -> None:
+    def __init__(self, settings: Settings, cluster: ClusterState) -> None:
         self._s = settings
-        self._world = world
+        self._cluster = cluster
         self._within: dict[int, set[str]] = {}
 
     def use(self, shard: int) -> Use:
         """What each team's tasks hold, those in doubt included."""
         used: Use = {}
-        for job in (*self._world.active[shard].values(), *self._world.ended[shard].values()):
+        for job in (*self._cluster.active[shard].values(), *self._cluster.ended[shard].values()):
             if job.spec is not None and (count := job.row_count()):
                 entry = used.setdefault(job.spec.team, [0.0, 0.0])
                 entry[0] += count * job.spec.cpus
@@ -48,7 +48,7 @@
         """The jobs of all teams that fit. Summed up for each job by itself, the team's earlier
         ones took two fifths of a controller's time with some 600 machines."""
         by_team: dict[str, list[tuple[int, float, str]]] = {}
-        for job in self._world.active[shard].values():
+        for job in self._cluster.active[shard].values():
             # a job that waits for others holds no part of a guarantee
             if job.spec is not None and not job.blocked:
                 left = job.spec.gpus * (job.spec.tasks - job.done_count())
--- a/crossmill/jobs/lookup.py
+++ b/crossmill/jobs/lookup.py
@@ -1,11 +1,11 @@
 """What users are told of a job: from memory where that is final, else shown to be current."""
 
 from ..cluster import keys
+from ..cluster.cluster_state import ClusterState
 from ..cluster.model import ACTIVE, Job
-from ..cluster.world import World
 from ..net.server import Response
 from ..settings import Settings
-from ..state.client import Doubt, Refused, StateClient
+from ..state.client import OutcomeUnknown, Refused, StateClient
 from ..state.follower import Follower
 from ..wire import users as wire
 
@@ -25,10 +25,10 @@
     """Reads jobs for the handlers of the users' interface."""
 
     def __init__(
-        self, settings: Settings, world: World, follower: Follower, client: StateClient
+        self, settings: Settings, cluster: ClusterState, follower: Follower, client: StateClient
     ) -> None:
         self._s = settings
-        self._world = world
+        self._cluster = cluster
         self._follower = follower
         self._client = client
 
@@ -44,12 +44,12 @@
 
     def final(self, job_id: str) -> Job | None:
         """The job, if it has ended for good."""
-        job = self._world.jobs.get(job_id)
+        job = self._cluster.jobs.get(job_id)
         return job if job is not None and job.end != ACTIVE else None
 
     def known(self, job_id: str) -> Job | None:
         """The job, if it is accepted and not archived."""
-        job = self._world.jobs.get(job_id)
+        job = self._cluster.jobs.get(job_id)
         return job if job is not None and job.spec is not None else None
 
     async def show(self, job_id: str) -> Response:
@@ -69,7 +69,7 @@
         """A job that is not at hand: long over, or never accepted."""
         try:
             row = await self._client.get(keys.archived(job_id))
-        except (Refused, Doubt):
+        except (Refused, OutcomeUnknown):
             return NOT_NOW
         if row is None:
             return NO_SUCH_JOB
--- a/crossmill/jobs/upkeep.py
+++ b/crossmill/jobs/machine_maintenance.py
@@ -5,11 +5,11 @@
 from typing import Any
 
 from ..cluster import keys
+from ..cluster.cluster_state import ClusterState
 from ..cluster.deputies import Deputies
 from ..cluster.membership import Membership, Owned
 from ..cluster.model import Machine
-from ..cluster.world import World
-from ..fleet.outlook import Outlook
+from ..fleet.forecast import DemandForecast
 from ..net.clock import Clock
 from ..settings import Settings
 from ..state.writer import LATER, Intent
@@ -23,15 +23,15 @@
 log = logging.getLogger(__name__)
 
 
-class Upkeep:
+class MachineMaintenance:
     def __init__(
         self,
         settings: Settings,
         clock: Clock,
-        world: World,
+        cluster: ClusterState,
         membership: Membership,
         reports: Reports,
-        outlook: Outlook,
+        forecast: DemandForecast,
         deputies: Deputies,
         preemption: Preemption,
         reassignment: Reassignment,
@@ -39,10 +39,10 @@
     ) -> None:
         self._s = settings
         self._clock = clock
-        self._world = world
+        self._cluster = cluster
         self._membership = membership
         self._reports = reports
-        self._outlook = outlook
+        self._forecast = forecast
         self._deputies = deputies
         self._preemption = preemption
         self._reassignment = reassignment
@@ -120,12 +120,12 @@
             since = view.idle_since if view is not None else None
             if since is not None and now - since > self._s.idle_s and not machine.retiring:
                 self._spare_at[shard] = now
-                return self._outlook.look(shard).spare
+                return self._forecast.look(shard).spare
         return set()
 
     def _fault(self, machine: Machine, now: float, patience: float, spare: set[str]) -> str:
         view = self._reports.peek(machine.id)
-        kind = self._world.catalog.get(machine.type)
+        kind = self._cluster.catalog.get(machine.type)
         if view is None or kind is None:
             return ""
         if not view.trusted:
--- a/crossmill/jobs/outcome_batch.py
+++ b/crossmill/jobs/outcome_batch.py
@@ -7,8 +7,8 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 
+from ..cluster.cluster_state import ClusterState
 from ..cluster.model import ACTIVE, Chunk, Job
-from ..cluster.world import World
 from ..workers.reports import Finding, Key
 
 
@@ -30,14 +30,14 @@
         return is_last or any(finding.why != "done" for finding in self.findings)
 
 
-def collect(world: World, findings: Mapping[Key, Finding], shard: int) -> list[ChunkNews]:
+def collect(cluster: ClusterState, findings: Mapping[Key, Finding], shard: int) -> list[ChunkNews]:
     """The news of the shard's chunks, oldest first."""
     news: dict[tuple[str, str], ChunkNews] = {}
     for (job_id, index), finding in findings.items():
-        job = world.jobs.get(job_id)
+        job = cluster.jobs.get(job_id)
         if job is None or job.shard != shard:
             continue
-        name = world.layout.chunk_of(index, job.chunks).name
+        name = cluster.layout.chunk_of(index, job.chunks).name
         chunk = job.chunks.get(name)
         if chunk is not None and chunk.rows.get(index) == finding.row:
             entry = news.setdefault((job_id, name), ChunkNews(job, name, chunk))
--- a/crossmill/jobs/placement.py
+++ b/crossmill/jobs/placement.py
@@ -3,10 +3,10 @@
 import logging
 from dataclasses import replace
 
+from ..cluster.cluster_state import ClusterState
 from ..cluster.membership import Owned
 from ..cluster.model import Job, Machine, Row
-from ..cluster.world import World
-from ..fleet.outlook import Outlook
+from ..fleet.forecast import DemandForecast
 from ..net.clock import Clock
 from ..planning.rooms import Room, Zones, allowed, assign
 from ..settings import Settings
@@ -28,9 +28,9 @@
         self,
         settings: Settings,
         clock: Clock,
-        world: World,
+        cluster: ClusterState,
         reports: Reports,
-        outlook: Outlook,
+        forecast: DemandForecast,
         guarantees: Guarantees,
         preemption: Preemption,
         reassignment: Reassignment,
@@ -38,9 +38,9 @@
     ) -> None:
         self._s = settings
         self._clock = clock
-        self._world = world
+        self._cluster = cluster
         self._reports = reports
-        self._outlook = outlook
+        self._forecast = forecast
         self._guarantees = guarantees
         self._preemption = preemption
         self._reassignment = reassignment
@@ -69,10 +69,10 @@
         now = self._clock.now()
         rooms: list[Room] = []
         for machine in machines:
-            kind = self._world.catalog.get(machine.type)
+            kind = self._cluster.catalog.get(machine.type)
             if kind is None or not self._usable(machine, now):
                 continue
-            rooms.append(self._outlook.room(machine, kind))
+            rooms.append(self._forecast.room(machine, kind))
         return rooms
 
     def place(
@@ -84,7 +84,7 @@
         self._preemption.settle()
         self._guarantees.begin(shard)
         self._full.clear()
-        queue = self._outlook.waiting(shard)
+        queue = self._forecast.waiting(shard)
         if not queue:
             return list(self._preemption.drain(shard, own, lambda: self._rooms(machines)))
         started = self._clock.now()
@@ -134,7 +134,7 @@
             wanted = min(wanted, 1 - job.row_count())
         if wanted <= 0:
             return
-        zones = Zones(spec, self._world.zones_of(job))
+        zones = Zones(spec, self._cluster.zones_of(job))
         bad = failures.machines if failures is not None else set()
         free = self._free(spec, rooms)
         free = [r for r in free if r.machine not in bad and self._preemption.open_to(r, job)]
@@ -179,7 +179,7 @@
         if job.row_count():
             return False
         trial = [replace(room, images=dict(room.images)) for room in rooms]
-        zones = Zones(spec, self._world.zones_of(job))
+        zones = Zones(spec, self._cluster.zones_of(job))
         found = sum(n for _, n in assign(spec, wanted, trial, zones))
         return found == job.waiting_count()
 
@@ -226,7 +226,7 @@
     def _waiting(self, job: Job) -> list[int]:
         """Tasks with no attempt in the plan and no outcome, lowest first, bounded."""
         assert job.spec is not None
-        layout = self._world.layout
+        layout = self._cluster.layout
         result: list[int] = []
         for where in layout.chunks(job.spec.tasks, job.chunks):
             chunk = job.chunks.get(where.name)
@@ -243,9 +243,9 @@
         self, job: Job, index: int, machine_id: str, edits: dict[tuple[str, str], Edit]
     ) -> None:
         view = self._reports.peek(machine_id)
-        name = self._world.layout.chunk_of(index, job.chunks).name
+        name = self._cluster.layout.chunk_of(index, job.chunks).name
         edit = edits.setdefault((job.id, name), Edit(job, name))
-        most = self._world.limits.machines_per_txn
+        most = self._cluster.limits.machines_per_txn
         if view is None or len({r.machine for r in edit.starts}) >= most:
             return
         chunk = job.chunks.get(name)
@@ -254,7 +254,9 @@
             # a gang's tasks find one another by a common attempt number
             attempt += len(edit.starts)
         edit.starts.append(Row(job.id, index, attempt, machine_id, view.session))
-        cached = job.spec is not None and job.spec.image in self._world.machines[machine_id].images
+        cached = (
+            job.spec is not None and job.spec.image in self._cluster.machines[machine_id].images
+        )
         log.info(
             "task placed job=%s task=%d attempt=%d machine=%s cached=%s",
             job.id,
--- a/crossmill/jobs/plan_migration.py
+++ b/crossmill/jobs/plan_migration.py
@@ -9,11 +9,11 @@
 from dataclasses import dataclass
 
 from ..cluster import keys
+from ..cluster.cluster_state import ClusterState
 from ..cluster.layout import ChunkRange
 from ..cluster.membership import Membership, Owned
 from ..cluster.model import ACTIVE, Chunk, Job
 from ..cluster.records import encode_chunk
-from ..cluster.world import World
 from ..state.writer import PLACE, Intent
 from ..wire.state import Put, Txn
 from .shard_writes import shard_intent
@@ -33,14 +33,14 @@
 class PlanMigration:
     """Which legacy chunks have to be moved, and the next step of each."""
 
-    def __init__(self, world: World, membership: Membership) -> None:
-        self._world = world
+    def __init__(self, cluster: ClusterState, membership: Membership) -> None:
+        self._cluster = cluster
         self._membership = membership
 
     def is_due(self, job: Job, name: str) -> bool:
         """Whether the chunk is a legacy one that could outgrow a segment."""
-        layout = self._world.layout
-        if layout.segment_tasks is None or (job.id, name) not in self._world.legacy_chunks:
+        layout = self._cluster.layout
+        if layout.segment_tasks is None or (job.id, name) not in self._cluster.legacy_chunks:
             return False
         where = layout.parse(name)
         tasks = job.spec.tasks if job.spec is not None else where.end
@@ -49,8 +49,8 @@
     def steps(self, shard: int, own: Owned) -> list[Intent]:
         """The next transaction for each chunk of the shard that has to be moved."""
         intents: list[Intent] = []
-        for (_, name), job in list(self._world.legacy_chunks.items()):
-            if len(intents) >= self._world.limits.txn_ops:
+        for (_, name), job in list(self._cluster.legacy_chunks.items()):
+            if len(intents) >= self._cluster.limits.txn_ops:
                 break
             is_empty = job.end != ACTIVE and not job.chunks[name].rows
             if job.shard == shard and not is_empty and self.is_due(job, name):
@@ -60,8 +60,8 @@
     def _step(self, job: Job, name: str, shard: int, own: Owned) -> Intent:
         legacy = job.chunks[name]
         legacy_key = keys.plan(job.id, name)
-        changes = self._changes(job, self._world.layout.parse(name), legacy)
-        most = self._world.limits.txn_ops
+        changes = self._changes(job, self._cluster.layout.parse(name), legacy)
+        most = self._cluster.limits.txn_ops
         is_last = len(changes) < most
         txn = Txn({legacy_key: legacy.version})
         for change in changes[: most - 1 if is_last else most]:
@@ -94,7 +94,7 @@
     def _copies(self, where: ChunkRange, legacy: Chunk, tasks: int) -> dict[str, Chunk]:
         """The legacy chunk cut into segments. Each goes on counting attempts where the whole
         stands, so that no attempt number comes twice."""
-        layout = self._world.layout
+        layout = self._cluster.layout
         copies: dict[str, Chunk] = {}
         index = where.first
         while index < min(where.end, tasks):
--- a/crossmill/jobs/preemption.py
+++ b/crossmill/jobs/preemption.py
@@ -5,10 +5,10 @@
 from collections.abc import Callable, Iterator
 from math import inf
 
+from ..cluster.cluster_state import ClusterState
 from ..cluster.membership import Owned
 from ..cluster.model import Job, Machine, Row
-from ..cluster.world import World
-from ..fleet.outlook import Outlook
+from ..fleet.forecast import DemandForecast
 from ..net.clock import Clock
 from ..planning.rooms import Room, Zones, allowed
 from ..settings import Settings
@@ -26,16 +26,16 @@
         self,
         settings: Settings,
         clock: Clock,
-        world: World,
+        cluster: ClusterState,
         reports: Reports,
-        outlook: Outlook,
+        forecast: DemandForecast,
         guarantees: Guarantees,
     ) -> None:
         self._s = settings
         self._clock = clock
-        self._world = world
+        self._cluster = cluster
         self._reports = reports
-        self._outlook = outlook
+        self._forecast = forecast
         self._guarantees = guarantees
         # jobs for which room is being made, until when it is waited for
         self._claims: dict[str, float] = {}
@@ -62,7 +62,7 @@
         now = self._clock.now()
         self._stoppable.clear()
         for job_id in list(self._claims):
-            job = self._world.jobs.get(job_id)
+            job = self._cluster.jobs.get(job_id)
             if job is None or job.waiting_count() == 0:
                 del self._claims[job_id]
         for machine, (job_id, until) in list(self._reserved.items()):
@@ -91,7 +91,7 @@
         if not stoppable:
             return [], 0
         beyond = {name: self._guarantees.beyond(name, used) for name in set(stoppable.values())}
-        zones = Zones(spec, self._world.zones_of(job))
+        zones = Zones(spec, self._cluster.zones_of(job))
         best: list[tuple[bool, float, Room, list[Row]]] = []
         for room in rooms:
             if not allowed(spec, room.type, room.zone, room.spot):
@@ -135,7 +135,7 @@
         return chosen, covered
 
     def _spec(self, row: Row) -> JobSpec:
-        spec = self._world.jobs[row.job].spec
+        spec = self._cluster.jobs[row.job].spec
         assert spec is not None
         return spec
 
@@ -157,18 +157,18 @@
         spec = job.spec
         assert spec is not None
         # a replica stopped costs as much as one started late, while machines can be had
-        replicas = spec.kind == "service" and self._outlook.short(spec)
+        replicas = spec.kind == "service" and self._forecast.short(spec)
         within = self._guarantees.speaks_for(job)
-        rank = self._outlook.priority(job)
+        rank = self._forecast.priority(job)
         key = (job.shard, rank, spec.team if within else "", replicas)
         if key in self._stoppable:
             return self._stoppable[key]
         result = self._stoppable[key] = {}
-        for other in self._world.active[job.shard].values():
+        for other in self._cluster.active[job.shard].values():
             victim = other.spec
             if victim is None or not other.chunks or (victim.kind == "service" and not replicas):
                 continue
-            if self._outlook.priority(other) > rank:
+            if self._forecast.priority(other) > rank:
                 result[other.id] = ""
             elif (
                 within
@@ -196,7 +196,7 @@
 
     def _victims(self, spec: JobSpec, room: Room, stoppable: dict[str, str]) -> list[Row] | None:
         """The rows whose end lets one task in, least work lost first; None if there are none."""
-        machine = self._world.machines.get(room.machine)
+        machine = self._cluster.machines.get(room.machine)
         if machine is None:
             return None
         stopping = self._reports.stopping
@@ -226,7 +226,7 @@
         moment on machines that are kept anyway."""
         now = self._clock.now()
         for machine_id in list(self.draining):
-            machine = self._world.machines.get(machine_id)
+            machine = self._cluster.machines.get(machine_id)
             if machine is None or machine.retiring or now > self.draining[machine_id]:
                 del self.draining[machine_id]
         if self.draining or now - max(own.acquired_at, self._drained_at.get(shard, 0.0)) < (
@@ -247,15 +247,15 @@
         """The machine whose going saves most for each replica moved."""
         by_gain: list[tuple[float, Machine]] = []
         for room in rooms:
-            machine = self._world.machines[room.machine]
-            kind = self._world.catalog.get(machine.type)
+            machine = self._cluster.machines[room.machine]
+            kind = self._cluster.catalog.get(machine.type)
             if kind is None or not machine.rows or len(machine.rows) > self._s.drain_most:
                 continue
             if all(self._settled(row) for row in machine.rows.values()):
                 by_gain.append((kind.price / len(machine.rows), machine))
         by_gain.sort(key=lambda entry: -entry[0])
         for _, machine in by_gain[:8]:
-            if self._outlook.redundant(shard, machine, rooms):
+            if self._forecast.redundant(shard, machine, rooms):
                 return machine
         return None
 
@@ -263,7 +263,7 @@
         """A replica that has run for a while; one just begun would count as not started."""
         view = self._reports.peek(row.machine)
         since = view.running_since.get((row.job, row.index)) if view is not None else None
-        job = self._world.jobs.get(row.job)
+        job = self._cluster.jobs.get(row.job)
         if since is None or job is None or job.spec is None or job.spec.kind != "service":
             return False
         return self._clock.now() - since > self._s.settled_s
--- a/crossmill/jobs/reassignment.py
+++ b/crossmill/jobs/reassignment.py
@@ -6,9 +6,9 @@
 import logging
 from collections.abc import Iterator
 
+from ..cluster.cluster_state import ClusterState
 from ..cluster.model import Machine, Row
-from ..cluster.world import World
-from ..fleet.outlook import Outlook
+from ..fleet.forecast import DemandForecast
 from ..net.clock import Clock
 from ..planning.demand import Want, slots_on
 from ..planning.rooms import allowed
@@ -20,13 +20,18 @@
 
 class Reassignment:
     def __init__(
-        self, settings: Settings, clock: Clock, world: World, reports: Reports, outlook: Outlook
+        self,
+        settings: Settings,
+        clock: Clock,
+        cluster: ClusterState,
+        reports: Reports,
+        forecast: DemandForecast,
     ) -> None:
         self._s = settings
         self._clock = clock
-        self._world = world
+        self._cluster = cluster
         self._reports = reports
-        self._outlook = outlook
+        self._forecast = forecast
         # machines that go to another shard once they are empty, and until when that is tried
         self.going: dict[str, tuple[int, float]] = {}
         self._promised: dict[str, float] = {}
@@ -44,7 +49,7 @@
         """Chooses machines to give; yields the attempts to be stopped for it."""
         now = self._clock.now()
         for machine_id, (to, until) in list(self.going.items()):
-            machine = self._world.machines.get(machine_id)
+            machine = self._cluster.machines.get(machine_id)
             if machine is None or machine.shard == to or machine.retiring or now > until:
                 del self.going[machine_id]
         if now - self._looked_at.get(shard, 0.0) < self._s.give_every_s:
@@ -52,15 +57,15 @@
         self._looked_at[shard] = now
         wall = self._clock.wall()
         for other in range(self._s.nodes):
-            if other == shard or other not in self._world.shards:
+            if other == shard or other not in self._cluster.shards:
                 continue
-            for want in self._outlook.unmet(other, wall):
+            for want in self._forecast.unmet(other, wall):
                 yield from self._give(shard, other, want, machines, wall)
 
     def _give(
         self, shard: int, other: int, want: Want, machines: list[Machine], wall: float
     ) -> Iterator[Row]:
-        now, job = self._clock.now(), self._world.jobs[want.spec.id]
+        now, job = self._clock.now(), self._cluster.jobs[want.spec.id]
         if self._promised.get(job.id, 0.0) > now:
             return
         # an idle machine is better moved than rented; running work is stopped only for
@@ -80,7 +85,7 @@
                     break
                 if machine.id in self.going or not self._idle(machine, stop):
                     continue
-                left -= min(slots_on(want.spec, self._world.catalog[machine.type]), left)
+                left -= min(slots_on(want.spec, self._cluster.catalog[machine.type]), left)
                 self.going[machine.id] = (other, now + self._s.lease_s)
                 log.info(
                     "machine to be given machine=%s shard=%d for=%s tasks=%d",
@@ -110,8 +115,8 @@
         that is done again elsewhere; those with the least of it first."""
         spec = want.spec
         result = []
-        for machine in self._world.machines_of[shard].values():
-            kind = self._world.catalog.get(machine.type)
+        for machine in self._cluster.machines_of[shard].values():
+            kind = self._cluster.catalog.get(machine.type)
             if kind is None or machine.retiring or not machine.up:
                 continue
             if bool(machine.rows) is not stop or want.zones.open(machine.zone) <= 0:
@@ -124,7 +129,9 @@
         return result
 
     def _lesser(self, want: Want, row: Row) -> bool:
-        job = self._world.jobs.get(row.job)
+        job = self._cluster.jobs.get(row.job)
         if job is None or job.spec is None or job.spec.kind == "service":
             return False
-        return self._outlook.priority(job) > self._outlook.priority(self._world.jobs[want.spec.id])
+        return self._forecast.priority(job) > self._forecast.priority(
+            self._cluster.jobs[want.spec.id]
+        )
--- a/crossmill/jobs/rounds.py
+++ b/crossmill/jobs/rounds.py
@@ -8,11 +8,11 @@
 import curio
 
 from ..cluster import keys
+from ..cluster.cluster_state import ClusterState
 from ..cluster.deputies import Deputies
 from ..cluster.membership import Membership, Owned
 from ..cluster.model import Job, Row
-from ..cluster.world import World
-from ..fleet.outlook import Outlook
+from ..fleet.forecast import DemandForecast
 from ..net.clock import Clock
 from ..settings import Settings
 from ..state.writer import OK, Intent, Writer
@@ -22,12 +22,12 @@
 from .durable import Durable, Edit
 from .failures import TaskFailures
 from .guarantees import Guarantees
+from .machine_maintenance import MachineMaintenance
 from .outcome_batch import collect, select
 from .placement import Placement
 from .plan_migration import PlanMigration
 from .preemption import Preemption
 from .reassignment import Reassignment
-from .upkeep import Upkeep
 
 log = logging.getLogger(__name__)
 
@@ -39,39 +39,39 @@
         self,
         settings: Settings,
         clock: Clock,
-        world: World,
+        cluster: ClusterState,
         membership: Membership,
         reports: Reports,
         writer: Writer,
-        outlook: Outlook,
+        forecast: DemandForecast,
         direct: Direct,
         deputies: Deputies,
     ) -> None:
         self._s = settings
         self._clock = clock
-        self._world = world
+        self._cluster = cluster
         self._membership = membership
         self._reports = reports
         self._writer = writer
-        self._outlook = outlook
+        self._forecast = forecast
         self._direct = direct
-        self.estimates = outlook.estimates
-        self._failures = TaskFailures(settings, clock, world)
-        self._guarantees = Guarantees(settings, world)
-        self._preemption = Preemption(settings, clock, world, reports, outlook, self._guarantees)
-        self._reassignment = Reassignment(settings, clock, world, reports, outlook)
-        self._migration = PlanMigration(world, membership)
-        self._durable = Durable(clock, world, membership, self._migration)
-        self._cleanup = Cleanup(settings, clock, world, membership)
+        self.estimates = forecast.estimates
+        self._failures = TaskFailures(settings, clock, cluster)
+        self._guarantees = Guarantees(settings, cluster)
+        self._preemption = Preemption(settings, clock, cluster, reports, forecast, self._guarantees)
+        self._reassignment = Reassignment(settings, clock, cluster, reports, forecast)
+        self._migration = PlanMigration(cluster, membership)
+        self._durable = Durable(clock, cluster, membership, self._migration)
+        self._cleanup = Cleanup(settings, clock, cluster, membership)
         # by shard: the writes for ended jobs that are under way
         self._cleaning: dict[int, list[Intent]] = {}
-        self._upkeep = Upkeep(
+        self._maintenance = MachineMaintenance(
             settings,
             clock,
-            world,
+            cluster,
             membership,
             reports,
-            outlook,
+            forecast,
             deputies,
             self._preemption,
             self._reassignment,
@@ -80,9 +80,9 @@
         self._placement = Placement(
             settings,
             clock,
-            world,
+            cluster,
             reports,
-            outlook,
+            forecast,
             self._guarantees,
             self._preemption,
             self._reassignment,
@@ -106,12 +106,12 @@
 
     async def round(self, shard: int, own: Owned) -> None:
         edits: dict[tuple[str, str], Edit] = {}
-        machines = list(self._world.machines_of[shard].values())
+        machines = list(self._cluster.machines_of[shard].values())
         for machine in machines:
             self._reports.expire(machine, own)
-        for row in list(self._world.orphans()):
+        for row in list(self._cluster.orphans()):
             # the record goes only after the machine's release was confirmed
-            job = self._world.jobs.get(row.job)
+            job = self._cluster.jobs.get(row.job)
             if job is not None and job.shard == shard:
                 self._reports.findings.setdefault((row.job, row.index), Finding(row, "released"))
         self._gather(shard, edits)
@@ -132,8 +132,8 @@
         intents += self._migration.steps(shard, own)
         if await self._clean_up(shard, own):
             self._failures.forget_ended(shard)
-        intents += self._upkeep.give_up(shard, own, machines)
-        moves = self._upkeep.moves(shard, own, machines)
+        intents += self._maintenance.give_up(shard, own, machines)
+        moves = self._maintenance.moves(shard, own, machines)
         intents += moves.values()
         self._reports.leaving.update(moves)
         try:
@@ -165,10 +165,10 @@
 
     def _gather(self, shard: int, edits: dict[tuple[str, str], Edit]) -> None:
         findings = self._reports.findings
-        news = collect(self._world, findings, shard)
+        news = collect(self._cluster, findings, shard)
         wanted = {(f.row.job, f.row.index) for entry in news for f in entry.findings}
         for key in [key for key in findings if key not in wanted]:
-            job = self._world.jobs.get(key[0])
+            job = self._cluster.jobs.get(key[0])
             if job is None or job.shard == shard or self._membership.acting(job.shard) is None:
                 del findings[key]
         for entry in select(news, self._writer.writes_within(self._s.report_s)):
--- a/crossmill/jobs/submission.py
+++ b/crossmill/jobs/submission.py
@@ -5,9 +5,9 @@
 import orjson
 
 from ..cluster import keys
+from ..cluster.cluster_state import ClusterState
 from ..cluster.model import CANCELLED
 from ..cluster.records import encode_end, encode_job
-from ..cluster.world import World
 from ..net.clock import Clock
 from ..net.server import Request, Response
 from ..planning.demand import slots_on
@@ -39,14 +39,14 @@
         self,
         settings: Settings,
         clock: Clock,
-        world: World,
+        cluster: ClusterState,
         writer: Writer,
         lookup: JobLookup,
         dependencies: DependencyCheck,
     ) -> None:
         self._s = settings
         self._clock = clock
-        self._world = world
+        self._cluster = cluster
         self._writer = writer
         self._lookup = lookup
         self._dependencies = dependencies
@@ -80,7 +80,7 @@
 
     async def _decide(self, submission: Submission) -> Response:
         spec, needs = submission.spec, submission.needs
-        if not self._world.catalog:
+        if not self._cluster.catalog:
             return NOT_NOW
         why = self._never(spec)
         if why is None and len(needs) > MOST_NEEDS:
@@ -94,7 +94,7 @@
         return await self._accept_dependent(spec, needs)
 
     async def _accept_dependent(self, spec: JobSpec, needs: tuple[str, ...]) -> Response:
-        if self._world.level is None:
+        if self._cluster.level is None:
             # a controller of the version before would start it at once
             return NOT_NOW
         try:
@@ -112,7 +112,7 @@
             return "unknown team"
         kinds = [
             kind
-            for name, kind in self._world.catalog.items()
+            for name, kind in self._cluster.catalog.items()
             if (spec.types is None or name in spec.types)
             and (spec.zone is None or spec.zone in kind.zones)
         ]
@@ -134,9 +134,9 @@
             record = encode_job(spec, wall, tuple(dependencies.unfinished))
         if dependencies.unfinished:
             # none of them may be archived before this job is known to wait for it
-            conditions[keys.ARCHIVINGS] = self._world.mirror.version(keys.ARCHIVINGS)
+            conditions[keys.ARCHIVINGS] = self._cluster.mirror.version(keys.ARCHIVINGS)
         encoded = orjson.dumps(record)
-        if len(encoded) > self._world.limits.record_bytes:
+        if len(encoded) > self._cluster.limits.record_bytes:
             return await self._refuse(spec.id, NEVER, "too long to be stored")
         txn = Txn(conditions, [Put(key, orjson.loads(encoded))])
         intent = Intent(txn, URGENT, until=now + self._s.accept_s)
@@ -153,7 +153,7 @@
             )
             # others see the job as soon as it is durable, and may have told of its end before
             # a slow answer is here
-            is_slow = intent.doubtful or self._clock.now() - now > self._s.renew_s / 4
+            is_slow = intent.outcome_unknown or self._clock.now() - now > self._s.renew_s / 4
             return await self._accepted(spec.id, is_slow)
         if outcome is None or not await self._lookup.is_current():
             return NOT_NOW
--- a/crossmill/state/client.py
+++ b/crossmill/state/client.py
@@ -14,7 +14,7 @@
     """Not executed: an outage, a rate limit, or no connection."""
 
 
-class Doubt(Exception):
+class OutcomeUnknown(Exception):
     """No answer: it might have been executed, or might still be."""
 
 
@@ -81,7 +81,7 @@
             raise Refused(str(exc)) from exc
         except Unanswered as exc:
             self._note(False)
-            raise Doubt(str(exc)) from exc
+            raise OutcomeUnknown(str(exc)) from exc
         if status in (429, 503):
             self._note(status == 429)
             raise Refused(f"{method} {path}: {status}")
--- a/crossmill/state/follower.py
+++ b/crossmill/state/follower.py
@@ -8,7 +8,7 @@
 from ..net.clock import Clock
 from ..net.future import Future
 from ..settings import Settings
-from .client import Compacted, Doubt, Refused, StateClient
+from .client import Compacted, OutcomeUnknown, Refused, StateClient
 from .mirror import Mirror
 
 log = logging.getLogger(__name__)
@@ -80,7 +80,7 @@
             try:
                 await self._step(self._watch_s)
                 await curio.sleep(self._pause_s)
-            except (Refused, Doubt) as exc:
+            except (Refused, OutcomeUnknown) as exc:
                 log.debug("watch failed error=%s", exc)
                 await curio.sleep(2 * self._pause_s)
 
@@ -93,7 +93,7 @@
             try:
                 await self._step(0.0)
                 current = True
-            except (Refused, Doubt) as exc:
+            except (Refused, OutcomeUnknown) as exc:
                 log.debug("sync failed error=%s", exc)
                 current = False
             for future in waiting:
--- a/crossmill/state/writer.py
+++ b/crossmill/state/writer.py
@@ -12,7 +12,7 @@
 from ..net.pacer import Pacer
 from ..settings import Settings, StateLimits
 from ..wire.state import Txn
-from .client import Doubt, NoLease, Outcome, Refused, StateClient, TooLarge
+from .client import NoLease, Outcome, OutcomeUnknown, Refused, StateClient, TooLarge
 from .mirror import Mirror
 
 log = logging.getLogger(__name__)
@@ -34,7 +34,7 @@
     rank: int = LATER
     until: float | None = None
     holds: Callable[[], bool | None] | None = None
-    doubtful: bool = False
+    outcome_unknown: bool = False
     # part of a batch that was too large: sent by itself from now on
     alone: bool = False
     failed: list[str] = field(default_factory=list)
@@ -196,11 +196,11 @@
                 self._pacer.drain()
             await curio.sleep(self._retry_s)
             self._queue[:0] = batch
-        except Doubt as exc:
+        except OutcomeUnknown as exc:
             # the same conditions make a repeat harmless: one of the two does nothing
             log.info("write unanswered error=%s", exc)
             for intent in batch:
-                intent.doubtful = True
+                intent.outcome_unknown = True
             await curio.sleep(self._retry_s)
             self._queue[:0] = batch
         except TooLarge as exc:
@@ -235,7 +235,7 @@
             intent.failed = [k for k in intent.txn.conditions if k in failed]
             if not intent.failed:
                 again.append(intent)
-            elif intent.doubtful and await self._was_applied(intent):
+            elif intent.outcome_unknown and await self._was_applied(intent):
                 log.info("lost answer settled keys=%s", sorted(intent.keys())[:3])
             else:
                 await intent.future.settle(CONFLICT)
@@ -256,7 +256,7 @@
                 rows = [await self._client.get(p.key) for p in intent.txn.puts]
                 gone = [await self._client.get(k) for k in intent.txn.deletes]
                 break
-            except (Refused, Doubt):
+            except (Refused, OutcomeUnknown):
                 await curio.sleep(self._retry_s)
         for row in rows:
             # others may have written on top; what is read here is newer than what was known
--- a/crossmill/workers/direct.py
+++ b/crossmill/workers/direct.py
@@ -8,9 +8,9 @@
 
 import curio
 
+from ..cluster.cluster_state import ClusterState
 from ..cluster.membership import Membership
 from ..cluster.model import Row
-from ..cluster.world import World
 from ..net.client import Client, Http, Unanswered, Unreached
 from ..settings import Endpoint, Settings
 from ..wire.checks import Malformed, load_object
@@ -22,10 +22,10 @@
 
 class Direct:
     def __init__(
-        self, settings: Settings, world: World, membership: Membership, reports: Reports
+        self, settings: Settings, cluster: ClusterState, membership: Membership, reports: Reports
     ) -> None:
         self._s = settings
-        self._world = world
+        self._cluster = cluster
         self._membership = membership
         self._reports = reports
         self._clients: dict[str, Http] = {}
@@ -58,7 +58,7 @@
                 await curio.spawn(self._send, machine_id, some, others, daemon=True)
 
     async def _send(self, machine_id: str, rows: list[Row], stops: list[Row]) -> None:
-        machine, view = self._world.machines.get(machine_id), self._reports.peek(machine_id)
+        machine, view = self._cluster.machines.get(machine_id), self._reports.peek(machine_id)
         if machine is None or view is None:
             return
         own = self._membership.acting(machine.shard)
--- a/crossmill/workers/reports.py
+++ b/crossmill/workers/reports.py
@@ -6,10 +6,10 @@
 import logging
 from dataclasses import dataclass, field
 
+from ..cluster.cluster_state import ClusterState
 from ..cluster.deputies import Deputies
 from ..cluster.membership import Membership, Owned
 from ..cluster.model import ACTIVE, Machine, Row
-from ..cluster.world import World
 from ..net.clock import Clock
 from ..settings import Settings
 from ..wire.workers import MAX_ORDERS, Command, Report, TaskReport
@@ -49,13 +49,13 @@
         self,
         settings: Settings,
         clock: Clock,
-        world: World,
+        cluster: ClusterState,
         membership: Membership,
         deputies: Deputies,
     ) -> None:
         self._s = settings
         self._clock = clock
-        self._world = world
+        self._cluster = cluster
         self._membership = membership
         self._deputies = deputies
         self._views: dict[str, View] = {}
@@ -77,7 +77,7 @@
     def _forget(self, shard: int) -> None:
         """Beliefs of a shard end with our right to act for it."""
         for machine_id in list(self._views):
-            machine = self._world.machines.get(machine_id)
+            machine = self._cluster.machines.get(machine_id)
             if machine is None or machine.shard == shard:
                 del self._views[machine_id]
                 # whoever acts next has a higher token, and believes only those who saw it
@@ -97,8 +97,8 @@
         return self._views.get(machine_id)
 
     def handle(self, report: Report) -> Answer:
-        self._membership.hearing.note()
-        machine = self._world.machines.get(report.machine)
+        self._membership.reachability.note()
+        machine = self._cluster.machines.get(report.machine)
         if machine is None:
             return Answer(421)
         standing = self._membership.answering(machine.shard)
@@ -112,7 +112,7 @@
                 if (view := self._views.get(machine.id)) is not None:
                     view.answered_at = self._clock.now()
                 return Answer(200, report.token, tuple(kept[:MAX_ORDERS]))
-            known = self._world.shards.get(machine.shard)
+            known = self._cluster.shards.get(machine.shard)
             elsewhere = known is not None and known.owner != self._s.label
             return Answer(421, redirect=known.owner if known and elsewhere else None)
         own, entitled = standing
@@ -138,7 +138,7 @@
         return Answer(200, token, tuple(orders))
 
     def _job_ended(self, task: str) -> bool:
-        job = self._world.jobs.get(task.rpartition("/")[0])
+        job = self._cluster.jobs.get(task.rpartition("/")[0])
         return job is not None and job.end != ACTIVE
 
     @staticmethod
@@ -153,7 +153,7 @@
 
     def learn(self, report: Report) -> None:
         """The answer to a direct command: a report, but one that renews no lease."""
-        machine = self._world.machines.get(report.machine)
+        machine = self._cluster.machines.get(report.machine)
         own = self._membership.acting(machine.shard) if machine is not None else None
         if machine is None or own is None:
             return
@@ -173,7 +173,7 @@
         if not unacknowledged:
             self.unacknowledged.pop(machine_id, None)
 
-    def _doubtful(self, machine: Machine, job: str, index: int, attempt: int) -> bool:
+    def _may_still_begin(self, machine: Machine, job: str, index: int, attempt: int) -> bool:
         """True, and a higher token asked for, while a start of the attempt can still arrive."""
         if (job, index, attempt) not in self.unacknowledged.get(machine.id, {}):
             return False
@@ -189,7 +189,7 @@
             elif task.state == "exited":
                 # the plan no longer holds this attempt, so its outcome is durable; but after a
                 # reap a start still under way would run it once more
-                if self._doubtful(machine, *key, task.attempt):
+                if self._may_still_begin(machine, *key, task.attempt):
                     continue
                 orders.append(Command("forget", f"{key[0]}/{key[1]}", task.attempt))
             else:
@@ -202,7 +202,7 @@
                 self._found(Finding(row, "session over"))
             elif key not in view.tasks and row.session == view.session:
                 if not self.may_start(row, machine):
-                    if self._doubtful(machine, row.job, row.index, row.attempt):
+                    if self._may_still_begin(machine, row.job, row.index, row.attempt):
                         continue
                     if direct:
                         # made while the answer to the last report, which may hold the start,
@@ -221,7 +221,7 @@
         return not concluded and not self._unwanted(row, machine)
 
     def _unwanted(self, row: Row, machine: Machine) -> bool:
-        job = self._world.jobs.get(row.job)
+        job = self._cluster.jobs.get(row.job)
         if job is None or job.end != ACTIVE or machine.retiring:
             return True
         return (row.job, row.index, row.attempt) in self.stopping
@@ -233,7 +233,7 @@
             took = None if since is None else self._clock.now() - since
             self._found(Finding(row, task.why, took))
             return
-        job = self._world.jobs.get(row.job)
+        job = self._cluster.jobs.get(row.job)
         if job is None or job.end != ACTIVE:
             orders.append(Command("stop", f"{row.job}/{row.index}", row.attempt, 0.0))
             return
@@ -249,7 +249,7 @@
                 orders.append(self.stop(row))
 
     def stop(self, row: Row) -> Command:
-        job = self._world.jobs.get(row.job)
+        job = self._cluster.jobs.get(row.job)
         saves = job is not None and job.spec is not None and job.spec.checkpoint_s > 0
         grace = job.spec.save_s * 2 if job is not None and job.spec is not None and saves else 0.0
         return Command("stop", f"{row.job}/{row.index}", row.attempt, grace)
@@ -259,7 +259,7 @@
         self.findings.setdefault((row.job, row.index), finding)
         self._concluded.add((row.job, row.index, row.attempt))
         if len(self._concluded) > self._concluded_most:
-            rows = (r for m in self._world.machines.values() for r in m.rows.values())
+            rows = (r for m in self._cluster.machines.values() for r in m.rows.values())
             self._concluded &= {(r.job, r.index, r.attempt) for r in rows}
             self._concluded_most = 2 * len(self._concluded) + CONCLUDED_LEAST
 
--- a/tests/harness.py
+++ b/tests/harness.py
@@ -7,16 +7,16 @@
 import orjson
 
 from crossmill.cluster import keys
+from crossmill.cluster.cluster_state import ClusterState
 from crossmill.cluster.deputies import Deputies
 from crossmill.cluster.feature_level import FeatureLevel
 from crossmill.cluster.keeper import Keeper
 from crossmill.cluster.membership import Membership
 from crossmill.cluster.promises import Promises
 from crossmill.cluster.records import encode_job
-from crossmill.cluster.world import World
 from crossmill.fleet.cloud import Cloud, stored_catalog
+from crossmill.fleet.forecast import DemandForecast
 from crossmill.fleet.leader import Leader
-from crossmill.fleet.outlook import Outlook
 from crossmill.jobs.api import JobApi
 from crossmill.jobs.rounds import Rounds
 from crossmill.net.client import Http, Unreached
@@ -99,11 +99,11 @@
         nodes[label] = self
         self.client = StateClient(s, clock, state)
         self.mirror = Mirror()
-        self.world = World(self.mirror, s)
+        self.cluster = ClusterState(self.mirror, s)
         self.follower = Follower(self.client, self.mirror, clock, keys.ROOT, s)
         # the held clock does not move in it
         self.follower._pause_s = 0.0
-        self.writer = Writer(self.client, self.mirror, clock, s, lambda: self.world.limits)
+        self.writer = Writer(self.client, self.mirror, clock, s, lambda: self.cluster.limits)
         self.keeper = Keeper(self.client, clock, s)
 
         def line(peer: Peer) -> Http:
@@ -113,26 +113,26 @@
         self.promises.served_ago_s = self.client.served_ago_s
         self.promises.refused_at = self.client.refused_at
         self.membership = Membership(
-            s, clock, self.keeper, self.world, self.follower, self.writer, self.promises
+            s, clock, self.keeper, self.cluster, self.follower, self.writer, self.promises
         )
         self.feature_level = FeatureLevel(
-            s, clock, self.world, self.follower, self.writer, self.membership
+            s, clock, self.cluster, self.follower, self.writer, self.membership
         )
-        self.deputies = Deputies(s, clock, self.world, self.keeper, line)
+        self.deputies = Deputies(s, clock, self.cluster, self.keeper, line)
         self.deputies.sync = self.follower.sync
-        self.reports = Reports(s, clock, self.world, self.membership, self.deputies)
-        self.outlook = Outlook(s, clock, self.world)
+        self.reports = Reports(s, clock, self.cluster, self.membership, self.deputies)
+        self.forecast = DemandForecast(s, clock, self.cluster)
         self.worker = WorkerLine()
-        self.direct = Direct(s, self.world, self.membership, self.reports)
+        self.direct = Direct(s, self.cluster, self.membership, self.reports)
         self.direct.connect = lambda endpoint: self.worker
         self.rounds = Rounds(
             s,
             clock,
-            self.world,
+            self.cluster,
             self.membership,
             self.reports,
             self.writer,
-            self.outlook,
+            self.forecast,
             self.direct,
             self.deputies,
         )
@@ -140,15 +140,15 @@
         self.leader = Leader(
             s,
             clock,
-            self.world,
+            self.cluster,
             self.membership,
-            self.outlook,
+            self.forecast,
             Cloud(s, clock, self.cloud),
             self.writer,
             lambda: unique,
         )
         self.jobs = JobApi(
-            s, clock, self.world, self.follower, self.writer, self.client, self.deputies
+            s, clock, self.cluster, self.follower, self.writer, self.client, self.deputies
         )
 
     async def boot(self, waited: bool = True) -> None:
--- a/tests/test_dependencies.py
+++ b/tests/test_dependencies.py
@@ -84,7 +84,7 @@
         await node.round()
         clock.time += 5
         await node.live()
-        assert node.world.jobs[B].ready_at == pytest.approx(clock.wall() - 5)
+        assert node.cluster.jobs[B].ready_at == pytest.approx(clock.wall() - 5)
         assert _starts(node, 5) == []
         await node.round()
         assert _starts(node, 6) == [f"{B}/0"]
@@ -98,11 +98,11 @@
         await _submit(node, A, sacks=1, cards=1.0)
         await _submit(node, B, A, sacks=4, cards=1.0)
         await _submit(node, C, sacks=3, cards=1.0)
-        job = node.world.jobs[C]
+        job = node.cluster.jobs[C]
         node.rounds._guarantees.begin(0)
         # red is guaranteed four GPUs: one and three fit, the four that wait do not count
         assert node.rounds._guarantees.speaks_for(job)
-        assert [j.id for j in node.outlook.waiting(0)] == [A, C]
+        assert [j.id for j in node.forecast.waiting(0)] == [A, C]
 
     play(story)
 
@@ -120,7 +120,7 @@
         if state_of == "at hand":
             await node.sync()
         assert (await _submit(node, B, A)).status == 201
-        assert node.world.jobs[B].blocked is (state_of != "archived")
+        assert node.cluster.jobs[B].blocked is (state_of != "archived")
 
     play(story)
 
@@ -192,7 +192,7 @@
             await node.round()
         ends = {state.keys[keys.job(name)][0]["end"] for name in (*fan, D)}
         assert ends == {CANCELLED}
-        assert not node.world.unrecorded[0]
+        assert not node.cluster.unrecorded[0]
 
     play(story)
 
@@ -226,9 +226,9 @@
         state.put(keys.job(D), encode_job(waits, 1.0, (C,)))
         node = Node(state, clock, nodes)
         await node.boot()
-        assert node.world.jobs[after].end == CANCELLED
-        assert not node.world.jobs[D].blocked
-        assert node.world.jobs[D].ready_at == 7.0
+        assert node.cluster.jobs[after].end == CANCELLED
+        assert not node.cluster.jobs[D].blocked
+        assert node.cluster.jobs[D].ready_at == 7.0
 
     play(story)
 
@@ -263,10 +263,10 @@
         node = await _ready_node(state, clock, nodes)
         await _submit(node, A)
         await _submit(node, B, A)
-        job = node.world.jobs[B]
+        job = node.cluster.jobs[B]
         handler = node.jobs._cancellation
         rests = await handler._rests(job)
-        assert rests == {keys.job(A): node.world.jobs[A].version}
+        assert rests == {keys.job(A): node.cluster.jobs[A].version}
         state.put(keys.job(A), encode_end(DONE, make_spec(nameId=A), clock.wall()))
         assert not await handler._commit(job, rests)
         assert await _stage(node, B) == "queued"
@@ -290,7 +290,7 @@
         assert response.status == 503
         await node.sync()
         assert (await _submit(node, B, A)).status == 201
-        assert not node.world.jobs[B].blocked
+        assert not node.cluster.jobs[B].blocked
 
     play(story)
 
@@ -327,7 +327,7 @@
     await region.begin(machines=0)
     for shard in range(3):
         await region.add_worker(f"n-{shard}", shard=shard)
-    await region.until(lambda: all(n.world.level is not None for n in region.nodes.values()))
+    await region.until(lambda: all(n.cluster.level is not None for n in region.nodes.values()))
 
 
 def test_a_diamond_over_three_teams_runs_in_order_through_a_restart_of_everybody() -> None:
--- a/tests/test_deputies.py
+++ b/tests/test_deputies.py
@@ -77,7 +77,7 @@
         self.nodes["node-0"].cut = self.nodes["node-1"].cut = False
 
     def on_machine(self) -> int:
-        return len(self.owner.world.machines["n-0"].rows)
+        return len(self.owner.cluster.machines["n-0"].rows)
 
 
 def test_a_cut_off_zones_workers_are_kept_alive_and_nobody_concludes_otherwise() -> None:
@@ -89,7 +89,7 @@
         await it.pass_time(4)
         await it.pass_time(2 * it.s.lease_s, it.deputy)
         assert it.on_machine() == 1
-        assert not it.owner.world.machines["n-0"].retiring
+        assert not it.owner.cluster.machines["n-0"].retiring
         # the cut ends: asked, the deputy says that it has answered just now
         it.mend()
         await it.pass_time(0.9 * it.s.lease_s)
@@ -139,13 +139,13 @@
         it = Story(state, clock, nodes)
         await it.begin()
         # the process before this one may have promised to leave the machine
-        it.deputy.world.nodes["node-0"] = {"lease": -1}
+        it.deputy.cluster.nodes["node-0"] = {"lease": -1}
         it.deputy.deputies.synced(clock.now())
         it.cut()
         await it.deputy.keeper.step()
         assert it.deputy.report("n-0", 1, 900, it.token, RUNNING).status == 421
         it.mend()
-        it.deputy.world.nodes["node-0"] = {"lease": it.deputy.keeper.lease}
+        it.deputy.cluster.nodes["node-0"] = {"lease": it.deputy.keeper.lease}
         await it.deputy.keeper.step()
         await it.settle()
         it.cut()
@@ -192,7 +192,7 @@
         answer = await it.owner.ask("POST", "/v1/jobs/wk-000001/withdraw")
         assert answer.status == 200
         # the deputy's mirror never got it: only what it was told counts
-        assert it.deputy.world.jobs["wk-000001"].end == ""
+        assert it.deputy.cluster.jobs["wk-000001"].end == ""
         it.cut()
         await it.deputy.keeper.step()
         orders = it.deputy.report("n-0", 1, 900, it.token, RUNNING).commands
@@ -217,7 +217,7 @@
             for machine in up:
                 node.report(machine, 1, seq, node.token())
             await node.round()
-            retiring = {m.id for m in node.world.machines.values() if m.retiring == "silent"}
+            retiring = {m.id for m in node.cluster.machines.values() if m.retiring == "silent"}
             if seq * 0.5 < node.settings.deputy_s + node.settings.lease_s:
                 assert not retiring, seq
         assert retiring == {"s-0", "s-1", "s-2"}
@@ -257,7 +257,7 @@
                 if not 0 < seq * 0.5 - 10 - 0.8 * number < 2 * lease_s:
                     node.report(name, 1, seq, node.token())
             await node.round()
-        assert not any(m.retiring == "silent" for m in node.world.machines.values())
+        assert not any(m.retiring == "silent" for m in node.cluster.machines.values())
 
     play(story)
 
@@ -283,7 +283,7 @@
         # the owner has not heard of it: what it concludes is written on the old key's version
         clock.time += it.s.worker_end_s - it.s.suspect_s
         await it.owner.keeper.step()
-        machine, view = it.owner.world.machines["n-0"], it.owner.reports.peek("n-0")
+        machine, view = it.owner.cluster.machines["n-0"], it.owner.reports.peek("n-0")
         assert view and it.owner.deputies.lease_over(machine, view.answered_at)
         await it.owner.round()
         assert it.on_machine() == 1
@@ -299,7 +299,7 @@
         it = Story(state, clock, nodes)
         await it.begin()
         await it.settle()
-        job = it.owner.world.jobs["wk-000001"]
+        job = it.owner.cluster.jobs["wk-000001"]
         rests = await it.owner.deputies.announce_end(job.id, ["north"])
         assert rests == {"cm/n/node-0": state.keys["cm/n/node-0"][1]}
         # node-0 ends, and the process that follows does not know of the withdrawal
@@ -413,7 +413,7 @@
             await own.keeper.step()
             await own.deputies.step()
             own.report("s-0", 1, seq, it.token)
-        assert own.membership.answering(own.world.machines["s-0"].shard) is None
+        assert own.membership.answering(own.cluster.machines["s-0"].shard) is None
         assert own.report("s-0", 1, 50, it.token).status == 200, "kept alive as a deputy"
         assert view.answered_at == clock.now()
 
--- a/tests/test_pipelines.py
+++ b/tests/test_pipelines.py
@@ -118,22 +118,22 @@
         state.put(keys.job(middle), encode_job(middle_spec, at, (first,)))
         node = Node(state, clock, nodes)
         await node.boot()
-        outlook, jobs = node.outlook, node.world.jobs
-        (priority, end), _ = outlook.queue_place(jobs[first])
+        forecast, jobs = node.forecast, node.cluster.jobs
+        (priority, end), _ = forecast.queue_place(jobs[first])
         assert priority == 3 and end == pytest.approx(at + node.settings.fixed_wait_s)
         final = make_spec(nameId=last, precedence="high", dueS=300.0, grindS=10.0)
         state.put(keys.job(last), encode_job(final, clock.wall(), (middle,)))
         await node.sync()
-        (priority, end), _ = outlook.queue_place(jobs[first])
+        (priority, end), _ = forecast.queue_place(jobs[first])
         assert priority == 1 and at < end < at + 300.0
         # a later stage of another team has what is left, by the same function
         other = Node(state, clock, nodes, "node-1")
         await other.boot()
-        assert other.outlook.queue_place(jobs[first])[0][1] == pytest.approx(end)
+        assert other.forecast.queue_place(jobs[first])[0][1] == pytest.approx(end)
         # the heir is cancelled: inheritance ends
         state.put(keys.job(last), encode_end("cancelled", final, clock.wall()))
         await node.sync()
-        assert outlook.queue_place(jobs[first])[0][0] == 3
+        assert forecast.queue_place(jobs[first])[0][0] == 3
 
     play(story)
 
@@ -152,7 +152,7 @@
         state.put(keys.job("wk-000001"), encode_end("done", spec, at + 50.0))
         node = Node(state, clock, nodes)
         await node.boot()
-        ends = [node.outlook.queue_place(node.world.jobs[f"wk-00000{n}"])[0][1] for n in (2, 3)]
+        ends = [node.forecast.queue_place(node.cluster.jobs[f"wk-00000{n}"])[0][1] for n in (2, 3)]
         assert ends == pytest.approx([at + 50.0 + node.settings.fixed_wait_s, at + 300.0])
 
     play(story)
--- a/tests/test_safety.py
+++ b/tests/test_safety.py
@@ -59,7 +59,7 @@
         assert answer.commands == () and answer.token == again.token()
         assert not again.reports.findings
         await again.round()
-        assert len(again.world.machines["n-0"].rows) == 1
+        assert len(again.cluster.machines["n-0"].rows) == 1
 
     play(story)
 
@@ -88,7 +88,7 @@
             await node.keeper.step()
             node.report("n-1", 1, seq, node.token())
             await node.round()
-            held = [r.machine for r in node.world.jobs["wk-000001"].rows()]
+            held = [r.machine for r in node.cluster.jobs["wk-000001"].rows()]
             silent_s = 0.2 * seq
             if silent_s <= node.settings.lease_s * 1.0005:
                 assert held == ["n-0"], silent_s
@@ -103,7 +103,7 @@
         node.report("n-0", 2, 1, node.token())
         await node.round()
         await node.round()
-        rows = list(node.world.jobs["wk-000001"].rows())
+        rows = list(node.cluster.jobs["wk-000001"].rows())
         assert [(r.attempt, r.session) for r in rows] == [(2, 2)]
 
     play(story)
@@ -133,12 +133,12 @@
         assert node.membership.leading() is not None
         await node.leader._look_at_list(await node.leader._cloud.machines())
         await node.round()
-        assert node.world.machines["n-0"].retiring == "failed"
-        assert node.world.jobs["wk-000001"].row_count() == 1
+        assert node.cluster.machines["n-0"].retiring == "failed"
+        assert node.cluster.jobs["wk-000001"].row_count() == 1
         await node.leader._release()
         assert node.cloud.released == ["n-0"]
         await node.round()
-        assert node.world.jobs["wk-000001"].row_count() == 0
+        assert node.cluster.jobs["wk-000001"].row_count() == 0
 
     play(story)
 
@@ -161,16 +161,16 @@
         await node.sync()
         node.report("n-0", 1, 2, token)
         await node.round()
-        assert node.world.jobs[job].row_count() == 1
+        assert node.cluster.jobs[job].row_count() == 1
         await node.membership.step()
         higher = node.token()
         assert higher > token
         node.report("n-0", 1, 3, token)
         await node.round()
-        assert node.world.jobs[job].row_count() == 1
+        assert node.cluster.jobs[job].row_count() == 1
         node.report("n-0", 1, 4, higher)
         await node.round()
-        assert node.world.jobs[job].row_count() == 0
+        assert node.cluster.jobs[job].row_count() == 0
 
     play(story)
 
@@ -198,7 +198,7 @@
         # another controller's write that this mirror has not seen yet
         state.put(keys.job(job), {**state.keys[keys.job(job)][0], "end": "cancelled"})
         await node.round()
-        assert node.world.jobs[job].row_count() == 0
+        assert node.cluster.jobs[job].row_count() == 0
         assert keys.plan(job, "0") not in state.keys
 
     play(story)
@@ -288,8 +288,8 @@
         for number in range(6):
             node.report(f"n-{number}", 1, 2, node.token())
         await node.round()
-        assert node.world.jobs["wk-000001"].row_count() == 16
-        assert node.world.jobs["wk-000002"].row_count() == 0
+        assert node.cluster.jobs["wk-000001"].row_count() == 16
+        assert node.cluster.jobs["wk-000002"].row_count() == 0
 
     play(story)
 
@@ -303,7 +303,7 @@
         for number in range(2):
             node.report(f"n-{number}", 1, 1, node.token())
         await node.round()
-        assert node.world.zones_of(node.world.jobs[job]) == {"north": 2}
+        assert node.cluster.zones_of(node.cluster.jobs[job]) == {"north": 2}
 
     play(story)
 
@@ -525,7 +525,7 @@
         node.cloud.script = ["lose"]
         await node.leader._rent()
         assert len(node.cloud.requests) == 1
-        assert len(node.world.machines) == 1
+        assert len(node.cluster.machines) == 1
         await node.leader._rent()
         assert len(node.cloud.requests) == 1
 
@@ -559,12 +559,12 @@
             clock.time += node.settings.lease_s / 20
             await node.live()
         node.direct._answered("n-0", 200, beat("n-0", 2, 1, node.token()))
-        machine = node.world.machines["n-0"]
+        machine = node.cluster.machines["n-0"]
         view = node.reports.peek("n-0")
         assert view is not None and view.session == 2
         # nothing is placed where no report comes from
         assert not view.fresh(clock.now(), node.settings.suspect_s)
-        node.world.mirror.written(
+        node.cluster.mirror.written(
             keys.plan("wk-000001", "0"),
             {"next": 3, "done": "0", "rows": [[0, 2, "n-0", 2]]},
             state.revision + 1,
@@ -632,11 +632,11 @@
         for seq in range(1, 30):
             clock.time += 0.4
             await node.live()
-            if node.world.machines["n-0"].shard != other:
+            if node.cluster.machines["n-0"].shard != other:
                 answer = node.report("n-0", 1, seq, old)
                 assert (answer.status, answer.token) == (200, old)
                 await node.round()
-        machine = node.world.machines["n-0"]
+        machine = node.cluster.machines["n-0"]
         assert machine.shard == other
         assert machine.token > max(old, node.token(other))
         # what the worker said under the old token is not believed, nor anything begun on it
@@ -667,7 +667,7 @@
         await curio.sleep(0)
         assert node.report("n-0", 1, 2, node.token()).status == 421
         await task.join()
-        assert node.world.machines["n-0"].shard == 1
+        assert node.cluster.machines["n-0"].shard == 1
         # an older view must not be believed again if the machine comes back
         assert node.reports.peek("n-0") is None
 
@@ -678,7 +678,7 @@
     async def story(state: StateService, clock: FakeClock, nodes: Nodes) -> None:
         node = await _placed(state, clock, nodes)
         giving = node.rounds._reassignment
-        machine = node.world.machines["n-0"]
+        machine = node.cluster.machines["n-0"]
         giving.going["n-0"] = (1, clock.now() + 9)
         assert giving.target(machine) is None
         machine.rows.clear()
@@ -717,7 +717,7 @@
             if 1 < seq < 8:
                 node.rounds._reassignment._looked_at[0] = clock.now()
             await node.round()
-            machine = node.world.machines["n-0"]
+            machine = node.cluster.machines["n-0"]
             if machine.shard == other:
                 break
         assert machine.shard == other and not machine.rows
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -101,7 +101,10 @@
 
             values = items = keys = __iter__
 
-        node.world.machines, node.world.jobs = Keyed(node.world.machines), Keyed(node.world.jobs)
+        node.cluster.machines, node.cluster.jobs = (
+            Keyed(node.cluster.machines),
+            Keyed(node.cluster.jobs),
+        )
         tasks = [on("wk-000000", i, i + 1, "running") for i in range(EACH)]
         assert node.report("n-0", 1, 2, node.token(), *tasks).status == 200
 
@@ -118,7 +121,7 @@
         assert len(pages) <= stored // 1000 + 1
         # each shard's key and the counter of tokens, this controller's own key and the leader's
         assert state.puts <= 2 * node.settings.nodes + 2
-        assert sum(j.row_count() for j in node.world.jobs.values()) == MACHINES * EACH
+        assert sum(j.row_count() for j in node.cluster.jobs.values()) == MACHINES * EACH
         before = state.puts
         await _heard(node)
         await node.round()
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -132,7 +132,7 @@
         await curio.sleep(3)
         region.state.down = False
         await region.restart("node-1", 1.0)
-        await region.until(lambda: all(n.world.level for n in region.nodes.values()), 90)
+        await region.until(lambda: all(n.cluster.level for n in region.nodes.values()), 90)
         assert region.state.keys[keys.LEVEL][0]["level"] == 1
 
     simulate(story)
@@ -171,10 +171,10 @@
         state.put(keys.job("wk-000002"), encode_job(waits, clock.wall(), (JOB,)))
         node = Node(state, clock, nodes)
         await node.boot()
-        assert node.world.jobs["wk-000002"].blocked
+        assert node.cluster.jobs["wk-000002"].blocked
         state.put(keys.job(JOB), {"end": "done", "spec": PRODUCTION_SPEC})
         await node.sync()
-        job = node.world.jobs["wk-000002"]
+        job = node.cluster.jobs["wk-000002"]
         assert not job.blocked and job.ready_at == job.submitted
 
     play(story)
@@ -202,9 +202,9 @@
         state.put(keys.plan(JOB, "1"), {"next": 2, "done": "1", "rows": [[1025, 1, "n-0", 1]]})
         node = Node(state, clock, nodes)
         await node.boot()
-        job = node.world.jobs[JOB]
+        job = node.cluster.jobs[JOB]
         assert job.chunks["1"].first == 1024
-        assert node.world.layout.chunk_of(1030, job.chunks).name == "1"
+        assert node.cluster.layout.chunk_of(1030, job.chunks).name == "1"
         waiting = node.rounds._placement._waiting(job)
         assert 1024 not in waiting and 1025 not in waiting
 
@@ -259,11 +259,11 @@
             await node.live()
             await node.round()
             assert _stored_rows(state) == planned
-            job = node.world.jobs[JOB]
+            job = node.cluster.jobs[JOB]
             assert sorted(r.index for r in job.rows()) == planned
             assert job.waiting_count() == 0 and job.done_count() == 2
         assert keys.plan(JOB, "0") not in state.keys
-        assert not node.world.jobs[JOB].staged
+        assert not node.cluster.jobs[JOB].staged
         assert state.too_large == 0
         limit = 2048
         assert all(len(orjson.dumps(encode_chunk(c))) < limit for c in job.chunks.values())
@@ -279,7 +279,7 @@
         state.put(keys.LEVEL, encode_level(Level(1, 512, 32)))
         await node.sync()
         await node.round()
-        assert node.world.jobs[JOB].staged
+        assert node.cluster.jobs[JOB].staged
         # as by a transaction that was on its way: task 7 is done
         old = state.keys[keys.plan(JOB, "0")][0]
         rows = [r for r in old["rows"] if r[0] != 7]
@@ -289,7 +289,7 @@
             clock.time += 0.5
             await node.live()
             await node.round()
-        job = node.world.jobs[JOB]
+        job = node.cluster.jobs[JOB]
         assert keys.plan(JOB, "0") not in state.keys
         assert 7 not in _stored_rows(state) and job.done_count() == 3
 
@@ -302,18 +302,18 @@
         state.put(keys.LEVEL, encode_level(Level(1, 512, 32)))
         await node.sync()
         await node.round()
-        assert node.world.jobs[JOB].staged
+        assert node.cluster.jobs[JOB].staged
         state.put(keys.job(JOB), {"end": "cancelled", "spec": state.keys[keys.job(JOB)][0]["spec"]})
         state.put(keys.plan(JOB, "0"), {"next": 401, "done": "5", "rows": []})
         await node.sync()
         # the chunk that they were copied from goes last, or its deletion would wake them
-        clearable = [name for name, _ in node.rounds._cleanup._clearable(node.world.jobs[JOB])]
+        clearable = [name for name, _ in node.rounds._cleanup._clearable(node.cluster.jobs[JOB])]
         assert clearable and "0" not in clearable
         for _ in range(20):
             clock.time += 0.5
             await node.live()
             await node.round()
-            assert node.world.jobs[JOB].row_count() == 0
+            assert node.cluster.jobs[JOB].row_count() == 0
         assert not [k for k in state.keys if k.startswith(keys.PLAN)]
 
     play(story)
@@ -358,10 +358,10 @@
     async def story(state: StateService, clock: FakeClock, nodes: Nodes) -> None:
         node = Node(state, clock, nodes)
         await node.boot()
-        assert node.world.limits == node.settings.state_now
+        assert node.cluster.limits == node.settings.state_now
         state.put(keys.LEVEL, encode_level(Level(1, 512, 32)))
         await node.sync()
-        assert node.world.limits == StateLimits(100.0, 40.0, 2048, 6)
+        assert node.cluster.limits == StateLimits(100.0, 40.0, 2048, 6)
         await node.membership.step()
         share = node.writer._pacer
         assert share.wait_s(40.0) > 0
@@ -396,7 +396,7 @@
         await region.begin(machines=0)
         for number in range(3):
             await region.add_worker(f"n-{number}", shard=0)
-        await region.until(lambda: all(n.world.level for n in region.nodes.values()))
+        await region.until(lambda: all(n.cluster.level for n in region.nodes.values()))
         small: dict[str, Any] = {"cpus": 0.1, "cards": 0.0, "ramGb": 0.1, "pullGb": 0.0}
         first, second = "wk-000101", "wk-000102"
         assert await region.submit("node-0", first, run_s=4.0, sacks=150, **small) == 201
@@ -431,7 +431,7 @@
             for number in range(40):
                 node.report(f"n-{number}", 1, turn + 1, node.token())
             await node.round()
-        assert node.world.jobs[JOB].row_count() == 40
+        assert node.cluster.jobs[JOB].row_count() == 40
         assert state.too_large == 0
         assert make_settings().state_lowest.conditions == 24
 
--- a/tests/test_work.py
+++ b/tests/test_work.py
@@ -48,13 +48,13 @@
         node.report("n-0", 1, 4, node.token(), *left, gone)
         await node.round()
         await node.round()
-        assert node.world.jobs["wk-000001"].row_count() == 3
+        assert node.cluster.jobs["wk-000001"].row_count() == 3
         index = int(stopped[1].rpartition("/")[2])
         gone = on("wk-000001", index, index + 1, "exited", "halted")
         node.report("n-0", 1, 5, node.token(), *left[:-1], gone)
         await node.round()
         await node.round()
-        assert node.world.jobs["wk-000002"].row_count() == 1
+        assert node.cluster.jobs["wk-000002"].row_count() == 1
 
     play(story)
 
@@ -76,7 +76,7 @@
         node.report("n-0", 1, 3, node.token(), *left, gone)
         await node.round()
         await node.round()
-        assert node.world.jobs["wk-000002"].row_count() == 1
+        assert node.cluster.jobs["wk-000002"].row_count() == 1
 
     play(story)
 
@@ -101,13 +101,13 @@
             await node.keeper.step()
             for number in range(4):
                 machine = f"n-{number}"
-                rows = node.world.machines[machine].rows.values()
+                rows = node.cluster.machines[machine].rows.values()
                 tasks = [on(r.job, r.index, r.attempt, "exited", "error") for r in rows]
                 starts += len(tasks)
                 node.report(machine, 1, seq, node.token(), *tasks)
             await node.round()
         assert 4 <= starts <= 14
-        assert not any(m.retiring == "faulty" for m in node.world.machines.values())
+        assert not any(m.retiring == "faulty" for m in node.cluster.machines.values())
 
     play(story)
 
@@ -118,7 +118,7 @@
         add_job(state, clock, nameId="wk-000002", sacks=1)
         await node.sync()
         await node.round()
-        rows = node.world.machines["n-0"].rows.values()
+        rows = node.cluster.machines["n-0"].rows.values()
         tasks = [on(r.job, r.index, r.attempt, "exited", "error") for r in rows]
         assert len(tasks) == 2
         node.report("n-0", 1, 3, node.token(), *tasks)
@@ -127,7 +127,7 @@
         node.report("n-0", 1, 4, node.token())
         await node.round()
         await node.round()
-        assert node.world.machines["n-0"].retiring == "faulty"
+        assert node.cluster.machines["n-0"].retiring == "faulty"
 
     play(story)
 
@@ -142,12 +142,12 @@
             await node.live()
             node.report("n-0", 1, seq, node.token())
             await node.round()
-        assert node.world.machines["n-0"].retiring == "idle"
+        assert node.cluster.machines["n-0"].retiring == "idle"
         add_job(state, clock, sacks=1)
         await node.sync()
         node.report("n-0", 1, 99, node.token())
         await node.round()
-        assert node.world.jobs["wk-000001"].row_count() == 0
+        assert node.cluster.jobs["wk-000001"].row_count() == 0
 
     play(story)
 
@@ -161,12 +161,12 @@
         assert view is not None
         for left, stops in ((20.0, 0), (5.0, 1)):
             view.notice_at = clock.now() + left
-            orders = node.reports._orders(node.world.machines["n-0"], view)
+            orders = node.reports._orders(node.cluster.machines["n-0"], view)
             assert [c.op for c in orders].count("stop") == stops
         add_job(state, clock, nameId="wk-000002", sacks=1)
         await node.sync()
         await node.round()
-        assert node.world.jobs["wk-000002"].row_count() == 0
+        assert node.cluster.jobs["wk-000002"].row_count() == 0
 
     play(story)
 
@@ -195,7 +195,7 @@
             node.report(f"n-{number}", 1, 1, node.token(shard))
         for _ in range(4):
             await node.round(shard)
-        assert node.world.jobs["wk-000001"].row_count() > 1000
+        assert node.cluster.jobs["wk-000001"].row_count() > 1000
         for key, (value, _, _) in state.keys.items():
             if key.startswith(keys.PLAN):
                 assert len(orjson.dumps(value)) < 32 * 1024
@@ -215,7 +215,7 @@
         await node.sync()
         await node.round()
         await node.sync()
-        assert len(node.world.jobs) == kept and "wk-000000" not in node.world.jobs
+        assert len(node.cluster.jobs) == kept and "wk-000000" not in node.cluster.jobs
         answer = await node.ask("GET", "/v1/jobs/wk-000000")
         assert orjson.loads(answer.body)["stage"] == "withdrawn"
         answer = await node.ask("POST", "/v1/jobs/wk-000001/withdraw")
@@ -236,11 +236,11 @@
         for number in range(2, 11):
             add_job(state, clock, nameId=f"wk-{number:06d}", sacks=20, loaners=True, grindS=10.0)
         await node.sync()
-        node.outlook.look(0)
-        for job_id in list(node.world.jobs):
+        node.forecast.look(0)
+        for job_id in list(node.cluster.jobs):
             state.put(keys.job(job_id), {**state.keys[keys.job(job_id)][0], "end": "done"})
         await node.sync()
-        needs = node.outlook.look(0).needs
+        needs = node.forecast.look(0).needs
         # 10 * 20 tasks of 10 s in the span that is looked back on
         tasks = 10 * 20 * 10.0 / node.settings.forecast_s * node.settings.array_base
         assert {need.source.spot for need in needs.values()} == {True}
@@ -256,7 +256,7 @@
     async def story(state: StateService, clock: FakeClock, nodes: Nodes) -> None:
         node = await _ready(state, clock, nodes, 1, sacks=3)
         making = node.rounds._preemption
-        rows = list(node.world.jobs["wk-000001"].rows())
+        rows = list(node.cluster.jobs["wk-000001"].rows())
         beyond = {"red": 2.0}
         assert not making._draw(rows, {"wk-000001": "red"}, beyond)
         assert making._draw(rows[:2], {"wk-000001": "red"}, beyond)
@@ -265,8 +265,8 @@
         # red is guaranteed 4 GPUs: a job of 3 fits, one of 2 behind it does not
         job = add_job(state, clock, nameId="wk-000002", sacks=2)
         await node.sync()
-        assert node.rounds._guarantees.speaks_for(node.world.jobs["wk-000001"])
-        assert not node.rounds._guarantees.speaks_for(node.world.jobs[job])
+        assert node.rounds._guarantees.speaks_for(node.cluster.jobs["wk-000001"])
+        assert not node.rounds._guarantees.speaks_for(node.cluster.jobs[job])
 
     play(story)
 
@@ -279,12 +279,12 @@
             state, clock, nodes, 2, cut="service", precedence="production", sacks=1, cards=4.0,
             grindS=0.0, dueS=None,
         )  # fmt: skip
-        (row,) = node.world.jobs["wk-000001"].rows()
+        (row,) = node.cluster.jobs["wk-000001"].rows()
         other = "n-1" if row.machine == "n-0" else "n-0"
         add_job(state, clock, nameId="wk-000002", sacks=4)
         await node.sync()
         await node.round()
-        assert len(node.world.machines[other].rows) == 4
+        assert len(node.cluster.machines[other].rows) == 4
         running = [on("wk-000002", i, i + 1, "running") for i in range(4)]
         node.report(row.machine, 1, 2, node.token(), on("wk-000001", 0, 1, "running"))
         for seq in range(2, 60):
@@ -303,15 +303,15 @@
 
     async def story(state: StateService, clock: FakeClock, nodes: Nodes) -> None:
         node = await _ready(state, clock, nodes, 3, sacks=12)
-        assert node.world.jobs["wk-000001"].row_count() == 12
+        assert node.cluster.jobs["wk-000001"].row_count() == 12
         asked: list[str] = []
-        short = node.outlook.short
+        short = node.forecast.short
 
         def counting(spec: JobSpec) -> bool:
             asked.append(spec.id)
             return short(spec)
 
-        node.outlook.short = counting  # type: ignore[method-assign]
+        node.forecast.short = counting  # type: ignore[method-assign]
         add_job(
             state, clock, nameId="wk-000002", cut="service", precedence="production",
             sacks=1, grindS=0.0, dueS=None,
