--- a/crossmill/cluster/records.py
+++ b/crossmill/cluster/records.py
@@ -4,9 +4,11 @@
 renaming a field of a class. Unknown fields are ignored. `production` in deploy/service.toml reads
 everything written here as long as the cluster's feature level is not raised."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Any
 
+import orjson
+
 from ..wire.users import JobSpec
 from .model import ACTIVE, Chunk, Job, Row
 
@@ -81,10 +83,13 @@
     return value
 
 
-def encode_end(end: str, spec: JobSpec, ended_at: float) -> dict[str, Any]:
+def encode_end(end: str, spec: JobSpec, ended_at: float, most_bytes: int) -> dict[str, Any]:
     """An ended job. The spec stays: a cancelled job's tasks hold room until they are proved
-    gone."""
-    return {"end": end, "spec": _encode_spec(spec), "ended": ended_at}
+    gone. Of a record that was accepted under larger limits only what that takes is kept."""
+    value = {"end": end, "spec": _encode_spec(spec), "ended": ended_at}
+    if len(orjson.dumps(value)) > most_bytes:
+        value["spec"] = _encode_spec(replace(spec, job_class="", image="", types=None, zone=None))
+    return value
 
 
 def decode_job(value: dict[str, Any]) -> JobRecord:
--- a/crossmill/jobs/cancellation.py
+++ b/crossmill/jobs/cancellation.py
@@ -93,7 +93,8 @@
     async def _commit(self, job: Job, rests: dict[str, int]) -> bool:
         assert job.spec is not None
         key = keys.job(job.id)
-        record = encode_end(CANCELLED, job.spec, self._clock.wall())
+        most_bytes = self._cluster.limits.record_bytes
+        record = encode_end(CANCELLED, job.spec, self._clock.wall(), most_bytes)
         intent = Intent(
             Txn({key: job.version, **rests}, [Put(key, record)]), URGENT, until=self._until()
         )
--- a/crossmill/jobs/cleanup.py
+++ b/crossmill/jobs/cleanup.py
@@ -43,7 +43,8 @@
         for job in list(self._cluster.unrecorded[shard].values()):
             if job.spec is not None:
                 key = keys.job(job.id)
-                value = encode_end(CANCELLED, job.spec, self._clock.wall())
+                most_bytes = self._cluster.limits.record_bytes
+                value = encode_end(CANCELLED, job.spec, self._clock.wall(), most_bytes)
                 txns.append(Txn({key: job.version}, [Put(key, value)]))
         return txns
 
--- a/crossmill/jobs/durable.py
+++ b/crossmill/jobs/durable.py
@@ -1,6 +1,7 @@
 """Plan changes as transactions that carry the versions of all they rest on."""
 
 from dataclasses import dataclass, field
+from typing import Any
 
 from ..cluster import keys
 from ..cluster.cluster_state import ClusterState
@@ -11,6 +12,7 @@
 from ..net.clock import Clock
 from ..state.writer import OUTCOME, PLACE, Intent
 from ..wire.state import Put, Txn
+from ..wire.users import JobSpec
 from ..workers.reports import Finding
 from .plan_migration import PlanMigration
 from .shard_writes import shard_intent
@@ -69,10 +71,14 @@
         finished = job.end == ACTIVE and spec.kind != "service" and self._all_done(job, edit, new)
         if finished:
             txn.conditions[keys.job(job.id)] = job.version
-            txn.puts.append(Put(keys.job(job.id), encode_end(DONE, spec, self._clock.wall())))
+            txn.puts.append(Put(keys.job(job.id), self._done(spec)))
         rank = PLACE if edit.starts or finished else OUTCOME
         return shard_intent(self._membership, shard, own, rank, txn)
 
+    def _done(self, spec: JobSpec) -> dict[str, Any]:
+        most_bytes = self._cluster.limits.record_bytes
+        return encode_end(DONE, spec, self._clock.wall(), most_bytes)
+
     def finish(self, shard: int, own: Owned) -> list[Intent]:
         """Ends of jobs whose last chunks were finished side by side: the write of neither could
         rest on the other. What is done stays done, so only the job's record is a condition."""
@@ -80,7 +86,7 @@
         for job in self._cluster.complete[shard].values():
             if job.spec is not None:
                 key = keys.job(job.id)
-                put = Put(key, encode_end(DONE, job.spec, self._clock.wall()))
+                put = Put(key, self._done(job.spec))
                 txn = Txn({key: job.version}, [put])
                 intents.append(shard_intent(self._membership, shard, own, PLACE, txn))
         return intents
--- a/crossmill/jobs/submission.py
+++ b/crossmill/jobs/submission.py
@@ -129,7 +129,7 @@
         key = keys.job(spec.id)
         conditions = {key: 0, keys.archived(spec.id): 0}
         if dependencies.is_cancelled:
-            record = encode_end(CANCELLED, spec, wall)
+            record = encode_end(CANCELLED, spec, wall, self._cluster.limits.record_bytes)
         else:
             record = encode_job(spec, wall, tuple(dependencies.unfinished))
         if dependencies.unfinished:
--- a/tests/harness.py
+++ b/tests/harness.py
@@ -43,6 +43,9 @@
     make_spec,
 )
 
+# what a job record may take under the settings' limits of today
+RECORD_BYTES = make_settings().state_now.record_bytes
+
 
 class PeerLine:
     """The line to a peer's handler; cut, it reaches nobody."""
--- a/tests/test_dependencies.py
+++ b/tests/test_dependencies.py
@@ -14,7 +14,7 @@
 from crossmill.wire.checks import Malformed, load_object
 from crossmill.wire.users import parse_submission
 
-from .harness import Node, add_job, play, seed
+from .harness import RECORD_BYTES, Node, add_job, play, seed
 from .simulation import Region, simulate
 from .standins import FakeClock, StateService, make_spec, on, submission
 
@@ -219,10 +219,10 @@
     async def story(state: StateService, clock: FakeClock, nodes: Nodes) -> None:
         seed(state, clock)
         first, second = make_spec(nameId=before), make_spec(nameId=after)
-        state.put(keys.job(before), encode_end(CANCELLED, first, 5.0))
+        state.put(keys.job(before), encode_end(CANCELLED, first, 5.0, RECORD_BYTES))
         state.put(keys.job(after), encode_job(second, 1.0, (before,)))
         done, waits = make_spec(nameId=C), make_spec(nameId=D)
-        state.put(keys.job(C), encode_end(DONE, done, 7.0))
+        state.put(keys.job(C), encode_end(DONE, done, 7.0, RECORD_BYTES))
         state.put(keys.job(D), encode_job(waits, 1.0, (C,)))
         node = Node(state, clock, nodes)
         await node.boot()
@@ -247,7 +247,7 @@
 def test_a_cancellation_answered_done_leaves_the_jobs_after_it() -> None:
     async def story(state: StateService, clock: FakeClock, nodes: Nodes) -> None:
         node = await _ready_node(state, clock, nodes)
-        state.put(keys.job(A), encode_end(DONE, make_spec(nameId=A), clock.wall()))
+        state.put(keys.job(A), encode_end(DONE, make_spec(nameId=A), clock.wall(), RECORD_BYTES))
         await _submit(node, B, A)
         response = await node.ask("POST", f"/v1/jobs/{A}/withdraw")
         assert b"done" in response.body
@@ -267,7 +267,7 @@
         handler = node.jobs._cancellation
         rests = await handler._rests(job)
         assert rests == {keys.job(A): node.cluster.jobs[A].version}
-        state.put(keys.job(A), encode_end(DONE, make_spec(nameId=A), clock.wall()))
+        state.put(keys.job(A), encode_end(DONE, make_spec(nameId=A), clock.wall(), RECORD_BYTES))
         assert not await handler._commit(job, rests)
         assert await _stage(node, B) == "queued"
 
@@ -280,7 +280,7 @@
         node = await _ready_node(state, clock, nodes)
         await _submit(node, A)
         # another owner ends and archives it, unseen here, while the submission is on its way
-        value = encode_end(DONE, make_spec(nameId=A), clock.wall())
+        value = encode_end(DONE, make_spec(nameId=A), clock.wall(), RECORD_BYTES)
         state.put(keys.job(A), value)
         state.put(keys.archived(A), {"end": "done", "done": 1})
         state.put(keys.ARCHIVINGS, {"n": 1})
@@ -300,10 +300,10 @@
         node = await _ready_node(state, clock, nodes)
         await _submit(node, A)
         await _submit(node, B, A)
-        state.put(keys.job(A), encode_end(DONE, make_spec(nameId=A), clock.wall()))
+        state.put(keys.job(A), encode_end(DONE, make_spec(nameId=A), clock.wall(), RECORD_BYTES))
         for number in range(node.settings.ended_kept + 5):
             spec = make_spec(nameId=f"wk-{1000 + number:06d}")
-            state.put(keys.job(spec.id), encode_end(DONE, spec, clock.wall()))
+            state.put(keys.job(spec.id), encode_end(DONE, spec, clock.wall(), RECORD_BYTES))
         await node.sync()
         for _ in range(10):
             clock.time += 1
--- a/tests/test_deputies.py
+++ b/tests/test_deputies.py
@@ -10,7 +10,7 @@
 from crossmill.wire.state import Put, Txn
 from crossmill.wire.workers import Command
 
-from .harness import Node, add_job, add_machine, play, seed
+from .harness import RECORD_BYTES, Node, add_job, add_machine, play, seed
 from .standins import FakeClock, StateService, on
 
 Nodes = dict[str, Node]
@@ -306,7 +306,7 @@
         again = Node(state, clock, nodes, "node-0")
         await again.boot(waited=False)
         assert job.spec is not None
-        put = Put("cm/j/wk-000001", encode_end(CANCELLED, job.spec, 0.0))
+        put = Put("cm/j/wk-000001", encode_end(CANCELLED, job.spec, 0.0, RECORD_BYTES))
         late = Intent(Txn({"cm/j/wk-000001": job.version, **rests}, [put]))
         assert await it.owner.writer.commit(late) == CONFLICT
 
--- a/tests/test_pipelines.py
+++ b/tests/test_pipelines.py
@@ -7,7 +7,7 @@
 from crossmill.planning.pipelines import PipelineStage, plan_pipeline, topological_order
 from crossmill.planning.split import Option, Stage, _path_ends, split
 
-from .harness import Node, play, seed
+from .harness import RECORD_BYTES, Node, play, seed
 from .standins import FakeClock, StateService, make_spec
 
 Nodes = dict[str, Node]
@@ -131,7 +131,7 @@
         await other.boot()
         assert other.forecast.queue_place(jobs[first])[0][1] == pytest.approx(end)
         # the heir is cancelled: inheritance ends
-        state.put(keys.job(last), encode_end("cancelled", final, clock.wall()))
+        state.put(keys.job(last), encode_end("cancelled", final, clock.wall(), RECORD_BYTES))
         await node.sync()
         assert forecast.queue_place(jobs[first])[0][0] == 3
 
@@ -149,7 +149,7 @@
             name = f"wk-00000{number}"
             after = make_spec(nameId=name, dueS=due or None, grindS=0.0)
             state.put(keys.job(name), encode_job(after, at, ("wk-000001",)))
-        state.put(keys.job("wk-000001"), encode_end("done", spec, at + 50.0))
+        state.put(keys.job("wk-000001"), encode_end("done", spec, at + 50.0, RECORD_BYTES))
         node = Node(state, clock, nodes)
         await node.boot()
         ends = [node.forecast.queue_place(node.cluster.jobs[f"wk-00000{n}"])[0][1] for n in (2, 3)]
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -14,7 +14,7 @@
 from crossmill.state.writer import CONFLICT, OK, Intent
 from crossmill.wire.state import Put, Txn
 
-from .harness import Node, add_job, add_machine, play, seed
+from .harness import RECORD_BYTES, Node, add_job, add_machine, play, seed
 from .simulation import Region, simulate
 from .standins import (
     FakeClock,
@@ -82,7 +82,7 @@
     # unknown fields of a later version end nobody
     later = {**PRODUCTION_JOB, "new": 1, "spec": {**PRODUCTION_SPEC, "new": 1}}
     assert decode_job(later).spec == spec
-    assert set(encode_end("done", spec, 7.0)) == {"end", "spec", "ended"}
+    assert set(encode_end("done", spec, 7.0, RECORD_BYTES)) == {"end", "spec", "ended"}
 
 
 @pytest.mark.parametrize("upgraded", [(), ("node-1",), ("node-1", "node-2")])
@@ -436,3 +436,28 @@
         assert make_settings().state_lowest.conditions == 24
 
     play(story)
+
+
+@pytest.mark.parametrize("end", ["done", "cancelled"])
+def test_a_record_written_too_large_before_can_still_be_ended(end: str) -> None:
+    async def story(state: StateService, clock: FakeClock, nodes: Nodes) -> None:
+        seed(state, clock, machines=1)
+        spec = {**PRODUCTION_SPEC, "tasks": 1, "image": "i" * 3000, "zone": "north"}
+        state.put(keys.job(JOB), {**PRODUCTION_JOB, "spec": spec})
+        state.put(keys.LEVEL, encode_level(Level(1, 512, 32)))
+        state.limits = StateLimits(100, 40, 2048, 6)
+        node = Node(state, clock, nodes)
+        await node.boot()
+        node.report("n-0", 1, 1, node.token())
+        if end == "cancelled":
+            response = await node.ask("POST", f"/v1/jobs/{JOB}/withdraw")
+            assert response.status == 200
+        else:
+            await node.round()
+            node.report("n-0", 1, 2, node.token(), on(JOB, 0, 1, "exited", "done"))
+            await node.round()
+        stored = state.keys[keys.job(JOB)][0]
+        assert stored["end"] == end and state.too_large == 0
+        assert (stored["spec"]["team"], stored["spec"]["gpus"]) == ("red", 1.0)
+
+    play(story)
