--- a/crossmill/jobs/submission.py
+++ b/crossmill/jobs/submission.py
@@ -97,13 +97,15 @@
         if self._cluster.level is None:
             # a controller of the version before would start it at once
             return NOT_NOW
+        # counted before the first is looked at: one archived meanwhile raises it
+        archivings = self._cluster.mirror.version(keys.ARCHIVINGS)
         try:
             dependencies = await self._dependencies.resolve(spec.id, needs)
         except DependencyRefused as exc:
             return await self._refuse(spec.id, NEVER, str(exc))
         except DependencyUnknown:
             return NOT_NOW
-        return await self._accept(spec, dependencies)
+        return await self._accept(spec, dependencies, archivings)
 
     def _never(self, spec: JobSpec) -> str | None:
         """Why the job can never run, if so."""
@@ -124,7 +126,9 @@
                 return "more than the team's limit"
         return None
 
-    async def _accept(self, spec: JobSpec, dependencies: Dependencies) -> Response:
+    async def _accept(
+        self, spec: JobSpec, dependencies: Dependencies, archivings: int = 0
+    ) -> Response:
         now, wall = self._clock.now(), self._clock.wall()
         key = keys.job(spec.id)
         conditions = {key: 0, keys.archived(spec.id): 0}
@@ -134,7 +138,7 @@
             record = encode_job(spec, wall, tuple(dependencies.unfinished))
         if dependencies.unfinished:
             # none of them may be archived before this job is known to wait for it
-            conditions[keys.ARCHIVINGS] = self._cluster.mirror.version(keys.ARCHIVINGS)
+            conditions[keys.ARCHIVINGS] = archivings
         encoded = orjson.dumps(record)
         if len(encoded) > self._cluster.limits.record_bytes:
             return await self._refuse(spec.id, NEVER, "too long to be stored")
--- a/tests/test_dependencies.py
+++ b/tests/test_dependencies.py
@@ -295,6 +295,34 @@
     play(story)
 
 
+def test_a_dependency_archived_while_another_is_read_is_noticed() -> None:
+    # guards against resting on a count of archivings newer than what was read before it
+    async def story(state: StateService, clock: FakeClock, nodes: Nodes) -> None:
+        node = await _ready_node(state, clock, nodes)
+        await _submit(node, A)
+        add_job(state, clock, nameId=C, sacks=1)
+        check = node.jobs._submission._dependencies
+        read = check._read
+
+        async def slow_read(need: str) -> Job | None:
+            value = encode_end(DONE, make_spec(nameId=A), clock.wall(), RECORD_BYTES)
+            state.put(keys.job(A), value)
+            state.put(keys.archived(A), {"end": "done", "done": 1})
+            state.put(keys.ARCHIVINGS, {"n": 1})
+            state.revision += 1
+            state._delete(keys.job(A))
+            await node.sync()
+            return await read(need)
+
+        check._read = slow_read  # type: ignore[method-assign]
+        assert (await _submit(node, B, A, C)).status == 503
+        check._read = read  # type: ignore[method-assign]
+        assert (await _submit(node, B, A, C)).status == 201
+        assert node.cluster.jobs[B].unmet == {C}
+
+    play(story)
+
+
 def test_a_job_that_others_wait_for_is_not_archived() -> None:
     async def story(state: StateService, clock: FakeClock, nodes: Nodes) -> None:
         node = await _ready_node(state, clock, nodes)
