--- a/crossmill/cluster/feature_level.py
+++ b/crossmill/cluster/feature_level.py
@@ -14,7 +14,7 @@
 from ..net.clock import Clock
 from ..settings import Settings
 from ..state.follower import Follower
-from ..state.writer import OK, URGENT, Intent, Writer
+from ..state.writer import OK, OWNERSHIP, Intent, Writer
 from ..wire.state import Put, Txn
 from . import keys
 
@@ -101,6 +101,6 @@
 
     async def _commit(self, txn: Txn) -> None:
         until = self._clock.now() + self._s.hold_ttl_s
-        intent = Intent(txn, URGENT, until=until)
+        intent = Intent(txn, OWNERSHIP, until=until)
         if await self._writer.commit(intent) != OK:
             await self._follower.sync(self._s.renew_s)
--- a/crossmill/cluster/membership.py
+++ b/crossmill/cluster/membership.py
@@ -9,7 +9,7 @@
 from ..net.clock import Clock
 from ..settings import Settings
 from ..state.follower import Follower
-from ..state.writer import OK, URGENT, Intent, Writer
+from ..state.writer import OK, OWNERSHIP, Intent, Writer
 from ..wire.state import Put, Txn
 from . import keys
 from .cluster_state import ClusterState
@@ -208,7 +208,7 @@
 
     async def _commit(self, txn: Txn) -> bool:
         epoch = self._keeper.epoch
-        intent = Intent(txn, URGENT, holds=lambda: self._keeper.holds(epoch))
+        intent = Intent(txn, OWNERSHIP, holds=lambda: self._keeper.holds(epoch))
         return await self._writer.commit(intent) == OK
 
     def _rank(self) -> int:
--- a/crossmill/state/writer.py
+++ b/crossmill/state/writer.py
@@ -21,8 +21,8 @@
 MAX_TXN_BYTES = 56 * 1024
 IN_FLIGHT = 3
 
-# lower goes first
-URGENT, PLACE, OUTCOME, LATER = 0, 1, 2, 3
+# lower goes first; who acts for a shard is settled before anything else
+OWNERSHIP, URGENT, PLACE, OUTCOME, LATER = -1, 0, 1, 2, 3
 
 
 @dataclass(slots=True)
@@ -157,7 +157,7 @@
                 continue
             if batch and (intent.alone or batch[0].alone):
                 continue
-            overdraft = self._overdraft if intent.rank == URGENT else 0.0
+            overdraft = self._overdraft if intent.rank <= URGENT else 0.0
             wait_s = self._pacer.wait_s(ops + more, overdraft)
             if wait_s > 0:
                 nap_s = wait_s
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -5,6 +5,7 @@
 from dataclasses import replace
 from typing import Any
 
+import curio
 import pytest
 
 from crossmill.cluster import keys
@@ -191,3 +192,22 @@
     assert select([*many, last, failed], 4) == [last, failed, *many[:2]]
     # some progress even where all is urgent
     assert select([*many, last, failed], 1) == [last, failed, many[0]]
+
+
+def test_a_shard_changes_hands_before_submissions_that_wait_for_the_rate() -> None:
+    # guards against a shard that nobody acts for while cancellations queue up before its key
+    async def story(state: StateService, clock: FakeClock, nodes: dict[str, Node]) -> None:
+        node = Node(state, clock, nodes)
+        await node.boot()
+        node.writer.allot(1.0)
+        node.writer._pacer.spend(100.0)
+        for number in range(3):
+            await node.writer.submit(Intent(Txn({}, [Put(f"cm/x/{number}", 0)]), URGENT))
+        own = node.membership.owned[0]
+        key = keys.shard(0)
+        task = await curio.spawn(node.membership._commit, Txn({key: own.version}, [], [key]))
+        await curio.sleep(0)
+        assert next(iter(node.writer._queue)).txn.deletes == [key]
+        await task.cancel()
+
+    play(story)
