State stand-in pages by size and compacts as PROTOCOL says; judge blames tasks in no plan

The list's answers hold 1,000 items and 512 KiB at most, changes up to a given revision can be gone at any time (410), and both sizes can be made smaller for a test.

--- a/tests/simulation.py
+++ b/tests/simulation.py
@@ -293,7 +293,9 @@
 
 
 class Judge:
-    """PROTOCOL's rules, looked at on every start and every half second."""
+    """PROTOCOL's rules, looked at on every start and every half second. Of its own it asks that
+    each task on a machine is in a durable plan: it is started from one, and its row goes only
+    when it is proved over."""
 
     def __init__(self, region: "Region") -> None:
         self._region = region
@@ -364,11 +366,33 @@
                     self.blame(f"ran_cancelled {job}/{index} {worker.machine}")
                 if facts.spec["yard"] not in (None, worker.zone):
                     self.blame(f"wrong_place {job}/{index} {worker.machine}")
+        self._judge_unplanned()
         for node in region.nodes.values():
             for team in node.settings.teams:
                 if 0 < team.gpus_max < used.get(team.name, 0.0):
                     self.blame(f"quota {team.name} {used[team.name]}")
 
+    def _planned(self) -> set[tuple[str, int, int, str]]:
+        """Job, task, attempt and machine of every durable row, copies of chunks included."""
+        return {
+            (name[len(keys.PLAN) :].rpartition("/")[0], row[0], row[1], row[2])
+            for name, (value, _, _) in self._region.state.keys.items()
+            if name.startswith(keys.PLAN)
+            for row in value["rows"]
+        }
+
+    def _judge_unplanned(self) -> None:
+        """A task that runs and that no plan holds is known to nobody."""
+        region, now = self._region, self._region.clock.now()
+        planned = self._planned()
+        for worker in region.workers.values():
+            if worker.gone or worker.answered + region.lease_s < now:
+                continue
+            for (job, index), task in worker.tasks.items():
+                row = (job, index, task.attempt, worker.machine)
+                if task.state != "exited" and row not in planned:
+                    self.blame(f"orphaned {job}/{index} {worker.machine}: in no plan")
+
     def told(self, job: str, response: Response, asked_at: float) -> None:
         """An answer arrived. It is compared with what had been told before it was asked for."""
         facts, now = self.jobs[job], self._region.clock.now()
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -103,14 +103,22 @@
     return parse_spec(submission(**changes))
 
 
+# PROTOCOL: what a list's answer holds at most, and how many changes are kept
+PAGE_ITEMS, PAGE_BYTES, KEPT_CHANGES = 1000, 512 * 1024, 10_000
+
+
 class StateService:
-    """The state service as PROTOCOL describes it, kept in memory."""
+    """The state service as PROTOCOL describes it, kept in memory. Tests may make pages and the
+    history of changes shorter, so that few keys do what thousands do in production."""
 
-    def __init__(self) -> None:
+    def __init__(self, kept_changes: int = KEPT_CHANGES) -> None:
         self.revision = 0
         self.keys: dict[str, tuple[Any, int, int | None]] = {}
         self.leases: set[int] = set()
-        self.changes: deque[tuple[int, str, Any]] = deque(maxlen=10_000)
+        self.changes: deque[tuple[int, str, Any]] = deque(maxlen=kept_changes)
+        self.page_items = PAGE_ITEMS
+        # the revision up to which changes are no longer kept
+        self._compacted = 0
         self.down = False
         self.calls: list[tuple[str, str]] = []
         # what is done to the next calls of a path: "lose" executes but gives no answer,
@@ -129,7 +137,22 @@
 
     def _delete(self, key: str) -> None:
         if self.keys.pop(key, None) is not None:
-            self.changes.append((self.revision, key, None))
+            self._record(key, None)
+
+    def _record(self, key: str, value: Any) -> None:
+        if len(self.changes) == self.changes.maxlen:
+            self._compacted = self.changes[0][0]
+        self.changes.append((self.revision, key, value))
+
+    def delete(self, key: str) -> None:
+        """Another client deletes the key."""
+        self.revision += 1
+        self._delete(key)
+
+    def compact(self) -> None:
+        """All changes so far are no longer kept: a watch that missed one is answered 410."""
+        self._compacted = self.revision
+        self.changes.clear()
 
     def put(self, key: str, value: Any, lease: int | None = None) -> None:
         self.revision += 1
@@ -137,7 +160,7 @@
 
     def _write(self, key: str, value: Any, lease: int | None) -> None:
         self.keys[key] = (value, self.revision, lease)
-        self.changes.append((self.revision, key, value))
+        self._record(key, value)
 
     async def request(
         self, method: str, path: str, body: bytes = b"", timeout_s: float = 2.0
@@ -173,7 +196,7 @@
             return (200 if lease in self.leases else 404), {"tenure": lease}
         if path == "/changes":
             after, prefix = int(query["after"][0]), query["prefix"][0]
-            if self.changes and len(self.changes) == 10_000 and after < self.changes[0][0]:
+            if after < self._compacted:
                 return 410, {}
             log = [
                 {"delete": k, "stamp": r} if v is None else {"write": k, "data": v, "stamp": r}
@@ -182,18 +205,26 @@
             ]
             return 200, {"ledgerRev": self.revision, "log": log}
         if path == "/keys":
-            prefix, after_key = query["prefix"][0], query.get("after", [""])[0]
-            names = sorted(k for k in self.keys if k.startswith(prefix) and k > after_key)
-            rows = [
-                {"k": k, "data": self.keys[k][0], "stamp": self.keys[k][1]} for k in names[:1000]
-            ]
-            return 200, {"rows": rows, "hasNext": len(names) > 1000, "ledgerRev": self.revision}
+            return self._page(query["prefix"][0], query.get("after", [""])[0])
         key = path.removeprefix("/keys/")
         if key not in self.keys:
             return 404, {"ledgerRev": self.revision}
         value, version, _ = self.keys[key]
         return 200, {"k": key, "data": value, "stamp": version}
 
+    def _page(self, prefix: str, after: str) -> tuple[int, dict[str, Any]]:
+        names = sorted(k for k in self.keys if k.startswith(prefix) and k > after)
+        rows: list[dict[str, Any]] = []
+        size = 0
+        for name in names[: self.page_items]:
+            row = {"k": name, "data": self.keys[name][0], "stamp": self.keys[name][1]}
+            size += len(orjson.dumps(row))
+            if rows and size > PAGE_BYTES:
+                break
+            rows.append(row)
+        more = len(names) > len(rows)
+        return 200, {"rows": rows, "hasNext": more, "ledgerRev": self.revision}
+
     def _is_too_large(self, data: dict[str, Any]) -> bool:
         values = [orjson.dumps(c["data"]) for c in data["apply"] if "write" in c]
         return (
