Beliefs end with their proof: unseen archivings, old findings, torn readings, late acceptances

- Direct starts went out while the lease was renewed and no read came through.
- A round's decision was written on versions read after an await in its middle.

Now: rows leave with the chunk that holds them, and a job without a record starts, stops and frees nothing; a finding carries the term of its ownership and what its write rests on (workers/findings.py), a release the absence of the machine's record; a reading is brought up to the last page's moment before it is published; a dependent's acceptance rests on its needs' records (or, for more than a transaction's conditions, raises the counter of archivings); starts go out only while what was durable not long ago is known; an edit keeps the versions of its decision. A shard whose key is gone is dropped, and a token is raised only of a shard that is still ours. Running tasks in no plan are logged and counted as they are stopped.

--- a/crossmill/cluster/cluster_state.py
+++ b/crossmill/cluster/cluster_state.py
@@ -140,12 +140,32 @@
             self._file(other)
 
     def _forget_job(self, job_id: str) -> None:
+        """The job's record is gone: it was archived, so its plan is cleared away too. Read anew
+        after a gap, the two may be told of in any order, and the plan's rows stay indexed by
+        machine until their own deletion is known; meanwhile the job is unknown."""
         gone = self.jobs.pop(job_id, None)
-        if gone is None or gone.shard < 0:
+        if gone is None or gone.spec is None:
             return
         self.graph.remove(gone)
         for index in (self.active, self.ended, self.over, self.unrecorded, self.complete):
             index[gone.shard].pop(job_id, None)
+        if gone.chunks or gone.staged:
+            self._recount(gone, -1)
+            self.jobs[job_id] = Job(
+                job_id,
+                chunks=gone.chunks,
+                staged=gone.staged,
+                finished=gone.finished,
+                planned=gone.planned,
+            )
+            for name in gone.chunks:
+                if (job_id, name) in self.legacy_chunks:
+                    self.legacy_chunks[job_id, name] = self.jobs[job_id]
+
+    def _drop_if_empty(self, job: Job) -> None:
+        """A job without a record is kept only as long as a plan of it is known."""
+        if not job.is_known and not job.chunks and not job.staged:
+            self.jobs.pop(job.id, None)
 
     def _file(self, job: Job) -> None:
         if job.spec is None:
@@ -201,6 +221,8 @@
                 size -= machine.images.pop(image)
 
     def _on_plan(self, job_id: str, name: str, value: Any, version: int) -> None:
+        if value is None and job_id not in self.jobs:
+            return
         job = self._job(job_id)
         where = self.layout.parse(name)
         new = None if value is None else decode_chunk(job_id, value, version, where.first)
@@ -214,6 +236,7 @@
             if not where.is_segment:
                 self._switch_layout(job, where, new is not None)
         self._file(job)
+        self._drop_if_empty(job)
 
     def _switch_layout(self, job: Job, legacy: ChunkRange, present: bool) -> None:
         """Segments are in force exactly where no legacy chunk is."""
--- a/crossmill/cluster/membership.py
+++ b/crossmill/cluster/membership.py
@@ -22,12 +22,15 @@
 
 @dataclass(slots=True)
 class Owned:
-    """A shard this incarnation acts for. `ready` once all earlier owners' writes are known."""
+    """A shard this incarnation acts for. `ready` once all earlier owners' writes are known.
+    `term` is the token under which this ownership began: it stays when the token is raised, and
+    whatever was concluded under another term is void."""
 
     token: int
     version: int
     acquired_at: float
     epoch: int
+    term: int
     ready: bool = False
 
 
@@ -70,6 +73,14 @@
             return None
         return own if self._keeper.authority() else None
 
+    def commanding(self, shard: int) -> Owned | None:
+        """The shard, if tasks may be started and stopped at will: with full authority, and only
+        while all that was durable not long ago is known. A lease that is renewed is no sign of
+        that: a job may have been cancelled that no read has shown."""
+        own = self.acting(shard)
+        is_current = self._follower.current_within(self._s.hold_ttl_s)
+        return own if is_current else None
+
     def answering(self, shard: int) -> tuple[Owned, bool] | None:
         """The shard, if its workers may be answered, and whether by full authority; without
         it they are only kept alive. Whatever the right to answer rests on, it ends so soon
@@ -81,7 +92,7 @@
         if not self._follower.current_within(self._s.extension_s):
             return None
         if self._keeper.authority():
-            return own, self._follower.current_within(self._s.hold_ttl_s)
+            return own, self.commanding(shard) is not None
         return (own, False) if self._promises.extended() else None
 
     def holds(self, shard: int, token: int) -> bool | None:
@@ -123,13 +134,22 @@
         for listener in self.on_lost:
             listener(shard)
 
+    def _drop_if_lost(self, shard: int, own: Owned) -> bool:
+        """Whether the shard is no longer ours by what is known."""
+        known = self._cluster.shards.get(shard)
+        if own.epoch != self._keeper.epoch:
+            self._drop(shard, "lease ended")
+        elif known is None:
+            self._drop(shard, "key gone")
+        elif known.version > own.version:
+            self._drop(shard, f"taken by {known.owner}")
+        else:
+            return False
+        return True
+
     async def step(self) -> None:
         for shard, own in list(self.owned.items()):
-            known = self._cluster.shards.get(shard)
-            if own.epoch != self._keeper.epoch:
-                self._drop(shard, "lease ended")
-            elif known is not None and known.version > own.version:
-                self._drop(shard, f"taken by {known.owner}")
+            self._drop_if_lost(shard, own)
         if self.reachability.look({k: own.acquired_at for k, own in self.owned.items()}):
             await self._give_away()
         await self._announce()
@@ -143,7 +163,9 @@
         await self._lead()
         for shard in list(self._raise):
             self._raise.discard(shard)
-            if shard in self.owned:
+            raised = self.owned.get(shard)
+            # others may have taken it since the look above: then this would be a new ownership
+            if raised is not None and not self._drop_if_lost(shard, raised):
                 await self._take(shard)
         for shard, own in list(self.owned.items()):
             if not own.ready and await self._follower.sync(self._s.renew_s):
@@ -282,11 +304,12 @@
             return
         version = self._cluster.mirror.version(key)
         before = self.owned.get(shard)
-        self.owned[shard] = Owned(token, version, self._clock.now(), epoch)
+        self.owned[shard] = Owned(token, version, self._clock.now(), epoch, token)
         if before is not None and before.epoch == epoch:
             # a raised token of a shard that stayed ours: nobody else wrote in between
             self.owned[shard].acquired_at = before.acquired_at
             self.owned[shard].ready = before.ready
+            self.owned[shard].term = before.term
         self._missing.pop(key, None)
         log.info("shard taken shard=%d epoch=%d", shard, token)
 
--- a/crossmill/cluster/model.py
+++ b/crossmill/cluster/model.py
@@ -58,6 +58,22 @@
     finished: int = 0
     planned: int = 0
 
+    @property
+    def is_known(self) -> bool:
+        """Whether the job's record is at hand. Of a job without one nothing can be concluded:
+        neither that it is to run, nor that it is over."""
+        return self.spec is not None
+
+    @property
+    def is_active(self) -> bool:
+        """Whether the job is known, and neither done nor cancelled."""
+        return self.is_known and self.end == ACTIVE
+
+    @property
+    def is_over(self) -> bool:
+        """Whether the job is known to be done or cancelled."""
+        return self.is_known and self.end != ACTIVE
+
     @property
     def blocked(self) -> bool:
         """Whether a job that this one needs is not done."""
--- a/crossmill/jobs/dependency_check.py
+++ b/crossmill/jobs/dependency_check.py
@@ -24,7 +24,8 @@
 class Dependencies:
     """What the jobs named by a submission come to."""
 
-    unfinished: list[str] = field(default_factory=list)
+    # with the versions at which their records were seen to be unfinished
+    unfinished: dict[str, int] = field(default_factory=dict)
     is_cancelled: bool = False
 
 
@@ -50,8 +51,8 @@
             end = job.end if job is not None else await self._archived_end(need)
             if end == CANCELLED:
                 result.is_cancelled = True
-            elif end != DONE:
-                result.unfinished.append(need)
+            elif end != DONE and job is not None:
+                result.unfinished[need] = job.version
         return result
 
     def _at_hand(self, need: str) -> Job | None:
--- a/crossmill/jobs/durable.py
+++ b/crossmill/jobs/durable.py
@@ -7,25 +7,52 @@
 from ..cluster.cluster_state import ClusterState
 from ..cluster.layout import ChunkRange
 from ..cluster.membership import Membership, Owned
-from ..cluster.model import ACTIVE, DONE, Chunk, Job, Row
+from ..cluster.model import ACTIVE, DONE, Chunk, Job, Machine, Row
 from ..cluster.records import encode_chunk, encode_end
 from ..net.clock import Clock
+from ..settings.limits import OTHER_CONDITIONS
 from ..state.writer import OUTCOME, PLACE, Intent
 from ..wire.state import Put, Txn
 from ..wire.users import JobSpec
-from ..workers.reports import Finding
+from ..workers.findings import Finding
 from .plan_migration import PlanMigration
 from .shard_writes import shard_intent
 
 
 @dataclass(slots=True)
 class Edit:
-    """What a round changes in one chunk of a job's plan."""
+    """What a round changes in one chunk of a job's plan, with the versions of what it was decided
+    on: the write fails if any of them has changed since."""
 
     job: Job
     chunk: str
+    base: Chunk | None
+    job_version: int
     over: list[Finding] = field(default_factory=list)
     starts: list[Row] = field(default_factory=list)
+    # versions of the records of the machines that the starts are on
+    machines: dict[str, int] = field(default_factory=dict)
+
+    @classmethod
+    def begin(cls, job: Job, chunk: str) -> "Edit":
+        """An edit of the chunk as it is known now."""
+        return cls(job, chunk, job.chunks.get(chunk), job.version)
+
+    def start(self, row: Row, machine: Machine) -> None:
+        """Plans an attempt on the machine as it is known now."""
+        self.starts.append(row)
+        self.machines[machine.id] = machine.version
+
+
+Edits = dict[tuple[str, str], Edit]
+
+
+def edit_of(edits: Edits, job: Job, chunk: str) -> Edit:
+    """The round's edit of the chunk, begun if there is none."""
+    edit = edits.get((job.id, chunk))
+    if edit is None:
+        edit = edits[job.id, chunk] = Edit.begin(job, chunk)
+    return edit
 
 
 class Durable:
@@ -46,35 +73,47 @@
         if self._migration.is_due(job, edit.chunk):
             # it may no longer fit as it is; what is found now is found again at the next report
             return None
-        old = job.chunks.get(edit.chunk)
+        old = edit.base
         where = self._cluster.layout.parse(edit.chunk)
         new = Chunk(old.next, old.done, dict(old.rows)) if old else Chunk()
         key = keys.plan(job.id, edit.chunk)
         txn = Txn({key: old.version if old else 0})
         if old is None:
             txn.conditions.update(self._layout_conditions(job, where))
-        for finding in edit.over:
-            txn.conditions.update(finding.rests)
-            new.rows.pop(finding.row.index, None)
-            if finding.why == "done":
-                new.done |= 1 << (finding.row.index - where.first)
+        if edit.starts:
+            # a job withdrawn or a machine retired in the meantime undoes the start
+            txn.conditions[keys.job(job.id)] = edit.job_version
+            for machine_id, version in edit.machines.items():
+                txn.conditions[keys.machine(machine_id)] = version
+        self._apply_findings(edit, where, own, new, txn)
         for row in edit.starts:
             new.rows[row.index] = row
             new.next = row.attempt + 1
         txn.puts.append(Put(key, encode_chunk(new)))
-        if edit.starts:
-            # a job withdrawn or a machine retired in the meantime undoes the start
-            txn.conditions[keys.job(job.id)] = job.version
-            for row in edit.starts:
-                machine = self._cluster.machines[row.machine]
-                txn.conditions[keys.machine(machine.id)] = machine.version
         finished = job.end == ACTIVE and spec.kind != "service" and self._all_done(job, edit, new)
         if finished:
-            txn.conditions[keys.job(job.id)] = job.version
+            txn.conditions[keys.job(job.id)] = edit.job_version
             txn.puts.append(Put(keys.job(job.id), self._done(spec)))
         rank = PLACE if edit.starts or finished else OUTCOME
         return shard_intent(self._membership, shard, own, rank, txn)
 
+    def _apply_findings(
+        self, edit: Edit, where: ChunkRange, own: Owned, new: Chunk, txn: Txn
+    ) -> None:
+        """Frees the attempts that are over. A finding of another term, of another attempt, or
+        whose proof has no room among the conditions frees nothing; it is found again."""
+        most = self._cluster.limits.conditions - OTHER_CONDITIONS
+        for finding in edit.over:
+            rests = {**txn.conditions, **finding.rests}
+            index = finding.row.index
+            is_void = finding.term != own.term or new.rows.get(index) != finding.row
+            if is_void or (finding.rests and len(rests) > most):
+                continue
+            txn.conditions = rests
+            del new.rows[index]
+            if finding.why == "done":
+                new.done |= 1 << (index - where.first)
+
     def _done(self, spec: JobSpec) -> dict[str, Any]:
         most_bytes = self._cluster.limits.record_bytes
         return encode_end(DONE, spec, self._clock.wall(), most_bytes)
--- a/crossmill/jobs/failures.py
+++ b/crossmill/jobs/failures.py
@@ -6,7 +6,7 @@
 from ..cluster.model import Job
 from ..net.clock import Clock
 from ..settings import Settings
-from ..workers.reports import Finding
+from ..workers.findings import Finding
 
 # failing on so many machines, a job itself is at fault, or at least suspected
 SUSPECT_MACHINES = 2
--- a/crossmill/jobs/outcome_batch.py
+++ b/crossmill/jobs/outcome_batch.py
@@ -9,7 +9,7 @@
 
 from ..cluster.cluster_state import ClusterState
 from ..cluster.model import ACTIVE, Chunk, Job
-from ..workers.reports import Finding, Key
+from ..workers.findings import Finding, Key
 
 
 @dataclass(slots=True)
@@ -30,12 +30,14 @@
         return is_last or any(finding.why != "done" for finding in self.findings)
 
 
-def collect(cluster: ClusterState, findings: Mapping[Key, Finding], shard: int) -> list[ChunkNews]:
-    """The news of the shard's chunks, oldest first."""
+def collect(
+    cluster: ClusterState, findings: Mapping[Key, Finding], shard: int, term: int
+) -> list[ChunkNews]:
+    """The news of the shard's chunks found in the owner's present term, oldest first."""
     news: dict[tuple[str, str], ChunkNews] = {}
     for (job_id, index), finding in findings.items():
         job = cluster.jobs.get(job_id)
-        if job is None or job.shard != shard:
+        if job is None or job.shard != shard or finding.term != term:
             continue
         name = cluster.layout.chunk_of(index, job.chunks).name
         chunk = job.chunks.get(name)
--- a/crossmill/jobs/placement.py
+++ b/crossmill/jobs/placement.py
@@ -12,7 +12,7 @@
 from ..settings import Settings
 from ..wire.users import JobSpec
 from ..workers.reports import Reports
-from .durable import Edit
+from .durable import Edits, edit_of
 from .failures import TaskFailures
 from .guarantees import Guarantees, Use
 from .preemption import Preemption
@@ -75,9 +75,7 @@
             rooms.append(self._forecast.room(machine, kind))
         return rooms
 
-    def place(
-        self, shard: int, own: Owned, machines: list[Machine], edits: dict[tuple[str, str], Edit]
-    ) -> list[Row]:
+    def place(self, shard: int, own: Owned, machines: list[Machine], edits: Edits) -> list[Row]:
         """Plans starts of the shard's waiting tasks into `edits`; returns the attempts to be
         stopped to make room, or to empty a machine."""
         self._stops = []
@@ -122,7 +120,7 @@
         job: Job,
         rooms: list[Room],
         used: Use,
-        edits: dict[tuple[str, str], Edit],
+        edits: Edits,
     ) -> None:
         spec = job.spec
         assert spec is not None
@@ -239,24 +237,20 @@
                 break
         return result
 
-    def _start(
-        self, job: Job, index: int, machine_id: str, edits: dict[tuple[str, str], Edit]
-    ) -> None:
+    def _start(self, job: Job, index: int, machine_id: str, edits: Edits) -> None:
         view = self._reports.peek(machine_id)
         name = self._cluster.layout.chunk_of(index, job.chunks).name
-        edit = edits.setdefault((job.id, name), Edit(job, name))
+        edit = edit_of(edits, job, name)
         most = self._cluster.limits.machines_per_txn
         if view is None or len({r.machine for r in edit.starts}) >= most:
             return
-        chunk = job.chunks.get(name)
-        attempt = chunk.next if chunk else 1
+        attempt = edit.base.next if edit.base else 1
         if job.spec is not None and job.spec.kind != "gang":
             # a gang's tasks find one another by a common attempt number
             attempt += len(edit.starts)
-        edit.starts.append(Row(job.id, index, attempt, machine_id, view.session))
-        cached = (
-            job.spec is not None and job.spec.image in self._cluster.machines[machine_id].images
-        )
+        machine = self._cluster.machines[machine_id]
+        edit.start(Row(job.id, index, attempt, machine_id, view.session), machine)
+        cached = job.spec is not None and job.spec.image in machine.images
         log.info(
             "task placed job=%s task=%d attempt=%d machine=%s cached=%s",
             job.id,
--- a/crossmill/jobs/rounds.py
+++ b/crossmill/jobs/rounds.py
@@ -17,9 +17,10 @@
 from ..settings import Settings
 from ..state.writer import OK, Intent, Writer
 from ..workers.direct import Direct
-from ..workers.reports import Finding, Reports
+from ..workers.findings import Finding
+from ..workers.reports import Reports
 from .cleanup import Cleanup
-from .durable import Durable, Edit
+from .durable import Durable, Edits, edit_of
 from .failures import TaskFailures
 from .guarantees import Guarantees
 from .machine_maintenance import MachineMaintenance
@@ -105,16 +106,12 @@
     # -- one round -------------------------------------------------------------------
 
     async def round(self, shard: int, own: Owned) -> None:
-        edits: dict[tuple[str, str], Edit] = {}
+        edits: Edits = {}
         machines = list(self._cluster.machines_of[shard].values())
         for machine in machines:
             self._reports.expire(machine, own)
-        for row in list(self._cluster.orphans()):
-            # the record goes only after the machine's release was confirmed
-            job = self._cluster.jobs.get(row.job)
-            if job is not None and job.shard == shard:
-                self._reports.findings.setdefault((row.job, row.index), Finding(row, "released"))
-        self._gather(shard, edits)
+        self._find_released(shard, own)
+        self._gather(shard, own, edits)
         # machines to be given are chosen before tasks are placed: a start planned in the same
         # round would follow its machine to a shard that knows nothing of the job
         stops = list(self._reassignment.look(shard, machines))
@@ -163,16 +160,26 @@
             await self._writer.submit(intent)
         return bool(intents)
 
-    def _gather(self, shard: int, edits: dict[tuple[str, str], Edit]) -> None:
+    def _find_released(self, shard: int, own: Owned) -> None:
+        """The machine's record goes only after its release was confirmed; the write of what
+        follows rests on its absence."""
+        for row in list(self._cluster.orphans()):
+            job = self._cluster.jobs.get(row.job)
+            if job is not None and job.shard == shard:
+                rests = {keys.machine(row.machine): 0}
+                finding = Finding(row, "released", own.term, rests=rests)
+                self._reports.findings.record(finding)
+
+    def _gather(self, shard: int, own: Owned, edits: Edits) -> None:
         findings = self._reports.findings
-        news = collect(self._cluster, findings, shard)
+        news = collect(self._cluster, findings, shard, own.term)
         wanted = {(f.row.job, f.row.index) for entry in news for f in entry.findings}
         for key in [key for key in findings if key not in wanted]:
             job = self._cluster.jobs.get(key[0])
             if job is None or job.shard == shard or self._membership.acting(job.shard) is None:
                 del findings[key]
         for entry in select(news, self._writer.writes_within(self._s.report_s)):
-            edit = edits.setdefault((entry.job.id, entry.name), Edit(entry.job, entry.name))
+            edit = edit_of(edits, entry.job, entry.name)
             for finding in entry.findings:
                 del findings[finding.row.job, finding.row.index]
                 self._learn(entry.job, finding)
--- a/crossmill/jobs/submission.py
+++ b/crossmill/jobs/submission.py
@@ -28,6 +28,8 @@
 log = logging.getLogger(__name__)
 
 CREATED, OK_STATUS, MALFORMED, NEVER, NOT_FOUND = 201, 200, 400, 422, 404
+# how often a submission is looked at anew when what it rested on has changed
+ATTEMPTS = 3
 # far above what users name; each may have to be read from the archive
 MOST_NEEDS = 256
 
@@ -90,22 +92,29 @@
         if not self._lookup.is_served():
             return NOT_NOW
         if not needs:
-            return await self._accept(spec, Dependencies())
+            return await self._accept(spec, Dependencies()) or NOT_NOW
         return await self._accept_dependent(spec, needs)
 
     async def _accept_dependent(self, spec: JobSpec, needs: tuple[str, ...]) -> Response:
         if self._cluster.level is None:
             # a controller of the version before would start it at once
             return NOT_NOW
-        # counted before the first is looked at: one archived meanwhile raises it
-        archivings = self._cluster.mirror.version(keys.ARCHIVINGS)
-        try:
-            dependencies = await self._dependencies.resolve(spec.id, needs)
-        except DependencyRefused as exc:
-            return await self._refuse(spec.id, NEVER, str(exc))
-        except DependencyUnknown:
-            return NOT_NOW
-        return await self._accept(spec, dependencies, archivings)
+        for _ in range(ATTEMPTS):
+            # counted before the first is looked at: one archived meanwhile raises it
+            archivings = self._archivings()
+            try:
+                dependencies = await self._dependencies.resolve(spec.id, needs)
+            except DependencyRefused as exc:
+                return await self._refuse(spec.id, NEVER, str(exc))
+            except DependencyUnknown:
+                return NOT_NOW
+            response = await self._accept(spec, dependencies, archivings)
+            if response is not None:
+                return response
+        return NOT_NOW
+
+    def _archivings(self) -> int:
+        return self._cluster.mirror.version(keys.ARCHIVINGS)
 
     def _never(self, spec: JobSpec) -> str | None:
         """Why the job can never run, if so."""
@@ -128,21 +137,20 @@
 
     async def _accept(
         self, spec: JobSpec, dependencies: Dependencies, archivings: int = 0
-    ) -> Response:
+    ) -> Response | None:
+        """None if something that the job rests on has changed: all is known now, to be looked at
+        once more."""
         now, wall = self._clock.now(), self._clock.wall()
         key = keys.job(spec.id)
-        conditions = {key: 0, keys.archived(spec.id): 0}
         if dependencies.is_cancelled:
             record = encode_end(CANCELLED, spec, wall, self._cluster.limits.record_bytes)
         else:
             record = encode_job(spec, wall, tuple(dependencies.unfinished))
-        if dependencies.unfinished:
-            # none of them may be archived before this job is known to wait for it
-            conditions[keys.ARCHIVINGS] = archivings
         encoded = orjson.dumps(record)
         if len(encoded) > self._cluster.limits.record_bytes:
             return await self._refuse(spec.id, NEVER, "too long to be stored")
-        txn = Txn(conditions, [Put(key, orjson.loads(encoded))])
+        txn = Txn({key: 0, keys.archived(spec.id): 0}, [Put(key, orjson.loads(encoded))])
+        self._rest_on(dependencies, archivings, txn)
         intent = Intent(txn, URGENT, until=now + self._s.accept_s)
         await self._writer.submit(intent)
         outcome = await intent.future.wait(self._s.accept_s)
@@ -162,8 +170,20 @@
         if outcome is None or not await self._lookup.is_current():
             return NOT_NOW
         known = await self._lookup.show(spec.id)
-        # not accepted after all: something that it rests on has changed
-        return NOT_NOW if known.status == NOT_FOUND else known
+        return None if known.status == NOT_FOUND else known
+
+    def _rest_on(self, dependencies: Dependencies, archivings: int, txn: Txn) -> None:
+        """A job may name one as unfinished only before that one's end is written: whoever archives
+        it has seen all up to there, and so knows of this job. Where the records are more than a
+        transaction's conditions, the counter of archivings stands for them: raised by this write
+        too, it keeps those who have not seen it from archiving anything."""
+        records = {keys.job(need): version for need, version in dependencies.unfinished.items()}
+        if len(txn.conditions) + len(records) <= self._cluster.limits.conditions:
+            txn.conditions.update(records)
+            return
+        counter = self._cluster.mirror.value(keys.ARCHIVINGS) or {"n": 0}
+        txn.conditions[keys.ARCHIVINGS] = archivings
+        txn.puts.append(Put(keys.ARCHIVINGS, {"n": counter["n"] + 1}))
 
     async def _accepted(self, job_id: str, is_slow: bool) -> Response:
         if is_slow and not await self._lookup.is_current():
--- a/crossmill/state/follower.py
+++ b/crossmill/state/follower.py
@@ -8,12 +8,27 @@
 from ..net.clock import Clock
 from ..net.future import Future
 from ..settings import Settings
+from ..wire.state import Event, Row
 from .client import Compacted, OutcomeUnknown, Refused, StateClient
 from .mirror import Mirror
 
 log = logging.getLogger(__name__)
 
 
+def brought_up_to_date(rows: list[Row], events: list[Event]) -> list[Row]:
+    """A reading's rows with the changes since its first page: later pages hold some already."""
+    by_key = {row.key: row for row in rows}
+    for event in events:
+        known = by_key.get(event.key)
+        if known is not None and known.version > event.version:
+            continue
+        if event.deleted:
+            by_key.pop(event.key, None)
+        else:
+            by_key[event.key] = Row(event.key, event.value, event.version)
+    return list(by_key.values())
+
+
 class Follower:
     """A long watch brings changes soon; a sync is a watch that does not wait, and what it
     returns was current after it was sent: it serves all who asked before that."""
@@ -29,6 +44,8 @@
         # both loops together take at most half of this controller's share of requests
         self._pause_s = 4 / s.requests_share
         self._drift = s.drift
+        self._reading = curio.Lock()
+        self._readings = 0
         self._waiting: list[Future] = []
         self._asked = curio.Event()
         self.ready = curio.Event()
@@ -44,13 +61,30 @@
         return bool(await future.wait(timeout_s))
 
     async def load(self) -> None:
-        sent = self._clock.now()
-        rows, revision = await self._client.read_all(self._prefix)
+        """Reads every key and publishes a state that existed at one revision. The pages are of
+        different moments; the changes since the first bring all of them to the last."""
+        while True:
+            rows, first = await self._client.read_all(self._prefix)
+            sent = self._clock.now()
+            try:
+                revision, events = await self._client.changes(self._prefix, first, 0.0)
+                break
+            except Compacted:
+                log.info("reading took too long, begun anew keys=%d revision=%d", len(rows), first)
+        rows = brought_up_to_date(rows, events)
         self._mirror.replace(revision, rows)
         log.info("state read keys=%d revision=%d", len(rows), revision)
         self._note_current(sent)
         await self.ready.set()
 
+    async def _reload(self, missed: int) -> None:
+        """Reads all anew after a watch from a revision that is no longer kept. Both loops meet
+        that at once: one reads for both."""
+        async with self._reading:
+            if self._mirror.revision == missed:
+                log.info("watch too old, reading everything again revision=%d", missed)
+                await self.load()
+
     def _note_current(self, sent: float) -> None:
         self.current_at = max(sent, self.current_at or sent)
 
@@ -61,19 +95,24 @@
         return at is not None and self._clock.now() - at <= span_s * (1 - self._drift)
 
     async def _step(self, wait_s: float) -> None:
-        try:
-            if not self.ready.is_set():
-                await self.load()
-                return
-            sent = self._clock.now()
-            result = await self._client.changes(self._prefix, self._mirror.revision, wait_s)
-            self._mirror.apply(*result)
-            self._note_current(sent)
-            if result[1] and self.on_change is not None:
-                await self.on_change()
-        except Compacted:
-            log.info("watch too old, reading everything again")
+        if not self.ready.is_set():
             await self.load()
+            return
+        while True:
+            sent, after = self._clock.now(), self._mirror.revision
+            try:
+                revision, events = await self._client.changes(self._prefix, after, wait_s)
+                break
+            except Compacted:
+                # whoever waits for a sync may have asked after the reading was begun: only the
+                # changes asked for after it show all that was durable then
+                await self._reload(after)
+                wait_s = 0.0
+        self._mirror.apply(revision, events)
+        self._note_current(sent)
+        if (events or self._mirror.readings != self._readings) and self.on_change is not None:
+            self._readings = self._mirror.readings
+            await self.on_change()
 
     async def run(self) -> None:
         while True:
--- a/crossmill/workers/direct.py
+++ b/crossmill/workers/direct.py
@@ -61,7 +61,7 @@
         machine, view = self._cluster.machines.get(machine_id), self._reports.peek(machine_id)
         if machine is None or view is None:
             return
-        own = self._membership.acting(machine.shard)
+        own = self._membership.commanding(machine.shard)
         client = self._client(view.address)
         # what was found to be over while its plan's write was settled must not begin now
         rows = [
--- /dev/null
+++ b/crossmill/workers/findings.py
@@ -0,0 +1,72 @@
+"""Attempts found to be over, until their rows are durably gone.
+
+A finding is what frees a planned task, so it names what proves it, the ownership it was drawn
+under, and the keys that the write of it rests on. It ends with that ownership: another owner may
+have started the very attempt that was found not started."""
+
+from dataclasses import dataclass, field
+
+from ..cluster.cluster_state import ClusterState
+from ..cluster.model import Row
+
+Key = tuple[str, int]
+Attempt = tuple[str, int, int]
+
+# so many are kept before those whose rows have gone are looked for
+CONCLUDED_LEAST = 1000
+
+
+@dataclass(frozen=True, slots=True)
+class Finding:
+    """An attempt that is over, with what it means for the plan."""
+
+    row: Row
+    why: str
+    # the owner's term (see `Owned.term`): later ones must prove it anew
+    term: int
+    took_s: float | None = None
+    # versions of keys that this is true under
+    rests: dict[str, int] = field(default_factory=dict)
+
+
+class Findings(dict[Key, Finding]):
+    """The findings that wait to be written, by task; and all attempts concluded to be over."""
+
+    def __init__(self, cluster: ClusterState) -> None:
+        super().__init__()
+        self._cluster = cluster
+        # until their rows are durably gone no start of them may be sent again, whatever becomes
+        # of the reason for which they were to end
+        self._concluded: set[Attempt] = set()
+        self._concluded_most = CONCLUDED_LEAST
+
+    def record(self, finding: Finding) -> None:
+        """Takes a finding in; the first of a task stands, unless its term is over."""
+        row = finding.row
+        key = (row.job, row.index)
+        known = self.get(key)
+        if known is None or known.term != finding.term:
+            self[key] = finding
+        self._concluded.add((row.job, row.index, row.attempt))
+        if len(self._concluded) > self._concluded_most:
+            self._trim()
+
+    def is_concluded(self, row: Row) -> bool:
+        """Whether the attempt was found to be over, so that no start of it may be sent."""
+        return (row.job, row.index, row.attempt) in self._concluded
+
+    def end_term(self, shard: int) -> None:
+        """The right to act for the shard has ended, and with it all that was concluded."""
+        for key in [key for key in self if self._is_of(key[0], shard)]:
+            del self[key]
+        self._concluded = {a for a in self._concluded if not self._is_of(a[0], shard)}
+
+    def _is_of(self, job_id: str, shard: int) -> bool:
+        """Whether the job belongs to the shard; one that is unknown may."""
+        job = self._cluster.jobs.get(job_id)
+        return job is None or not job.is_known or job.shard == shard
+
+    def _trim(self) -> None:
+        rows = (r for m in self._cluster.machines.values() for r in m.rows.values())
+        self._concluded &= {(r.job, r.index, r.attempt) for r in rows}
+        self._concluded_most = 2 * len(self._concluded) + CONCLUDED_LEAST
--- a/crossmill/workers/reports.py
+++ b/crossmill/workers/reports.py
@@ -4,35 +4,20 @@
 can be repeated. Only responses carry them: the worker drops a response that comes late."""
 
 import logging
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 from ..cluster.cluster_state import ClusterState
 from ..cluster.deputies import Deputies
 from ..cluster.membership import Membership, Owned
-from ..cluster.model import ACTIVE, Machine, Row
+from ..cluster.model import Machine, Row
 from ..net.clock import Clock
 from ..settings import Settings
 from ..wire.workers import MAX_ORDERS, Command, Report, TaskReport
+from .findings import Attempt, Finding, Findings
 from .views import Verdict, View
 
 log = logging.getLogger(__name__)
 
-Key = tuple[str, int]
-
-# so many are kept before those whose rows have gone are looked for
-CONCLUDED_LEAST = 1000
-
-
-@dataclass(frozen=True, slots=True)
-class Finding:
-    """An attempt that is over, with what it means for the plan."""
-
-    row: Row
-    why: str
-    took_s: float | None = None
-    # versions of keys that this is true under
-    rests: dict[str, int] = field(default_factory=dict)
-
 
 @dataclass(frozen=True, slots=True)
 class Answer:
@@ -59,19 +44,17 @@
         self._membership = membership
         self._deputies = deputies
         self._views: dict[str, View] = {}
-        self.findings: dict[Key, Finding] = {}
-        # attempts that were found to be over: until their rows are durably gone no start of
-        # them may be sent again, whatever becomes of the reason for which they were to end
-        self._concluded: set[tuple[str, int, int]] = set()
-        self._concluded_most = CONCLUDED_LEAST
+        self.findings = Findings(cluster)
         # tasks to be stopped to make room or to drain, by attempt
-        self.stopping: dict[tuple[str, int, int], str] = {}
+        self.stopping: dict[Attempt, str] = {}
         # starts sent straight to a worker and not answered, with the token they carried: they
         # may still be executed until the worker has seen a higher token or begun a new session
-        self.unacknowledged: dict[str, dict[tuple[str, int, int], int]] = {}
+        self.unacknowledged: dict[str, dict[Attempt, int]] = {}
         # machines whose move to another shard is being written: whoever gets one counts on
         # nobody else answering it, so it is not answered from before the write is sent
         self.leaving: set[str] = set()
+        # reports of running tasks that no plan holds: each is stopped
+        self.unplanned = 0
         membership.on_lost.append(self._forget)
 
     def _forget(self, shard: int) -> None:
@@ -82,6 +65,11 @@
                 del self._views[machine_id]
                 # whoever acts next has a higher token, and believes only those who saw it
                 self.unacknowledged.pop(machine_id, None)
+        self.findings.end_term(shard)
+        for attempt in list(self.stopping):
+            job = self._cluster.jobs.get(attempt[0])
+            if job is None or job.shard == shard:
+                del self.stopping[attempt]
 
     def view(self, machine: Machine, own: Owned) -> View:
         """Before the first answer of ours an earlier owner may have answered, at the latest
@@ -130,7 +118,7 @@
         if verdict is Verdict.GREETED:
             return Answer(200, token)
         self._acknowledge(machine.id, report)
-        orders = self._orders(machine, view)
+        orders = self._orders(machine, view, own)
         if not entitled:
             # only kept alive; nothing is begun meanwhile, and nothing ended but what is over
             # for good: to end that is right whoever says it, and whenever
@@ -139,7 +127,7 @@
 
     def _job_ended(self, task: str) -> bool:
         job = self._cluster.jobs.get(task.rpartition("/")[0])
-        return job is not None and job.end != ACTIVE
+        return job is not None and job.is_over
 
     @staticmethod
     def token(machine: Machine, own: Owned) -> int:
@@ -162,7 +150,7 @@
             return
         if view.take(report, self.token(machine, own), self._clock.now()):
             self._acknowledge(machine.id, report)
-            self._orders(machine, view, direct=True)
+            self._orders(machine, view, own, direct=True)
 
     def _acknowledge(self, machine_id: str, report: Report) -> None:
         unacknowledged = self.unacknowledged.get(machine_id)
@@ -180,61 +168,98 @@
         self._membership.raise_token(machine.shard)
         return True
 
-    def _orders(self, machine: Machine, view: View, direct: bool = False) -> list[Command]:
+    def _orders(
+        self, machine: Machine, view: View, own: Owned, direct: bool = False
+    ) -> list[Command]:
+        """What the worker has to do for its tasks to be those of the plan. Findings made on the
+        way wait to be written. What does not fit into one answer follows from comparing anew."""
         orders: list[Command] = []
         for key, task in view.tasks.items():
             row = machine.rows.get(key)
             if row is not None and (row.attempt, row.session) == (task.attempt, view.session):
-                self._on_planned(row, task, view, orders)
-            elif task.state == "exited":
-                # the plan no longer holds this attempt, so its outcome is durable; but after a
-                # reap a start still under way would run it once more
-                if self._may_still_begin(machine, *key, task.attempt):
-                    continue
-                orders.append(Command("forget", f"{key[0]}/{key[1]}", task.attempt))
+                self._on_planned(row, task, view, own, orders)
             else:
-                orders.append(Command("stop", f"{key[0]}/{key[1]}", task.attempt, 0.0))
+                self._on_unplanned(machine, task, orders)
         for key, row in machine.rows.items():
-            if key in view.tasks and view.tasks[key].attempt == row.attempt:
-                continue
-            if row.session < view.session:
-                self.unacknowledged.get(machine.id, {}).pop((row.job, row.index, row.attempt), None)
-                self._found(Finding(row, "session over"))
-            elif key not in view.tasks and row.session == view.session:
-                if not self.may_start(row, machine):
-                    if self._may_still_begin(machine, row.job, row.index, row.attempt):
-                        continue
-                    if direct:
-                        # made while the answer to the last report, which may hold the start,
-                        # was still on its way
-                        continue
-                    # a newer report without it: no start sent before can still arrive
-                    self._found(Finding(row, "not started"))
-                else:
-                    orders.append(Command("start", f"{row.job}/{row.index}", row.attempt))
-        # orders follow from comparing report and plan: what is left out now comes next time
+            if key not in view.tasks or view.tasks[key].attempt != row.attempt:
+                self._on_absent(machine, row, view, own, orders, direct)
         return orders[:MAX_ORDERS]
 
+    def _on_unplanned(self, machine: Machine, task: TaskReport, orders: list[Command]) -> None:
+        """The plan does not hold this attempt: its outcome is durable, or it must not be here."""
+        name = f"{task.job}/{task.index}"
+        if task.state != "exited":
+            self.unplanned += 1
+            log.info(
+                "unplanned task stopped job=%s task=%d attempt=%d machine=%s total=%d",
+                task.job,
+                task.index,
+                task.attempt,
+                machine.id,
+                self.unplanned,
+            )
+            orders.append(Command("stop", name, task.attempt, 0.0))
+        elif not self._may_still_begin(machine, task.job, task.index, task.attempt):
+            # after this a start still under way would run it once more
+            orders.append(Command("forget", name, task.attempt))
+
+    def _on_absent(
+        self,
+        machine: Machine,
+        row: Row,
+        view: View,
+        own: Owned,
+        orders: list[Command],
+        direct: bool,
+    ) -> None:
+        """The worker does not have this planned attempt."""
+        if row.session < view.session:
+            self.unacknowledged.get(machine.id, {}).pop((row.job, row.index, row.attempt), None)
+            self.findings.record(Finding(row, "session over", own.term))
+            return
+        if (row.job, row.index) in view.tasks or row.session != view.session:
+            return
+        if not self._is_known(row):
+            # a record read late, or a contradiction: nothing begins, and nothing is over
+            return
+        if self.may_start(row, machine):
+            orders.append(Command("start", f"{row.job}/{row.index}", row.attempt))
+            return
+        if self._may_still_begin(machine, row.job, row.index, row.attempt) or direct:
+            # an answer to a direct command was made while the answer to the last report, which
+            # may hold the start, was still on its way
+            return
+        # a newer report without it: no start sent before can still arrive
+        self.findings.record(Finding(row, "not started", own.term))
+
+    def _is_known(self, row: Row) -> bool:
+        job = self._cluster.jobs.get(row.job)
+        if job is not None and job.is_known:
+            return True
+        log.warning("row without a job job=%s task=%d machine=%s", row.job, row.index, row.machine)
+        return False
+
     def may_start(self, row: Row, machine: Machine) -> bool:
         """Whether a start of the attempt may still be sent."""
-        concluded = (row.job, row.index, row.attempt) in self._concluded
-        return not concluded and not self._unwanted(row, machine)
+        return not self.findings.is_concluded(row) and not self._unwanted(row, machine)
 
     def _unwanted(self, row: Row, machine: Machine) -> bool:
         job = self._cluster.jobs.get(row.job)
-        if job is None or job.end != ACTIVE or machine.retiring:
+        if job is None or not job.is_active or machine.retiring:
             return True
         return (row.job, row.index, row.attempt) in self.stopping
 
-    def _on_planned(self, row: Row, task: TaskReport, view: View, orders: list[Command]) -> None:
+    def _on_planned(
+        self, row: Row, task: TaskReport, view: View, own: Owned, orders: list[Command]
+    ) -> None:
         key = (row.job, row.index)
         if task.state == "exited":
             since = view.running_since.get(key)
             took = None if since is None else self._clock.now() - since
-            self._found(Finding(row, task.why, took))
+            self.findings.record(Finding(row, task.why, own.term, took))
             return
         job = self._cluster.jobs.get(row.job)
-        if job is None or job.end != ACTIVE:
+        if job is None or job.is_over:
             orders.append(Command("stop", f"{row.job}/{row.index}", row.attempt, 0.0))
             return
         spec = job.spec
@@ -254,15 +279,6 @@
         grace = job.spec.save_s * 2 if job is not None and job.spec is not None and saves else 0.0
         return Command("stop", f"{row.job}/{row.index}", row.attempt, grace)
 
-    def _found(self, finding: Finding) -> None:
-        row = finding.row
-        self.findings.setdefault((row.job, row.index), finding)
-        self._concluded.add((row.job, row.index, row.attempt))
-        if len(self._concluded) > self._concluded_most:
-            rows = (r for m in self._cluster.machines.values() for r in m.rows.values())
-            self._concluded &= {(r.job, r.index, r.attempt) for r in rows}
-            self._concluded_most = 2 * len(self._concluded) + CONCLUDED_LEAST
-
     def expire(self, machine: Machine, own: Owned) -> None:
         """A worker that nobody can have answered for a lease has killed its tasks."""
         view = self.view(machine, own)
@@ -273,4 +289,4 @@
         if rests is not None:
             for row in machine.rows.values():
                 if row.session <= view.session or not view.trusted:
-                    self._found(Finding(row, "lease over", rests=rests))
+                    self.findings.record(Finding(row, "lease over", own.term, rests=rests))
