What has been read is claimed only up to the watch; a deputy counts reads after its announcement

Two more places where a belief outran its proof, each with a test that failed before: - A controller announced its own newer note as if all older ones had been read (assert 10 < 9): a cancellation could be confirmed on it, and the tasks kept alive as a deputy (ran_cancelled). - A read sent before the own key stood was counted as knowledge of what was durable then (assert 1100.0 is None): what the process before had been told is durable only up to the key.

--- a/crossmill/cluster/deputies.py
+++ b/crossmill/cluster/deputies.py
@@ -74,13 +74,18 @@
 
     # -- being a deputy --------------------------------------------------------------
 
-    def synced(self, sent: float) -> None:
-        """All that was durable at `sent` is known. It counts while our key stands in the state
-        service: its going bounds for others how long we may answer, and its change shows them
-        that promises of the process before this one are void."""
+    def _announced_lease(self) -> int | None:
+        """The lease under which our key stands in the state service, if we have authority."""
         mine = self._cluster.nodes.get(self._s.label)
         announced = mine is not None and mine["lease"] == self._keeper.lease
-        if announced and self._keeper.authority():
+        return self._keeper.lease if announced and self._keeper.authority() else None
+
+    async def _note_durable(self, sync: Callable[[float], Awaitable[bool]]) -> None:
+        """Reads all that is durable. It counts while our key stands in the state service, as it
+        did when the read was sent: its going bounds for others how long we may answer, and its
+        change shows them that promises of the process before this one are void."""
+        sent, lease = self._clock.now(), self._announced_lease()
+        if await sync(self._s.renew_s) and lease is not None and lease == self._announced_lease():
             self._synced_at = sent
 
     def _cut_off(self) -> bool:
@@ -287,9 +292,7 @@
                 for label in labels if machines else ():
                     await group.spawn(self._ask, label, machines)
         if self.sync is not None and not self._keeper.failing:
-            sent = self._clock.now()
-            if await self.sync(self._s.renew_s):
-                self.synced(sent)
+            await self._note_durable(self.sync)
 
     async def run(self) -> None:
         while True:
--- a/crossmill/cluster/membership.py
+++ b/crossmill/cluster/membership.py
@@ -178,7 +178,10 @@
         mine = self._cluster.nodes.get(self._s.label)
         lease, deaf = self._keeper.lease, self.reachability.deaf
         # whoever asks that a job be withdrawn may not reach us: this shows that we know of it
-        self._seen = max((self._seen, *(v for v, _ in self._cluster.ending.values())))
+        # (an own note may be newer than what has been read)
+        read = self._cluster.mirror.revision
+        notes = (version for version, _ in self._cluster.ending.values())
+        self._seen = max((self._seen, *(version for version in notes if version <= read)))
         value = {"lease": lease, "deaf": deaf, "seen": self._seen}
         if lease is None or mine == value:
             return
--- a/tests/test_deputies.py
+++ b/tests/test_deputies.py
@@ -140,7 +140,8 @@
         await it.begin()
         # the process before this one may have promised to leave the machine
         it.deputy.cluster.nodes["node-0"] = {"lease": -1}
-        it.deputy.deputies.synced(clock.now())
+        await it.deputy.deputies._note_durable(it.deputy.follower.sync)
+        assert it.deputy.deputies._synced_at is None
         it.cut()
         await it.deputy.keeper.step()
         assert it.deputy.report("n-0", 1, 900, it.token, RUNNING).status == 421
--- a/tests/test_unseen_changes.py
+++ b/tests/test_unseen_changes.py
@@ -313,3 +313,68 @@
         assert state.keys[keys.job(JOB)][0]["end"] == CANCELLED
 
     play(story)
+
+
+def test_a_controller_confirms_only_notes_up_to_what_it_has_read() -> None:
+    # guards against ran_cancelled: its own newer note, seen ahead of the watch, was announced as if
+    # all older ones had been read, and a cancellation was confirmed on that
+    async def story(state: StateService, clock: FakeClock, nodes: Nodes) -> None:
+        seed(state, clock, machines=1)
+        node = Node(state, clock, nodes)
+        await node.boot()
+        add_job(state, clock, nameId=JOB)
+        await node.sync()
+        state.put(keys.ending("wk-000002"), {"at": clock.wall()})
+        unread = state.revision
+        await node.jobs._cancellation._note(JOB, node.cluster.jobs[JOB].version)
+        await _let_others_run()
+        assert node.cluster.ending[JOB][0] > unread
+        await node.keeper.step()
+        await node.membership.step()
+        assert state.keys[keys.node("node-0")][0]["seen"] < unread
+        await node.sync()
+        await node.membership.step()
+        assert state.keys[keys.node("node-0")][0]["seen"] > unread
+
+    play(story)
+
+
+def test_a_deputy_knows_what_was_durable_after_it_had_announced_itself() -> None:
+    # guards against ran_cancelled: a cancellation told to the process before, durable between the
+    # sending of a read and the announcement, was taken for known
+    async def story(state: StateService, clock: FakeClock, nodes: Nodes) -> None:
+        seed(state, clock, machines=1)
+        node = Node(state, clock, nodes)
+        clock.time += 100
+        await node.keeper.step()
+        await curio.spawn(node.writer.run, daemon=True)
+        await node.follower.load()
+
+        async def announced_meanwhile(timeout_s: float) -> bool:
+            await node.membership._announce()
+            return True
+
+        node.deputies.sync = announced_meanwhile
+        await node.deputies.step()
+        assert keys.node("node-0") in state.keys
+        assert node.deputies._synced_at is None
+        await node.deputies.step()
+        assert node.deputies._synced_at is not None
+
+    play(story)
+
+
+def test_a_release_is_written_only_where_the_machine_has_no_record() -> None:
+    # guards against orphaned: absence that proves something is a condition of the write
+    async def story(state: StateService, clock: FakeClock, nodes: Nodes) -> None:
+        node = await _node_with_a_row(state, clock, nodes)
+        node.mirror.deleted(keys.machine("n-0"), state.revision)
+        assert [row.machine for row in node.cluster.orphans()] == ["n-0"]
+        await node.round()
+        assert state.keys[keys.plan(JOB, "0")][0]["rows"]
+        state.delete(keys.machine("n-0"))
+        await node.sync()
+        await node.round()
+        assert not state.keys[keys.plan(JOB, "0")][0]["rows"]
+
+    play(story)
