An ended job whose plan is still known is not archived after a reading anew

Once there were more of them than are kept, it was archived with its tasks still on machines: nobody ended them any more, and later readers took the plan without a record for an unfinished job (ran_cancelled, orphaned).

--- a/crossmill/cluster/cluster_state.py
+++ b/crossmill/cluster/cluster_state.py
@@ -182,6 +182,8 @@
             active.pop(job.id, None)
             if job.chunks or job.staged:
                 ended[job.id] = job
+                # read anew, a record comes before its plan
+                self.over[job.shard].pop(job.id, None)
             else:
                 ended.pop(job.id, None)
                 self.over[job.shard].setdefault(job.id, job)
--- a/crossmill/jobs/cleanup.py
+++ b/crossmill/jobs/cleanup.py
@@ -113,6 +113,8 @@
         once all up to that has been seen are all such jobs known."""
         return (
             job.spec is not None
+            and not job.chunks
+            and not job.staged
             and job.recorded == job.end
             and job.version <= self._cluster.mirror.revision
             and not self._cluster.graph.is_needed(job.id)
--- /dev/null
+++ b/tests/test_derivation.py
@@ -0,0 +1,220 @@
+"""What a controller derives from changes one by one is what a fresh one derives from the keys.
+
+Increments (use per machine, counts of tasks, indexes of jobs, what waits for what) are compared
+with a derivation from scratch after random writes, seen in random ways: by the watch, ahead of it
+as own writes, as keys read by themselves, or all at once after a gap."""
+
+import random
+from typing import Any
+
+import curio
+import orjson
+import pytest
+
+from crossmill.cluster import keys
+from crossmill.cluster.cluster_state import ClusterState
+from crossmill.cluster.feature_level import Level, encode_level
+from crossmill.cluster.model import ACTIVE, CANCELLED, DONE, Job
+from crossmill.cluster.records import encode_archived, encode_end, encode_job
+from crossmill.state.client import StateClient
+from crossmill.state.follower import Follower
+from crossmill.state.mirror import Mirror
+from crossmill.wire.state import Row
+
+from .harness import RECORD_BYTES
+from .standins import FakeClock, StateService, make_settings, make_spec
+
+STEPS = 400
+SEGMENT = 4
+TASKS = 8
+
+
+class Writers:
+    """Writes what controllers write, in the order that their conditions allow."""
+
+    def __init__(self, state: StateService, lots: random.Random) -> None:
+        self.state, self.lots = state, lots
+        self.numbers = iter(range(10_000))
+        self.needs: dict[str, list[str]] = {}
+
+    def _records(self) -> dict[str, Any]:
+        return {
+            name[len(keys.JOB) :]: value
+            for name, (value, _, _) in self.state.keys.items()
+            if name.startswith(keys.JOB)
+        }
+
+    def _unfinished(self) -> list[str]:
+        return [job for job, record in self._records().items() if not record["end"]]
+
+    def _plans(self, job: str) -> list[str]:
+        return [name for name in self.state.keys if name.startswith(keys.PLAN + job + "/")]
+
+    def _machines(self) -> list[str]:
+        return [
+            name[len(keys.MACHINE) :] for name in self.state.keys if name.startswith(keys.MACHINE)
+        ]
+
+    def step(self) -> None:
+        """One write drawn at random, if it may be made now."""
+        self.lots.choice(
+            [self.accept, self.plan, self.plan, self.end, self.clear, self.archive, self.machine]
+        )()
+
+    def accept(self) -> None:
+        job, unfinished = f"wk-{next(self.numbers):06d}", self._unfinished()
+        needs = self.lots.sample(unfinished, min(len(unfinished), self.lots.choice([0, 0, 1, 2])))
+        spec = make_spec(nameId=job, sacks=TASKS, crew=self.lots.choice(["red", "blue", "green"]))
+        self.needs[job] = needs
+        record = encode_job(spec, 1.0, tuple(needs))
+        self.state.put(keys.job(job), orjson.loads(orjson.dumps(record)))
+
+    def _is_ready(self, job: str) -> bool:
+        records = self._records()
+        return all(n not in records or records[n]["end"] == DONE for n in self.needs[job])
+
+    def plan(self) -> None:
+        ready = [job for job in self._unfinished() if self._is_ready(job)]
+        machines = self._machines()
+        if not ready or not machines:
+            return
+        job, first = self.lots.choice(ready), self.lots.choice(range(0, TASKS, SEGMENT))
+        name = keys.plan(job, f"{first}-{SEGMENT}")
+        old = self.state.keys[name][0] if name in self.state.keys else {"next": 1, "done": "0"}
+        done = int(old["done"], 16) | self.lots.getrandbits(SEGMENT) & self.lots.getrandbits(
+            SEGMENT
+        )
+        rows = [
+            [first + i, old["next"] + i, self.lots.choice(machines), 1]
+            for i in range(SEGMENT)
+            if not done >> i & 1 and self.lots.random() < 0.5
+        ]
+        self.state.put(name, {"next": old["next"] + SEGMENT, "done": f"{done:x}", "rows": rows})
+
+    def end(self) -> None:
+        ready = [job for job in self._unfinished() if self._is_ready(job)]
+        if not ready:
+            return
+        job, end = self.lots.choice(ready), self.lots.choice([DONE, CANCELLED])
+        spec = make_spec(nameId=job, sacks=TASKS, crew=self._records()[job]["spec"]["team"])
+        if end == DONE:
+            for name in self._plans(job):
+                self.state.put(name, {"next": 9, "done": "f", "rows": []})
+        record = encode_end(end, spec, 2.0, RECORD_BYTES)
+        self.state.put(keys.job(job), orjson.loads(orjson.dumps(record)))
+        if end == CANCELLED:
+            self._record_dependents(job)
+
+    def _record_dependents(self, job: str) -> None:
+        for other in self._unfinished():
+            if job in self.needs[other]:
+                spec = make_spec(nameId=other, sacks=TASKS)
+                record = encode_end(CANCELLED, spec, 2.0, RECORD_BYTES)
+                record["spec"]["team"] = self._records()[other]["spec"]["team"]
+                self.state.put(keys.job(other), orjson.loads(orjson.dumps(record)))
+                self._record_dependents(other)
+
+    def _ended(self) -> list[str]:
+        return [job for job, record in self._records().items() if record["end"]]
+
+    def clear(self) -> None:
+        for job in self._ended():
+            for name in self._plans(job):
+                if self.lots.random() < 0.5:
+                    self.state.delete(name)
+
+    def archive(self) -> None:
+        for job in self._ended():
+            is_needed = any(job in self.needs[other] for other in self._unfinished())
+            if not self._plans(job) and not is_needed and self.lots.random() < 0.5:
+                self.state.put(keys.archived(job), encode_archived(Job(job, end=DONE)))
+                self.state.delete(keys.job(job))
+
+    def machine(self) -> None:
+        machines = self._machines()
+        used = {
+            row[2]
+            for name, (value, _, _) in self.state.keys.items()
+            if name.startswith(keys.PLAN)
+            for row in value["rows"]
+        }
+        idle = [machine for machine in machines if machine not in used]
+        if len(machines) > 4 and idle and self.lots.random() < 0.5:
+            self.state.delete(keys.machine(self.lots.choice(idle)))
+            return
+        record = {"type": "g4", "zone": "north", "spot": False, "at": 1.0, "retiring": ""}
+        shard = self.lots.randrange(3)
+        name = self.lots.choice([*machines, f"n-{next(self.numbers):06d}"])
+        self.state.put(keys.machine(name), {**record, "shard": shard, "up": True})
+
+
+def _derived(cluster: ClusterState) -> dict[str, Any]:
+    """All that is derived, in a form that can be compared."""
+    jobs = {
+        job.id: (
+            job.end,
+            job.recorded,
+            sorted(job.unmet) if job.end == ACTIVE else [],
+            job.finished,
+            job.planned,
+            job.shard,
+            job.waiting_count(),
+            sorted((row.index, row.attempt, row.machine) for row in job.rows()),
+        )
+        for job in cluster.jobs.values()
+    }
+    machines = {
+        m.id: (m.shard, round(m.cpus, 6), round(m.gpus, 6), sorted(m.rows))
+        for m in cluster.machines.values()
+    }
+    indexes = {
+        name: {shard: sorted(found) for shard, found in getattr(cluster, name).items()}
+        for name in ("active", "ended", "over", "unrecorded", "complete", "machines_of")
+    }
+    orphans = sorted((row.job, row.index) for row in cluster.orphans())
+    return {"jobs": jobs, "machines": machines, "orphans": orphans, **indexes}
+
+
+@pytest.mark.parametrize("seed_n", range(12))
+def test_increments_agree_with_a_derivation_from_scratch(seed_n: int) -> None:
+    async def story() -> None:
+        lots = random.Random(seed_n)
+        state, clock, settings = StateService(), FakeClock(), make_settings()
+        state.page_items = 7
+        state.put(keys.LEVEL, encode_level(Level(1, 512, SEGMENT)))
+        client = StateClient(settings, clock, state)
+
+        async def fresh() -> tuple[Mirror, ClusterState, Follower]:
+            mirror = Mirror()
+            cluster = ClusterState(mirror, settings)
+            follower = Follower(client, mirror, clock, keys.ROOT, settings)
+            await follower.load()
+            return mirror, cluster, follower
+
+        mirror, cluster, follower = await fresh()
+        writers = Writers(state, lots)
+        for _ in range(STEPS):
+            before = state.revision
+            writers.step()
+            kind = lots.random()
+            if kind < 0.3:
+                _see_some_ahead(state, mirror, lots, before)
+            elif kind < 0.34:
+                state.compact()
+            if kind < 0.6:
+                continue
+            await follower._step(0.0)
+            _, scratch, _ = await fresh()
+            assert _derived(cluster) == _derived(scratch)
+
+    curio.run(story)
+
+
+def _see_some_ahead(state: StateService, mirror: Mirror, lots: random.Random, after: int) -> None:
+    """Own writes, and keys read by themselves, are known before the watch has brought the rest."""
+    for name, (value, version, _) in list(state.keys.items()):
+        if version > after and name.startswith(keys.ROOT) and lots.random() < 0.5:
+            if lots.random() < 0.5:
+                mirror.written(name, value, version)
+            else:
+                mirror.learned(Row(name, value, version))
--- a/tests/test_unseen_changes.py
+++ b/tests/test_unseen_changes.py
@@ -378,3 +378,29 @@
         assert not state.keys[keys.plan(JOB, "0")][0]["rows"]
 
     play(story)
+
+
+def test_an_ended_job_with_tasks_on_machines_is_not_archived_after_a_restart() -> None:
+    # guards against ran_cancelled and orphaned: read anew, the record came before the plan, and
+    # the job counted as cleared away; once archived, nobody ended its tasks any more
+    async def story(state: StateService, clock: FakeClock, nodes: Nodes) -> None:
+        seed(state, clock, machines=1)
+        record = encode_end(CANCELLED, make_spec(nameId=JOB, sacks=1), clock.wall(), RECORD_BYTES)
+        state.put(keys.job(JOB), record)
+        state.put(keys.plan(JOB, "0"), {"next": 2, "done": "0", "rows": [[0, 1, "n-0", 1]]})
+        node = Node(state, clock, nodes)
+        for number in range(node.settings.ended_kept + 5):
+            spec = make_spec(nameId=f"wk-{1000 + number:06d}")
+            state.put(keys.job(spec.id), encode_end(DONE, spec, clock.wall(), RECORD_BYTES))
+        await node.boot()
+        node.report("n-0", 1, 1, 0, on(JOB, 0, 1, "running"))
+        for _ in range(6):
+            clock.time += 1
+            await node.live()
+            await node.round()
+        assert any(key.startswith(keys.ARCHIVE) for key in state.keys)
+        assert keys.job(JOB) in state.keys
+        answer = node.report("n-0", 1, 2, node.token(), on(JOB, 0, 1, "running"))
+        assert [c.op for c in answer.commands] == ["stop"]
+
+    play(story)
