Plans that earlier versions left without their jobs are ended on the archive's word

jobs/record_repair.py, with the waiting jobs mended before: without a record in the archive nothing is started, ended or freed.

--- a/crossmill/app.py
+++ b/crossmill/app.py
@@ -16,7 +16,7 @@
 from .fleet.forecast import DemandForecast
 from .fleet.leader import Leader
 from .jobs.api import JobApi
-from .jobs.missing_dependencies import MissingDependencies
+from .jobs.record_repair import RecordRepair
 from .jobs.rounds import Rounds
 from .net.clock import Clock
 from .net.server import Request, Response, Server
@@ -82,7 +82,7 @@
         self.jobs = JobApi(
             settings, clock, self.cluster, self.follower, self.writer, client, self.deputies
         )
-        self.missing_dependencies = MissingDependencies(
+        self.record_repair = RecordRepair(
             settings, clock, self.cluster, self.membership, client, self.writer
         )
         self.server = Server(
@@ -138,7 +138,7 @@
             self.feature_level.run,
             self.deputies.run,
             self.rounds.run,
-            self.missing_dependencies.run,
+            self.record_repair.run,
             self.leader.run,
         ):
             await curio.spawn(_guard, run, daemon=True)
--- a/crossmill/cluster/cluster_state.py
+++ b/crossmill/cluster/cluster_state.py
@@ -35,6 +35,8 @@
         self.ended: dict[int, dict[str, Job]] = {k: {} for k in range(settings.nodes)}
         # ended jobs with nothing left to clear, oldest first
         self.over: dict[int, dict[str, Job]] = {k: {} for k in range(settings.nodes)}
+        # jobs of which only a plan is at hand
+        self.unknown: dict[str, Job] = {}
         self.machines: dict[str, Machine] = {}
         self.machines_of: dict[int, dict[str, Machine]] = {k: {} for k in range(settings.nodes)}
         self.shards: dict[int, Shard] = {}
@@ -122,6 +124,7 @@
         job.version, job.recorded, job.ended_at = version, record.end, record.ended_at
         is_new = job.spec is None
         if is_new:
+            self.unknown.pop(job_id, None)
             job.spec = record.spec
             job.submitted = record.submitted
             job.needs = record.needs
@@ -160,23 +163,35 @@
                 finished=gone.finished,
                 planned=gone.planned,
             )
+            self.unknown[job_id] = self.jobs[job_id]
             for name in gone.chunks:
                 if (job_id, name) in self.legacy_chunks:
                     self.legacy_chunks[job_id, name] = self.jobs[job_id]
 
     def _drop_if_empty(self, job: Job) -> None:
         """A job without a record is kept only as long as a plan of it is known."""
-        if not job.is_known and not job.chunks and not job.staged:
-            self.jobs.pop(job.id, None)
+        if job.is_known or job.chunks or job.staged:
+            return
+        self.jobs.pop(job.id, None)
+        self.unknown.pop(job.id, None)
+        if job.is_over:
+            self.ended[job.shard].pop(job.id, None)
+            self.over[job.shard].pop(job.id, None)
+
+    def note_archived(self, job: Job, end: str, shard: int) -> None:
+        """The archive says how a job ended of which only a plan is at hand; the shard's owner
+        ends its tasks and clears the plan away."""
+        job.end, job.shard = end, shard
+        self._file(job)
 
     def _file(self, job: Job) -> None:
-        if job.spec is None:
+        if not job.is_known and not job.is_over:
             return
         active, ended = self.active[job.shard], self.ended[job.shard]
         self.complete[job.shard].pop(job.id, None)
         if job.end == ACTIVE:
             active[job.id] = job
-            if job.spec.kind != "service" and job.finished == job.spec.tasks:
+            if job.spec and job.spec.kind != "service" and job.finished == job.spec.tasks:
                 self.complete[job.shard][job.id] = job
         else:
             active.pop(job.id, None)
@@ -239,6 +254,8 @@
             self._replace_chunk(job, name, new)
             if not where.is_segment:
                 self._switch_layout(job, where, new is not None)
+        if not job.is_known:
+            self.unknown[job_id] = job
         self._file(job)
         self._drop_if_empty(job)
 
--- a/crossmill/cluster/model.py
+++ b/crossmill/cluster/model.py
@@ -71,8 +71,8 @@
 
     @property
     def is_over(self) -> bool:
-        """Whether the job is known to be done or cancelled."""
-        return self.is_known and self.end != ACTIVE
+        """Whether the job is done or cancelled, by its record or, without one, by the archive."""
+        return self.end != ACTIVE
 
     @property
     def blocked(self) -> bool:
--- a/crossmill/jobs/durable.py
+++ b/crossmill/jobs/durable.py
@@ -7,7 +7,7 @@
 from ..cluster.cluster_state import ClusterState
 from ..cluster.layout import ChunkRange
 from ..cluster.membership import Membership, Owned
-from ..cluster.model import ACTIVE, DONE, Chunk, Job, Machine, Row
+from ..cluster.model import DONE, Chunk, Job, Machine, Row
 from ..cluster.records import encode_chunk, encode_end
 from ..net.clock import Clock
 from ..settings.limits import OTHER_CONDITIONS
@@ -68,7 +68,7 @@
 
     def intent(self, edit: Edit, shard: int, own: Owned) -> Intent | None:
         job, spec = edit.job, edit.job.spec
-        if spec is None or not (edit.over or edit.starts):
+        if not (edit.over or edit.starts) or not (job.is_known or job.is_over):
             return None
         if self._migration.is_due(job, edit.chunk):
             # it may no longer fit as it is; what is found now is found again at the next report
@@ -90,8 +90,10 @@
             new.rows[row.index] = row
             new.next = row.attempt + 1
         txn.puts.append(Put(key, encode_chunk(new)))
-        finished = job.end == ACTIVE and spec.kind != "service" and self._all_done(job, edit, new)
-        if finished:
+        finished = False
+        if spec is not None and job.is_active and spec.kind != "service":
+            finished = self._all_done(job, edit, new)
+        if spec is not None and finished:
             txn.conditions[keys.job(job.id)] = edit.job_version
             txn.puts.append(Put(keys.job(job.id), self._done(spec)))
         rank = PLACE if edit.starts or finished else OUTCOME
--- a/crossmill/jobs/lookup.py
+++ b/crossmill/jobs/lookup.py
@@ -2,7 +2,7 @@
 
 from ..cluster import keys
 from ..cluster.cluster_state import ClusterState
-from ..cluster.model import ACTIVE, Job
+from ..cluster.model import Job
 from ..net.server import Response
 from ..settings import Settings
 from ..state.client import OutcomeUnknown, Refused, StateClient
@@ -45,7 +45,7 @@
     def final(self, job_id: str) -> Job | None:
         """The job, if it has ended for good."""
         job = self._cluster.jobs.get(job_id)
-        return job if job is not None and job.end != ACTIVE else None
+        return job if job is not None and job.is_known and job.is_over else None
 
     def known(self, job_id: str) -> Job | None:
         """The job, if it is accepted and not archived."""
--- a/crossmill/jobs/missing_dependencies.py
+++ b/crossmill/jobs/record_repair.py
@@ -1,9 +1,10 @@
-"""Jobs that wait for one whose record is gone.
+"""Contradictory records: a job that waits for one whose record is gone, a plan without its job.
 
-No job is archived while another waits for it (cluster/dependencies.py, jobs/cleanup.py). Records of
-earlier versions, which did not hold to that in every case, are mended here: the archive says how
-the missing job ended, and the waiting job's record is written anew, so that all controllers
-follow from one durable fact. What the archive does not hold stays as it is, and is logged."""
+No job is archived while another waits for it or a plan of it stands (cluster/dependencies.py,
+jobs/cleanup.py). Earlier versions did not hold to that in every case. The archive says how the
+missing job ended: a waiting job's record is written anew on that, so that all controllers follow
+from one durable fact, and a plan's tasks are ended by whoever owns their machines' shard. What the
+archive does not hold stays as it is, and is logged."""
 
 import logging
 from collections.abc import Iterator
@@ -26,8 +27,9 @@
 log = logging.getLogger(__name__)
 
 
-class MissingDependencies:
-    """Looks, once in a worker lease, through the waiting jobs of the shards acted for."""
+class RecordRepair:
+    """Looks, once in a worker lease, through the waiting jobs of the shards acted for, and through
+    the plans without a job."""
 
     def __init__(
         self,
@@ -60,7 +62,11 @@
             for job, need in list(self._missing(shard)):
                 own = self._membership.acting(shard)
                 if own is not None:
-                    await self._mend(job, need, shard, own)
+                    await self._mend_waiting(job, need, shard, own)
+        for job in list(self._cluster.unknown.values()):
+            shard = self._shard_of(job)
+            if not job.is_over and self._membership.acting(shard) is not None:
+                await self._mend_unknown(job, shard)
 
     def _missing(self, shard: int) -> Iterator[tuple[Job, str]]:
         for job in self._cluster.active[shard].values():
@@ -73,7 +79,29 @@
         job = self._cluster.jobs.get(need)
         return job is not None and job.is_known
 
-    async def _mend(self, job: Job, need: str, shard: int, own: Owned) -> None:
+    def _shard_of(self, job: Job) -> int:
+        """The shard of the machines that the plan names; the first, if it names none."""
+        for row in job.rows():
+            machine = self._cluster.machines.get(row.machine)
+            if machine is not None:
+                return machine.shard
+        return 0
+
+    async def _mend_unknown(self, job: Job, shard: int) -> None:
+        if await self._client.get(keys.job(job.id)) is not None:
+            # accepted a moment ago: the watch will show it
+            return
+        archived = await self._client.get(keys.archived(job.id))
+        if job.id not in self._cluster.unknown:
+            return
+        if archived is None:
+            log.error("plan without a job job=%s tasks=%d", job.id, job.row_count())
+            return
+        end = str(archived.value["end"])
+        log.warning("plan of an archived job job=%s tasks=%d end=%s", job.id, job.row_count(), end)
+        self._cluster.note_archived(job, end, shard)
+
+    async def _mend_waiting(self, job: Job, need: str, shard: int, own: Owned) -> None:
         version = job.version
         if await self._client.get(keys.job(need)) is not None:
             # accepted a moment ago: the watch will show it
--- a/crossmill/workers/reports.py
+++ b/crossmill/workers/reports.py
@@ -234,9 +234,9 @@
 
     def _is_known(self, row: Row) -> bool:
         job = self._cluster.jobs.get(row.job)
-        if job is not None and job.is_known:
+        if job is not None and (job.is_known or job.is_over):
             return True
-        log.warning("row without a job job=%s task=%d machine=%s", row.job, row.index, row.machine)
+        log.debug("row without a job job=%s task=%d machine=%s", row.job, row.index, row.machine)
         return False
 
     def may_start(self, row: Row, machine: Machine) -> bool:
--- a/tests/harness.py
+++ b/tests/harness.py
@@ -18,7 +18,7 @@
 from crossmill.fleet.forecast import DemandForecast
 from crossmill.fleet.leader import Leader
 from crossmill.jobs.api import JobApi
-from crossmill.jobs.missing_dependencies import MissingDependencies
+from crossmill.jobs.record_repair import RecordRepair
 from crossmill.jobs.rounds import Rounds
 from crossmill.net.client import Http, Unreached
 from crossmill.net.server import Request, Response
@@ -155,7 +155,7 @@
             s, clock, self.cluster, self.follower, self.writer, self.client, self.deputies
         )
 
-        self.missing_dependencies = MissingDependencies(
+        self.record_repair = RecordRepair(
             s, clock, self.cluster, self.membership, self.client, self.writer
         )
 
--- a/tests/simulation.py
+++ b/tests/simulation.py
@@ -565,7 +565,7 @@
             node.feature_level.run,
             node.deputies.run,
             node.rounds.run,
-            node.missing_dependencies.run,
+            node.record_repair.run,
         ]
         if self._leads:
             parts.append(node.leader.run)
--- a/tests/test_dependencies.py
+++ b/tests/test_dependencies.py
@@ -472,7 +472,7 @@
         await node.sync()
         assert node.cluster.jobs[B].unmet == other.cluster.jobs[B].unmet == {A}
         await node.live()
-        await node.missing_dependencies.step()
+        await node.record_repair.step()
         await other.sync()
         assert await _stage(node, B) == await _stage(other, B) == told
         for seen in (node, other):
--- a/tests/test_unseen_changes.py
+++ b/tests/test_unseen_changes.py
@@ -404,3 +404,36 @@
         assert [c.op for c in answer.commands] == ["stop"]
 
     play(story)
+
+
+@pytest.mark.parametrize("is_archived", [True, False])
+def test_a_plan_left_without_its_job_by_an_earlier_version(is_archived: bool) -> None:
+    # guards against orphaned: its tasks are ended on the archive's word and its plan goes; without
+    # that word nothing is started, ended or freed
+    async def story(state: StateService, clock: FakeClock, nodes: Nodes) -> None:
+        seed(state, clock, machines=1)
+        plan = keys.plan(JOB, "0")
+        state.put(plan, {"next": 2, "done": "0", "rows": [[0, 1, "n-0", 1], [1, 2, "n-0", 1]]})
+        if is_archived:
+            state.put(keys.archived(JOB), {"end": CANCELLED, "done": 0})
+        node = Node(state, clock, nodes)
+        await node.boot()
+        running = on(JOB, 0, 1, "running")
+        node.report("n-0", 1, 1, 0, running)
+        answer = node.report("n-0", 1, 2, node.token(), running)
+        assert [c.op for c in answer.commands] == []
+        await node.record_repair.step()
+        assert (await node.ask("GET", f"/v1/jobs/{JOB}")).status == (200 if is_archived else 404)
+        answer = node.report("n-0", 1, 3, node.token(), running)
+        assert [c.op for c in answer.commands] == (["stop"] if is_archived else [])
+        ended = [on(JOB, 0, 1, "exited", "halted")] if is_archived else [running]
+        node.report("n-0", 1, 4, node.token(), *ended)
+        for _ in range(4):
+            clock.time += 1
+            await node.live()
+            await node.round()
+        assert (plan not in state.keys) is is_archived
+        assert (JOB not in node.cluster.jobs) is is_archived
+        assert len(node.cluster.machines["n-0"].rows) == (0 if is_archived else 2)
+
+    play(story)
