--- a/crossmill/cluster/deputies.py
+++ b/crossmill/cluster/deputies.py
@@ -46,7 +46,7 @@
         keeper: Keeper,
         connect: Callable[[Peer], Http] = lambda peer: Client(peer.endpoint, max_sockets=2),
     ) -> None:
-        self._s = settings
+        self._settings = settings
         self._clock = clock
         self._cluster = cluster
         self._keeper = keeper
@@ -76,7 +76,7 @@
 
     def _announced_lease(self) -> int | None:
         """The lease under which our key stands in the state service, if we have authority."""
-        mine = self._cluster.nodes.get(self._s.label)
+        mine = self._cluster.nodes.get(self._settings.label)
         announced = mine is not None and mine["lease"] == self._keeper.lease
         return self._keeper.lease if announced and self._keeper.authority() else None
 
@@ -85,7 +85,11 @@
         did when the read was sent: its going bounds for others how long we may answer, and its
         change shows them that promises of the process before this one are void."""
         sent, lease = self._clock.now(), self._announced_lease()
-        if await sync(self._s.renew_s) and lease is not None and lease == self._announced_lease():
+        if (
+            await sync(self._settings.renew_s)
+            and lease is not None
+            and lease == self._announced_lease()
+        ):
             self._synced_at = sent
 
     def _cut_off(self) -> bool:
@@ -98,9 +102,9 @@
     def keep_alive(self, machine: Machine, report: Report) -> list[Command] | None:
         """The orders with which a machine is kept alive, or None if it may not be."""
         now, machine_id = self._clock.now(), machine.id
-        if machine.zone != self._s.zone or self._synced_at is None:
+        if machine.zone != self._settings.zone or self._synced_at is None:
             return None
-        if now > self._synced_at + self._s.deputy_s * (1 - self._s.drift):
+        if now > self._synced_at + self._settings.deputy_s * (1 - self._settings.drift):
             return None
         if now < self._barred.get(machine_id, 0.0):
             return None
@@ -141,7 +145,7 @@
         now = self._clock.now()
         self._ending[job_id] = now
         if len(self._ending) > 1000:
-            over = now - 2 * (self._s.deputy_s + self._s.cancel_s)
+            over = now - 2 * (self._settings.deputy_s + self._settings.cancel_s)
             self._ending = {j: at for j, at in self._ending.items() if at > over}
 
     def _bar(self, machines: Iterable[str]) -> list[float]:
@@ -149,7 +153,7 @@
         self._barred = {m: until for m, until in self._barred.items() if until > now}
         spans = []
         for machine in machines:
-            self._barred[machine] = now + self._s.quiet_s
+            self._barred[machine] = now + self._settings.quiet_s
             # before our start the process before us may have answered it
             spans.append(now - max(self._started, self._answered.get(machine, 0.0)))
         return spans
@@ -171,11 +175,13 @@
                 answered_at = max(answered_at, word.bound)
             elif gone is not None:
                 # it knew nothing durable after its key was gone
-                answered_at = max(answered_at, gone + self._s.deputy_s * (1 + self._s.drift))
+                answered_at = max(
+                    answered_at, gone + self._settings.deputy_s * (1 + self._settings.drift)
+                )
             else:
                 return None
             rests[key] = version
-        return rests if now - answered_at > self._s.worker_end_s else None
+        return rests if now - answered_at > self._settings.worker_end_s else None
 
     def _comings(self, label: str) -> tuple[int, int]:
         return self._cluster.node_changes.get(label, 0), self._cluster.mirror.readings
@@ -189,7 +195,7 @@
 
     def zone_lost(self, zone: str) -> bool:
         """Whether the zone has other controllers and none has answered for a lease."""
-        since = self._clock.now() - self._s.lease_s
+        since = self._clock.now() - self._settings.lease_s
         labels = self._of_zone.get(zone, ())
         return bool(labels) and all(self._heard.get(x, since) <= since for x in labels)
 
@@ -206,17 +212,25 @@
         """Whether a controller that can't be asked has long stopped keeping anything alive
         that would not end in time by itself."""
         gone = self._gone_since(label)
-        span = self._s.deputy_s + self._s.worker_end_s + self._s.report_s - self._s.cancel_s
-        return gone is not None and self._clock.now() > gone + span * (1 + self._s.drift)
+        span = (
+            self._settings.deputy_s
+            + self._settings.worker_end_s
+            + self._settings.report_s
+            - self._settings.cancel_s
+        )
+        return gone is not None and self._clock.now() > gone + span * (1 + self._settings.drift)
 
     async def announce_end(self, job_id: str, zones: Iterable[str]) -> dict[str, int] | None:
         """Before a job is called withdrawn: every controller that may be cut off together with
         tasks of it must know, or they might be kept alive for too long. Returns what the write
         is to rest on: that each is still the process that was told."""
-        if self._s.deputy_s + self._s.worker_end_s + self._s.report_s <= self._s.cancel_s:
+        if (
+            self._settings.deputy_s + self._settings.worker_end_s + self._settings.report_s
+            <= self._settings.cancel_s
+        ):
             return {}
         zones = set(zones)
-        if self._s.zone in zones:
+        if self._settings.zone in zones:
             # cut off before the answer to the write comes, nothing else would tell this process
             self._note_ending(job_id)
         labels = [label for zone in zones for label in self._of_zone.get(zone, ())]
@@ -247,7 +261,7 @@
     async def _call(self, label: str, method: str, path: str, body: bytes = b"") -> bytes | None:
         try:
             status, data = await self._http[label].request(
-                method, path, body, self._s.promise_s / 4
+                method, path, body, self._settings.promise_s / 4
             )
         except (Unreached, Unanswered) as exc:
             log.debug("peer not heard peer=%s error=%s", label, exc)
@@ -267,9 +281,9 @@
             log.info("odd answer peer=%s error=%s", label, exc)
             return
         now = self._clock.now()
-        until = sent + self._s.quiet_s * (1 - self._s.drift)
+        until = sent + self._settings.quiet_s * (1 - self._settings.drift)
         for machine, span in zip(machines, spans, strict=False):
-            bound = now - span * (1 - self._s.drift)
+            bound = now - span * (1 - self._settings.drift)
             self._quiet[label, machine] = Word(bound, until, version)
 
     async def step(self) -> None:
@@ -297,4 +311,4 @@
     async def run(self) -> None:
         while True:
             await self.step()
-            await curio.sleep(self._s.renew_s)
+            await curio.sleep(self._settings.renew_s)
--- a/crossmill/cluster/feature_level.py
+++ b/crossmill/cluster/feature_level.py
@@ -61,7 +61,7 @@
         writer: Writer,
         membership: "Membership",
     ) -> None:
-        self._s = settings
+        self._settings = settings
         self._clock = clock
         self._cluster = cluster
         self._follower = follower
@@ -73,7 +73,7 @@
         await self._follower.ready.wait()
         while self._cluster.level is None:
             await self.step()
-            await curio.sleep(self._s.renew_s)
+            await curio.sleep(self._settings.renew_s)
         log.info("feature level raised level=%d", self._cluster.level.number)
         await curio.Event().wait()
 
@@ -81,26 +81,28 @@
         """One look; whatever fails is tried again at the next."""
         if self._cluster.level is not None:
             return
-        if self._s.label not in self._cluster.upgraded:
+        if self._settings.label not in self._cluster.upgraded:
             await self._note()
-        missing = [label for label in self._s.labels if label not in self._cluster.upgraded]
+        missing = [label for label in self._settings.labels if label not in self._cluster.upgraded]
         if not missing and self._membership.leading() is not None:
             await self._raise()
 
     async def _note(self) -> None:
-        key = keys.feature(self._s.label)
+        key = keys.feature(self._settings.label)
         await self._commit(Txn({key: 0}, [Put(key, {"level": DEPENDENCIES})]))
 
     async def _raise(self) -> None:
         level = Level(
-            DEPENDENCIES, self._s.state_now.chunk_tasks, self._s.state_lowest.segment_tasks
+            DEPENDENCIES,
+            self._settings.state_now.chunk_tasks,
+            self._settings.state_lowest.segment_tasks,
         )
-        conditions = {keys.feature(x): self._cluster.upgraded[x] for x in self._s.labels}
+        conditions = {keys.feature(x): self._cluster.upgraded[x] for x in self._settings.labels}
         conditions[keys.LEVEL] = 0
         await self._commit(Txn(conditions, [Put(keys.LEVEL, encode_level(level))]))
 
     async def _commit(self, txn: Txn) -> None:
-        until = self._clock.now() + self._s.hold_ttl_s
+        until = self._clock.now() + self._settings.hold_ttl_s
         intent = Intent(txn, OWNERSHIP, until=until)
         if await self._writer.commit(intent) != OK:
-            await self._follower.sync(self._s.renew_s)
+            await self._follower.sync(self._settings.renew_s)
--- a/crossmill/cluster/membership.py
+++ b/crossmill/cluster/membership.py
@@ -45,7 +45,7 @@
         writer: Writer,
         promises: Promises,
     ) -> None:
-        self._s = settings
+        self._settings = settings
         self._clock = clock
         self._keeper = keeper
         self._cluster = cluster
@@ -78,7 +78,7 @@
         while all that was durable not long ago is known. A lease that is renewed is no sign of
         that: a job may have been cancelled that no read has shown."""
         own = self.acting(shard)
-        is_current = self._follower.current_within(self._s.hold_ttl_s)
+        is_current = self._follower.current_within(self._settings.hold_ttl_s)
         return own if is_current else None
 
     def answering(self, shard: int) -> tuple[Owned, bool] | None:
@@ -89,7 +89,7 @@
         own = self.owned.get(shard)
         if own is None or not own.ready or own.epoch != self._keeper.epoch:
             return None
-        if not self._follower.current_within(self._s.extension_s):
+        if not self._follower.current_within(self._settings.extension_s):
             return None
         if self._keeper.authority():
             return own, self.commanding(shard) is not None
@@ -125,7 +125,7 @@
                 self._promises.renewed()
             if self._keeper.authority():
                 await self.step()
-            await curio.ignore_after(self._s.renew_s / 4, self._keeper.changed.wait)
+            await curio.ignore_after(self._settings.renew_s / 4, self._keeper.changed.wait)
             self._keeper.changed.clear()
 
     def _drop(self, shard: int, why: str) -> None:
@@ -154,10 +154,10 @@
             await self._give_away()
         await self._announce()
         self._allot()
-        missing = [k for k in range(self._s.nodes) if k not in self._cluster.shards]
+        missing = [k for k in range(self._settings.nodes) if k not in self._cluster.shards]
         if any(not self._promises.may_start(k) for k in missing):
             await self._promises.inquire()
-        for shard in range(self._s.nodes):
+        for shard in range(self._settings.nodes):
             if shard not in self.owned and self._may_take(shard):
                 await self._take(shard)
         await self._lead()
@@ -168,14 +168,14 @@
             if raised is not None and not self._drop_if_lost(shard, raised):
                 await self._take(shard)
         for shard, own in list(self.owned.items()):
-            if not own.ready and await self._follower.sync(self._s.renew_s):
+            if not own.ready and await self._follower.sync(self._settings.renew_s):
                 own.ready = True
                 log.info("shard ready shard=%d epoch=%d", shard, own.token)
         await self._hand_back()
 
     async def _announce(self) -> None:
-        key = keys.node(self._s.label)
-        mine = self._cluster.nodes.get(self._s.label)
+        key = keys.node(self._settings.label)
+        mine = self._cluster.nodes.get(self._settings.label)
         lease, deaf = self._keeper.lease, self.reachability.deaf
         # whoever asks that a job be withdrawn may not reach us: this shows that we know of it
         # (an own note may be newer than what has been read)
@@ -202,7 +202,10 @@
         """Workers that can't reach us are sent to us by all others until somebody else acts
         for them; once nobody answers them their leases end."""
         shards = dict(self.owned)
-        if all(label == self._s.label or n.get("deaf") for label, n in self._cluster.nodes.items()):
+        if all(
+            label == self._settings.label or n.get("deaf")
+            for label, n in self._cluster.nodes.items()
+        ):
             return
         log.info("no worker heard, shards given away number=%d", len(shards))
         await self._announce()
@@ -216,20 +219,20 @@
         record, and shards with many running arrays have more outcomes to write. All see the
         same keys; while they differ, a refusal or two is the worst."""
         weights = dict.fromkeys(self._cluster.nodes, 1.0)
-        if self._s.label not in weights:
+        if self._settings.label not in weights:
             weights = dict.fromkeys(self._labels, 1.0)
-        busy = self._s.busy_shards
+        busy = self._settings.busy_shards
         loads = {shard: self._cluster.write_load(shard) for shard in busy}
         total_load = sum(loads.values())
         for index, shard in self._cluster.shards.items():
             if shard.owner in weights and index in busy:
                 part = loads[index] / total_load if total_load else 1 / len(busy)
-                weights[shard.owner] += self._s.shard_weight(part)
+                weights[shard.owner] += self._settings.shard_weight(part)
         if self._cluster.leader in weights:
-            weights[self._cluster.leader] += self._s.leader_weight
-        mine = weights[self._s.label]
+            weights[self._cluster.leader] += self._settings.leader_weight
+        mine = weights[self._settings.label]
         limits = self._cluster.limits
-        self._writer.allot(self._s.writes_of(mine, sum(weights.values()), limits))
+        self._writer.allot(self._settings.writes_of(mine, sum(weights.values()), limits))
 
     async def _commit(self, txn: Txn) -> bool:
         epoch = self._keeper.epoch
@@ -239,21 +242,21 @@
     def _rank(self) -> int:
         """How many live controllers have fewer shards than this one."""
         load = {label: 0 for label in self._cluster.nodes if not self._deaf(label)}
-        load.setdefault(self._s.label, 0)
+        load.setdefault(self._settings.label, 0)
         for shard in self._cluster.shards.values():
             if shard.owner in load:
                 load[shard.owner] += 1
         order = sorted(load, key=lambda label: (load[label], label))
-        return order.index(self._s.label)
+        return order.index(self._settings.label)
 
     def _patient(self, key: str) -> bool:
         """Others' keys are taken in turn: the least loaded controller first."""
         now = self._clock.now()
         since = self._missing.setdefault(key, now)
-        wait = self._rank() * self._s.hold_ttl_s / 4
+        wait = self._rank() * self._settings.hold_ttl_s / 4
         if not self._cluster.shards:
             # nobody has started yet: leave each its own
-            wait += self._s.hold_ttl_s
+            wait += self._settings.hold_ttl_s
         return now - since >= wait
 
     def _may_take(self, shard: int) -> bool:
@@ -262,17 +265,17 @@
         if known is not None:
             self._missing.pop(key, None)
             # the process of an older incarnation under our label has ended: its place is ours
-            return known.owner == self._s.label and not self._promises.bound(shard)
+            return known.owner == self._settings.label and not self._promises.bound(shard)
         if self._promises.bound(shard) or not self._promises.may_start(shard):
             return False
         home = self.home(shard)
-        if self._deaf(self._s.label):
+        if self._deaf(self._settings.label):
             return False
-        if home == self._s.label:
+        if home == self._settings.label:
             return True
         if home in self._cluster.nodes and self._cluster.shards and not self._deaf(home):
             self._missing.setdefault(key, self._clock.now())
-            return self._clock.now() - self._missing[key] > self._s.hold_ttl_s
+            return self._clock.now() - self._missing[key] > self._settings.hold_ttl_s
         return self._patient(key)
 
     async def _take(self, shard: int) -> None:
@@ -298,12 +301,12 @@
                 keys.TOKEN: counted,
             },
             [
-                Put(key, {"owner": self._s.label, "token": token}, lease),
+                Put(key, {"owner": self._settings.label, "token": token}, lease),
                 Put(keys.TOKEN, {"n": token}),
             ],
         )
         if not await self._commit(txn):
-            await self._follower.sync(self._s.renew_s)
+            await self._follower.sync(self._settings.renew_s)
             return
         version = self._cluster.mirror.version(key)
         before = self.owned.get(shard)
@@ -324,14 +327,14 @@
         if self._leads is not None:
             log.info("lead lost")
             self._leads = None
-        if known is not None and known != self._s.label:
+        if known is not None and known != self._settings.label:
             self._missing.pop(keys.LEADER, None)
             return
         if known is None and not self._patient(keys.LEADER):
             return
         txn = Txn(
             {keys.LEADER: version},
-            [Put(keys.LEADER, {"owner": self._s.label}, self._keeper.lease)],
+            [Put(keys.LEADER, {"owner": self._settings.label}, self._keeper.lease)],
         )
         epoch = self._keeper.epoch
         if await self._commit(txn):
@@ -339,7 +342,7 @@
             self._missing.pop(keys.LEADER, None)
             log.info("lead taken epoch=%d", epoch)
         else:
-            await self._follower.sync(self._s.renew_s)
+            await self._follower.sync(self._settings.renew_s)
 
     async def _hand_back(self) -> None:
         """A controller that came back gets its own teams again, once it has stood a while."""
@@ -352,9 +355,9 @@
         for shard, own in list(self.owned.items()):
             home = self.home(shard)
             since = self._home_since.get(home)
-            if home == self._s.label or since is None:
+            if home == self._settings.label or since is None:
                 continue
-            if now - since > self._s.lease_s:
+            if now - since > self._settings.lease_s:
                 self._drop(shard, f"handed back to {home}")
                 await self._commit(Txn({keys.shard(shard): own.version}, [], [keys.shard(shard)]))
                 return
--- a/crossmill/cluster/reachability.py
+++ b/crossmill/cluster/reachability.py
@@ -14,7 +14,7 @@
 
 class WorkerReachability:
     def __init__(self, settings: Settings, clock: Clock, cluster: ClusterState) -> None:
-        self._s = settings
+        self._settings = settings
         self._clock = clock
         self._cluster = cluster
         self._heard_at = clock.now()
@@ -37,12 +37,12 @@
         if self._deaf_since is not None:
             # nobody may come to a controller without shards, so in time it tries again
             if self._heard_at > self._deaf_since:
-                self._deaf_since, self._patience_s = None, self._s.deaf_s
+                self._deaf_since, self._patience_s = None, self._settings.deaf_s
             elif now - self._deaf_since > self._patience_s:
                 self._deaf_since, self._patience_s = None, 2 * self._patience_s
                 self._heard_at = now
             return False
-        if now - self._heard_at <= self._s.unheard_s or self._due(shards, now) < LOOKS:
+        if now - self._heard_at <= self._settings.unheard_s or self._due(shards, now) < LOOKS:
             self._looks = 0
             return False
         self._looks += 1
@@ -56,6 +56,6 @@
         return sum(
             machine.up and not machine.retiring
             for shard, since in shards.items()
-            if now - since > self._s.unheard_s
+            if now - since > self._settings.unheard_s
             for machine in self._cluster.machines_of[shard].values()
         )
--- a/crossmill/fleet/leader.py
+++ b/crossmill/fleet/leader.py
@@ -33,7 +33,7 @@
         writer: Writer,
         unique: Callable[[], str],
     ) -> None:
-        self._s = settings
+        self._settings = settings
         self._clock = clock
         self._cluster = cluster
         self._membership = membership
@@ -56,19 +56,19 @@
                 except CloudTrouble as exc:
                     # spending pauses; what runs goes on
                     log.info("cloud trouble error=%s", exc)
-                    await curio.sleep(self._s.report_s)
-            await curio.sleep(self._s.report_s / 2)
+                    await curio.sleep(self._settings.report_s)
+            await curio.sleep(self._settings.report_s / 2)
 
     async def _step(self) -> None:
         now = self._clock.now()
-        stale = self._catalog_at is None or now - self._catalog_at > 30 * self._s.report_s
+        stale = self._catalog_at is None or now - self._catalog_at > 30 * self._settings.report_s
         if stale:
             await self._refresh_catalog()
         if self._membership.leading() is None:
             return
         await self._release()
         await self._rent()
-        if self._list_at is None or now - self._list_at >= self._s.list_every_s:
+        if self._list_at is None or now - self._list_at >= self._settings.list_every_s:
             self._list_at = now
             await self._look_at_list(await self._cloud.machines())
 
@@ -123,7 +123,7 @@
     # -- renting ---------------------------------------------------------------------
 
     async def _rent(self) -> None:
-        for shard in range(self._s.nodes):
+        for shard in range(self._settings.nodes):
             for need in list(self._forecast.look(shard).needs.values()):
                 if self._membership.leading() is None:
                     return
@@ -141,14 +141,14 @@
                 )
                 break
             except NoCapacity:
-                self._forecast.blocked[key] = self._clock.now() + self._s.blocked_s
+                self._forecast.blocked[key] = self._clock.now() + self._settings.blocked_s
                 log.info("no capacity type=%s zone=%s spot=%s", *key)
                 return
             except CloudTrouble:
                 # the same name again rents nothing twice; what comes late is adopted
                 if last:
                     raise
-                await curio.sleep(self._s.report_s)
+                await curio.sleep(self._settings.report_s)
         log.info(
             "machines rented shard=%d type=%s zone=%s spot=%s asked=%d got=%d first=%s",
             shard,
@@ -158,7 +158,7 @@
             rented[0] if rented else "",
         )
         if len(rented) < need.number:
-            self._forecast.blocked[key] = self._clock.now() + self._s.blocked_s
+            self._forecast.blocked[key] = self._clock.now() + self._settings.blocked_s
         await self._record([(m, *key) for m in rented], [shard] * len(rented), asked_at)
 
     async def _record(
@@ -196,7 +196,10 @@
                 if row.state == "failed" and not known.retiring:
                     await self._retire(row.id, "failed")
                 continue
-            if row.age_s > 3 * self._s.list_lag_s + self._s.lease_s and row.id not in self._gone:
+            if (
+                row.age_s > 3 * self._settings.list_lag_s + self._settings.lease_s
+                and row.id not in self._gone
+            ):
                 self._unlisted[row.id] = self._unlisted.get(row.id, 0) + 1
                 if self._unlisted[row.id] >= 2:
                     fresh.append(row)
@@ -205,7 +208,7 @@
 
     async def _adopt(self, rows: list[Listed]) -> None:
         """Machines nobody expected are taken in; those not needed go the way of idle ones."""
-        needy = max(range(self._s.nodes), key=lambda k: self._forecast.look(k).short)
+        needy = max(range(self._settings.nodes), key=lambda k: self._forecast.look(k).short)
         for row in rows:
             log.info("machine adopted machine=%s shard=%d", row.id, needy)
             await self._record(
@@ -242,7 +245,9 @@
             return
         log.info("machines released number=%d first=%s", len(going), going[0].id)
         now = self._clock.now()
-        self._gone = {m: at for m, at in self._gone.items() if now - at < 60 * self._s.lease_s}
+        self._gone = {
+            m: at for m, at in self._gone.items() if now - at < 60 * self._settings.lease_s
+        }
         self._gone.update((m.id, now) for m in going)
         intents = [
             Intent(
--- a/crossmill/jobs/cancellation.py
+++ b/crossmill/jobs/cancellation.py
@@ -35,7 +35,7 @@
         deputies: Deputies,
         lookup: JobLookup,
     ) -> None:
-        self._s = settings
+        self._settings = settings
         self._clock = clock
         self._cluster = cluster
         self._writer = writer
@@ -76,13 +76,13 @@
         # as of before the others are told: no task may move meanwhile
         zones, plan = self._zones(job), self._versions_with_tasks(job)
         if len(plan) > self._cluster.limits.machines_per_txn:
-            zones.update(self._s.zones)
+            zones.update(self._settings.zones)
         version = job.version
         rests = await self._deputies.announce_end(job.id, zones)
         if rests is None:
             await self._note(job.id, version)
             return None
-        if not zones.issuperset(self._s.zones):
+        if not zones.issuperset(self._settings.zones):
             # those of other zones were not told: no task may have moved there meanwhile
             rests |= plan
         return rests
@@ -110,17 +110,17 @@
         txn = Txn(conditions, [Put(keys.job(job_id), record)])
         intent = Intent(txn, URGENT, until=self._until())
         await self._writer.submit(intent)
-        outcome = await intent.future.wait(self._s.accept_s)
+        outcome = await intent.future.wait(self._settings.accept_s)
         return bool(outcome == OK)
 
     def _until(self) -> float:
-        return self._clock.now() + self._s.accept_s
+        return self._clock.now() + self._settings.accept_s
 
     def _zones(self, job: Job) -> set[str]:
         """Where tasks of the job are, or may be before its end is durable."""
         zones = {zone for zone, number in self._cluster.zones_of(job).items() if number}
         if any(row.machine not in self._cluster.machines for row in job.rows()):
-            zones.update(self._s.zones)
+            zones.update(self._settings.zones)
         if job.waiting_count() and job.spec is not None:
-            zones.update((job.spec.zone,) if job.spec.zone else self._s.zones)
+            zones.update((job.spec.zone,) if job.spec.zone else self._settings.zones)
         return zones
--- a/crossmill/jobs/cleanup.py
+++ b/crossmill/jobs/cleanup.py
@@ -21,7 +21,7 @@
     def __init__(
         self, settings: Settings, clock: Clock, cluster: ClusterState, membership: Membership
     ) -> None:
-        self._s = settings
+        self._settings = settings
         self._clock = clock
         self._cluster = cluster
         self._membership = membership
@@ -80,7 +80,7 @@
             job = self._cluster.jobs.get(job_id)
             if (job.shard if job is not None else 0) != shard:
                 continue
-            if job is None or job.end != ACTIVE or self._clock.wall() - at > self._s.note_s:
+            if job is None or job.end != ACTIVE or self._clock.wall() - at > self._settings.note_s:
                 key = keys.ending(job_id)
                 txns.append(Txn({key: version}, [], [key]))
         return txns
@@ -89,7 +89,7 @@
         """What has long been over leaves memory, watch and start, but is never forgotten. Each
         archiving raises a counter that accepting a job with dependencies rests on."""
         over = self._cluster.over[shard]
-        excess = len(over) - self._s.ended_kept
+        excess = len(over) - self._settings.ended_kept
         if excess <= 0:
             return []
         mirror = self._cluster.mirror
--- a/crossmill/jobs/guarantees.py
+++ b/crossmill/jobs/guarantees.py
@@ -13,7 +13,7 @@
 
 class Guarantees:
     def __init__(self, settings: Settings, cluster: ClusterState) -> None:
-        self._s = settings
+        self._settings = settings
         self._cluster = cluster
         self._within: dict[int, set[str]] = {}
 
@@ -29,7 +29,7 @@
 
     def beyond(self, team_name: str, used: Use) -> float:
         """GPUs that the team uses beyond its guarantee."""
-        team = self._s.team(team_name)
+        team = self._settings.team(team_name)
         _, gpus = used.get(team_name, [0.0, 0.0])
         return gpus - team.gpus if team is not None and team.gpus > 0 else 0.0
 
@@ -55,7 +55,7 @@
                 by_team.setdefault(job.spec.team, []).append((job.order, left, job.id))
         fitting: set[str] = set()
         for name, entries in by_team.items():
-            team = self._s.team(name)
+            team = self._settings.team(name)
             if team is None or team.gpus <= 0:
                 continue
             entries.sort()
--- a/crossmill/jobs/placement.py
+++ b/crossmill/jobs/placement.py
@@ -36,7 +36,7 @@
         reassignment: Reassignment,
         failures: TaskFailures,
     ) -> None:
-        self._s = settings
+        self._settings = settings
         self._clock = clock
         self._cluster = cluster
         self._reports = reports
@@ -57,7 +57,7 @@
         return (
             view is not None
             and not machine.retiring
-            and view.fresh(own_now, self._s.suspect_s)
+            and view.fresh(own_now, self._settings.suspect_s)
             and view.notice_at is None
             and not self._failures.is_faulty(machine.id)
             and machine.id not in self._preemption.draining
@@ -94,7 +94,7 @@
             start = next((i for i, job in enumerate(queue) if job.id == resume), 0)
             queue = queue[start:] + queue[:start]
         for job in queue:
-            if self._clock.now() - started > self._s.round_budget_s:
+            if self._clock.now() - started > self._settings.round_budget_s:
                 self._resume[shard] = job.id
                 self.is_unfinished = True
                 break
@@ -102,7 +102,7 @@
         return self._stops
 
     def _within_limit(self, spec: JobSpec, used: Use) -> int:
-        team = self._s.team(spec.team)
+        team = self._settings.team(spec.team)
         now = used.setdefault(spec.team, [0.0, 0.0])
         count = spec.tasks
         if team is None:
@@ -194,7 +194,7 @@
     ) -> list[tuple[Room, int]]:
         """Room that is free; but a class that must start soon rather gets the place of lesser
         work where its image is than a free one where it would wait for the image."""
-        prompt_s = self._s.prompt_s(spec.job_class) if spec.kind == "service" else None
+        prompt_s = self._settings.prompt_s(spec.job_class) if spec.kind == "service" else None
         taken: list[tuple[Room, int]] = []
         # a claim that came to nothing is not repeated: then any room will do
         again = self._preemption.failed(job)
@@ -204,7 +204,7 @@
             def near(room: Room) -> bool:
                 return room.delay_s(spec) < 0.75 * prompt_s or self._preemption.made_for(room, job)
 
-            taken = assign(spec, wanted, list(filter(near, free)), zones, self._s.together)
+            taken = assign(spec, wanted, list(filter(near, free)), zones, self._settings.together)
             wanted -= sum(number for _, number in taken)
             if wanted and may_preempt:
                 if self._preemption.claimed(job):
@@ -214,7 +214,7 @@
                 )
                 self._stops.extend(stops)
                 wanted -= covered
-        more = assign(spec, wanted, free, zones, self._s.together) if wanted else []
+        more = assign(spec, wanted, free, zones, self._settings.together) if wanted else []
         wanted -= sum(number for _, number in more)
         if wanted and may_preempt and not again:
             stops, _ = self._preemption.preempt(job, wanted, rooms, used)
--- a/crossmill/jobs/record_repair.py
+++ b/crossmill/jobs/record_repair.py
@@ -40,7 +40,7 @@
         client: StateClient,
         writer: Writer,
     ) -> None:
-        self._s = settings
+        self._settings = settings
         self._clock = clock
         self._cluster = cluster
         self._membership = membership
@@ -50,7 +50,7 @@
     async def run(self) -> None:
         """Works for ever."""
         while True:
-            await curio.sleep(self._s.lease_s)
+            await curio.sleep(self._settings.lease_s)
             try:
                 await self.step()
             except (Refused, OutcomeUnknown) as exc:
@@ -58,7 +58,7 @@
 
     async def step(self) -> None:
         """One look at all shards acted for."""
-        for shard in range(self._s.nodes):
+        for shard in range(self._settings.nodes):
             for job, need in list(self._missing(shard)):
                 own = self._membership.acting(shard)
                 if own is not None:
--- a/crossmill/jobs/rounds.py
+++ b/crossmill/jobs/rounds.py
@@ -48,7 +48,7 @@
         direct: Direct,
         deputies: Deputies,
     ) -> None:
-        self._s = settings
+        self._settings = settings
         self._clock = clock
         self._cluster = cluster
         self._membership = membership
@@ -94,14 +94,14 @@
     async def run(self) -> None:
         while True:
             if not self._placement.is_unfinished:
-                await curio.ignore_after(self._s.report_s / 2, self.wake.wait)
+                await curio.ignore_after(self._settings.report_s / 2, self.wake.wait)
             self._placement.is_unfinished = False
             self.wake.clear()
-            for shard in range(self._s.nodes):
+            for shard in range(self._settings.nodes):
                 own = self._membership.acting(shard)
                 if own is not None:
                     await self.round(shard, own)
-            await curio.sleep(self._s.round_s)
+            await curio.sleep(self._settings.round_s)
 
     # -- one round -------------------------------------------------------------------
 
@@ -178,7 +178,7 @@
             job = self._cluster.jobs.get(key[0])
             if job is None or job.shard == shard or self._membership.acting(job.shard) is None:
                 del findings[key]
-        for entry in select(news, self._writer.writes_within(self._s.report_s)):
+        for entry in select(news, self._writer.writes_within(self._settings.report_s)):
             edit = edit_of(edits, entry.job, entry.name)
             for finding in entry.findings:
                 del findings[finding.row.job, finding.row.index]
--- a/crossmill/jobs/submission.py
+++ b/crossmill/jobs/submission.py
@@ -46,7 +46,7 @@
         lookup: JobLookup,
         dependencies: DependencyCheck,
     ) -> None:
-        self._s = settings
+        self._settings = settings
         self._clock = clock
         self._cluster = cluster
         self._writer = writer
@@ -118,7 +118,7 @@
 
     def _never(self, spec: JobSpec) -> str | None:
         """Why the job can never run, if so."""
-        team = self._s.team(spec.team)
+        team = self._settings.team(spec.team)
         if team is None:
             return "unknown team"
         kinds = [
@@ -151,9 +151,9 @@
             return await self._refuse(spec.id, NEVER, "too long to be stored")
         txn = Txn({key: 0, keys.archived(spec.id): 0}, [Put(key, orjson.loads(encoded))])
         self._rest_on(dependencies, archivings, txn)
-        intent = Intent(txn, URGENT, until=now + self._s.accept_s)
+        intent = Intent(txn, URGENT, until=now + self._settings.accept_s)
         await self._writer.submit(intent)
-        outcome = await intent.future.wait(self._s.accept_s)
+        outcome = await intent.future.wait(self._settings.accept_s)
         if outcome == OK:
             log.info(
                 "job accepted job=%s class=%s team=%s tasks=%d needs=%d",
@@ -165,7 +165,7 @@
             )
             # others see the job as soon as it is durable, and may have told of its end before
             # a slow answer is here
-            is_slow = intent.outcome_unknown or self._clock.now() - now > self._s.renew_s / 4
+            is_slow = intent.outcome_unknown or self._clock.now() - now > self._settings.renew_s / 4
             return await self._accepted(spec.id, is_slow)
         if outcome is None or not await self._lookup.is_current():
             return NOT_NOW
--- a/crossmill/workers/direct.py
+++ b/crossmill/workers/direct.py
@@ -24,7 +24,7 @@
     def __init__(
         self, settings: Settings, cluster: ClusterState, membership: Membership, reports: Reports
     ) -> None:
-        self._s = settings
+        self._settings = settings
         self._cluster = cluster
         self._membership = membership
         self._reports = reports
@@ -39,7 +39,7 @@
             host, _, port = address.rpartition(":")
             if not host or not port.isdigit():
                 return None
-            if len(self._clients) >= self._s.direct_sockets:
+            if len(self._clients) >= self._settings.direct_sockets:
                 # the oldest goes; its worker is heard through its reports all the same
                 self._clients.pop(next(iter(self._clients)))
             client = self._clients[address] = self.connect(Endpoint(host, int(port)))
@@ -54,7 +54,7 @@
         for row in stops:
             by_machine.setdefault(row.machine, ([], []))[1].append(row)
         for machine_id, (some, others) in by_machine.items():
-            if self._sending < self._s.direct_sockets:
+            if self._sending < self._settings.direct_sockets:
                 await curio.spawn(self._send, machine_id, some, others, daemon=True)
 
     async def _send(self, machine_id: str, rows: list[Row], stops: list[Row]) -> None:
@@ -85,7 +85,9 @@
             unacknowledged[row.job, row.index, row.attempt] = token
         self._sending += 1
         try:
-            status, data = await client.request("POST", COMMANDS_PATH, body, self._s.report_s)
+            status, data = await client.request(
+                "POST", COMMANDS_PATH, body, self._settings.report_s
+            )
         except Unreached as exc:
             log.debug("worker not reached machine=%s error=%s", machine_id, exc)
         except Unanswered as exc:
--- a/crossmill/workers/reports.py
+++ b/crossmill/workers/reports.py
@@ -38,7 +38,7 @@
         membership: Membership,
         deputies: Deputies,
     ) -> None:
-        self._s = settings
+        self._settings = settings
         self._clock = clock
         self._cluster = cluster
         self._membership = membership
@@ -101,7 +101,7 @@
                     view.answered_at = self._clock.now()
                 return Answer(200, report.token, tuple(kept[:MAX_ORDERS]))
             known = self._cluster.shards.get(machine.shard)
-            elsewhere = known is not None and known.owner != self._s.label
+            elsewhere = known is not None and known.owner != self._settings.label
             return Answer(421, redirect=known.owner if known and elsewhere else None)
         own, entitled = standing
         token = self.token(machine, own)
@@ -270,7 +270,7 @@
         elif view.notice_at is not None and saves and spec is not None:
             # saved as late as is safe, so that the machine's last seconds count
             left = view.notice_at - self._clock.now()
-            if task.state == "running" and left < spec.save_s + 3 * self._s.report_s:
+            if task.state == "running" and left < spec.save_s + 3 * self._settings.report_s:
                 orders.append(self.stop(row))
 
     def stop(self, row: Row) -> Command:
@@ -282,7 +282,7 @@
     def expire(self, machine: Machine, own: Owned) -> None:
         """A worker that nobody can have answered for a lease has killed its tasks."""
         view = self.view(machine, own)
-        if not machine.rows or self._clock.now() - view.lease_from <= self._s.suspect_s:
+        if not machine.rows or self._clock.now() - view.lease_from <= self._settings.suspect_s:
             return
         self._deputies.wonder(machine)
         rests = self._deputies.lease_over(machine, view.lease_from)
