--- /dev/null
+++ b/tests/scenario_steps.py
@@ -0,0 +1,116 @@
+"""Troubles and traffic that randomised scenarios of several test files share."""
+
+import random
+from collections.abc import Awaitable, Callable
+
+import curio
+
+from .simulation import Region
+
+
+def every_request(method: str, path: str) -> bool:
+    return True
+
+
+def all_but_leases(method: str, path: str) -> bool:
+    """The lease is renewed, but nothing is read or written."""
+    return not path.startswith("/holds")
+
+
+def lose_answers(number: int, region: Region, late_s: float, at_once: bool, for_s: float) -> None:
+    """Every so manyth transaction gets no answer, and is carried out at once or late."""
+    end, count = region.clock.now() + for_s, 0
+
+    def fate(label: str, method: str, path: str) -> tuple[float, bool] | None:
+        nonlocal count
+        if path != "/txn" or region.clock.now() > end:
+            return None
+        count += 1
+        return (late_s + count % 5, at_once) if count % number == 0 else None
+
+    region.fate = fate
+
+
+async def single_task_jobs(region: Region, jobs: int, every_s: float, cancelled: int = 4) -> None:
+    """One-task jobs at all controllers in turn, some cancelled while they run or wait."""
+    async with curio.TaskGroup() as group:
+        for n in range(jobs):
+            job, label = f"wk-{100000 + n}", list(region.nodes or region.LABELS)[n % 3 - 1]
+            await group.spawn(_single_task_job, region, label, job, n % cancelled == 1)
+            await curio.sleep(every_s)
+
+
+async def _single_task_job(region: Region, label: str, job: str, cancel: bool) -> None:
+    async def anywhere(call: Callable[[str], Awaitable[int]]) -> None:
+        for n in range(60):
+            labels = list(region.nodes)
+            if labels and await call(labels[n % len(labels)]) in (200, 201):
+                return
+            await curio.sleep(1.0)
+
+    await anywhere(lambda at: region.submit(at, job, run_s=3.0, sacks=1, cards=1.0))
+    if cancel:
+        await curio.sleep(1.5)
+        await anywhere(lambda at: region.cancel(at, job))
+
+
+async def all_over(region: Region, within_s: float = 90.0) -> None:
+    """Every accepted job is done or cancelled, and says so at every controller."""
+
+    end = region.clock.now() + within_s
+    # a controller that has just come back does not know anything yet
+    await curio.sleep(3.0)
+    for job, facts in region.judge.jobs.items():
+        while facts.done is None and facts.cancelled is None:
+            if await region.show(next(iter(region.nodes)), job) != 200 or not (
+                facts.done or facts.cancelled
+            ):
+                assert region.clock.now() < end, f"{job} is not over"
+                await curio.sleep(0.5)
+        for label in region.nodes:
+            assert await region.show(label, job) == 200
+
+
+async def all_over_but_services(region: Region) -> None:
+    for job, facts in list(region.judge.jobs.items()):
+        if facts.run_s is None:
+            assert await region.cancel_until_told("node-1", job, 60.0)
+    await all_over(region)
+
+
+async def draw_trouble(region: Region, lots: random.Random) -> None:
+    label, worker = lots.choice(region.LABELS), lots.choice(list(region.workers.values()))
+    kind = lots.choice(
+        ["end", "cut", "refuse", "out", "late", "lost", "odd", "mend", "old", "slow"]
+    )
+    if kind == "end":
+        await region.restart(label, lots.choice([0.1, 1.0, 4.0]))
+    elif kind == "cut":
+        region.cut(label)
+    elif kind == "refuse":
+        region.refused[label] = every_request
+    elif kind == "out":
+        region.state.down = not region.state.down
+    elif kind in ("late", "lost"):
+        lose_answers(lots.choice([2, 3, 5]), region, 2.0, kind == "lost", 10.0)
+    elif kind == "odd":
+        trouble = lots.choice(["deaf", "mute", "hung"])
+        setattr(worker, trouble, not getattr(worker, trouble))
+    elif kind == "mend":
+        region.mend()
+        region.state.down = False
+    elif kind == "slow":
+        region.slow_s = lots.choice([0.0, 0.3])
+    else:
+        for body in worker.copies:
+            region.deliver(body, label)
+
+
+def heal(region: Region) -> None:
+    region.state.down = False
+    region.slow_s = 0.0
+    region.mend()
+    region.fate = lambda *_: None
+    region.reaches = lambda worker, label: label in region.nodes
+    for worker in region.workers.values():
+        worker.deaf = worker.mute = worker.hung = False
--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -1,7 +1,6 @@
 """Two troubles at once, played over the simulated region: no rule may break."""
 
 import random
-from collections.abc import Awaitable, Callable
 from functools import partial
 from typing import Any
 
@@ -10,6 +9,16 @@
 
 from crossmill.cluster import keys
 
+from .scenario_steps import (
+    all_but_leases,
+    all_over,
+    all_over_but_services,
+    draw_trouble,
+    every_request,
+    heal,
+    lose_answers,
+    single_task_jobs,
+)
 from .simulation import Region, simulate
 
 
@@ -32,15 +41,6 @@
     simulate(story)
 
 
-def _everything(method: str, path: str) -> bool:
-    return True
-
-
-def _reads(method: str, path: str) -> bool:
-    """The lease is renewed, but nothing is read or written."""
-    return not path.startswith("/holds")
-
-
 async def _gap(region: Region, refused: str, refuses: object, alone_s: float) -> None:
     """node-0 is refused alone; another controller confirms a cancellation; then all are refused
     for longer than cancel_s, while the worker goes on reporting to node-0."""
@@ -63,7 +63,7 @@
     assert not region.running("wk-000001")
 
 
-@pytest.mark.parametrize("refuses", [_everything, _reads, "flapping"])
+@pytest.mark.parametrize("refuses", [every_request, all_but_leases, "flapping"])
 @pytest.mark.parametrize("alone_s", [1.5, 8.0, 14.0, 36.0])
 @pytest.mark.parametrize("peers", ["together", "apart"])
 def test_gap(refuses: object, alone_s: float, peers: str) -> None:
@@ -83,60 +83,6 @@
     simulate(story)
 
 
-def _every(number: int, region: Region, late_s: float, at_once: bool, for_s: float) -> None:
-    """Every so manyth transaction gets no answer, and is carried out at once or late."""
-    end, count = region.clock.now() + for_s, 0
-
-    def fate(label: str, method: str, path: str) -> tuple[float, bool] | None:
-        nonlocal count
-        if path != "/txn" or region.clock.now() > end:
-            return None
-        count += 1
-        return (late_s + count % 5, at_once) if count % number == 0 else None
-
-    region.fate = fate
-
-
-async def _traffic(region: Region, jobs: int, every_s: float, cancelled: int = 4) -> None:
-    """One-task jobs at all controllers in turn, some cancelled while they run or wait."""
-    async with curio.TaskGroup() as group:
-        for n in range(jobs):
-            job, label = f"wk-{100000 + n}", list(region.nodes or region.LABELS)[n % 3 - 1]
-            await group.spawn(_one_job, region, label, job, n % cancelled == 1)
-            await curio.sleep(every_s)
-
-
-async def _one_job(region: Region, label: str, job: str, cancel: bool) -> None:
-    async def anywhere(call: Callable[[str], Awaitable[int]]) -> None:
-        for n in range(60):
-            labels = list(region.nodes)
-            if labels and await call(labels[n % len(labels)]) in (200, 201):
-                return
-            await curio.sleep(1.0)
-
-    await anywhere(lambda at: region.submit(at, job, run_s=3.0, sacks=1, cards=1.0))
-    if cancel:
-        await curio.sleep(1.5)
-        await anywhere(lambda at: region.cancel(at, job))
-
-
-async def _all_over(region: Region, within_s: float = 90.0) -> None:
-    """Every accepted job is done or cancelled, and says so at every controller."""
-
-    end = region.clock.now() + within_s
-    # a controller that has just come back does not know anything yet
-    await curio.sleep(3.0)
-    for job, facts in region.judge.jobs.items():
-        while facts.done is None and facts.cancelled is None:
-            if await region.show(next(iter(region.nodes)), job) != 200 or not (
-                facts.done or facts.cancelled
-            ):
-                assert region.clock.now() < end, f"{job} is not over"
-                await curio.sleep(0.5)
-        for label in region.nodes:
-            assert await region.show(label, job) == 200
-
-
 def test_a_deputy_ends_what_it_was_itself_about_to_cancel() -> None:
     """The only controller of a zone asks that a job be cancelled and never hears that it was;
     cut off with its zone it would have kept the job's tasks for three leases."""
@@ -174,13 +120,13 @@
 
     async def story(region: Region) -> None:
         await region.begin(machines=3)
-        _every(3, region, 2.0, at_once, 30.0)
-        traffic = await curio.spawn(_traffic, region, 24, 0.7)
+        lose_answers(3, region, 2.0, at_once, 30.0)
+        traffic = await curio.spawn(single_task_jobs, region, 24, 0.7)
         if ends:
             await curio.sleep(8.0)
             await region.restart("node-0", 0.3)
         await traffic.join()
-        await _all_over(region)
+        await all_over(region)
 
     simulate(story)
 
@@ -190,7 +136,7 @@
 
     async def story(region: Region) -> None:
         await region.begin(machines=3)
-        _every(4, region, 2.0, True, 60.0)
+        lose_answers(4, region, 2.0, True, 60.0)
         for n in range(9):
             job, label = f"wk-{200000 + n}", region.LABELS[n % 3]
             other = region.LABELS[(n + 1) % 3]
@@ -271,18 +217,11 @@
                 for body in old[::3]:
                     region.deliver(body, label)
         await region.until(lambda: len(region.running("wk-000001")) > 0, 40.0)
-        await _all_over_but_services(region)
+        await all_over_but_services(region)
 
     simulate(story)
 
 
-async def _all_over_but_services(region: Region) -> None:
-    for job, facts in list(region.judge.jobs.items()):
-        if facts.run_s is None:
-            assert await region.cancel_until_told("node-1", job, 60.0)
-    await _all_over(region)
-
-
 def test_a_team_at_its_limit_whose_cancelled_tasks_are_not_proved_over() -> None:
     """Every machine of the team hangs or can't be reached, its jobs are cancelled and the owner
     ends: what comes next waits until the old tasks are proved over."""
@@ -342,7 +281,7 @@
     async def story(region: Region) -> None:
         await region.begin(machines=4)
         await region.submit("node-1", "wk-000001", sacks=2)
-        traffic = await curio.spawn(_traffic, region, 40, 2.5)
+        traffic = await curio.spawn(single_task_jobs, region, 40, 2.5)
         for n in range(10):
             await curio.sleep(7.0)
             if outage and n in (3, 7):
@@ -350,7 +289,7 @@
             await region.restart(region.owners().get(0, "node-0"), 0.2 if n % 2 else 4.0)
             region.state.down = False
         await traffic.join()
-        await _all_over_but_services(region)
+        await all_over_but_services(region)
 
     simulate(story)
 
@@ -360,7 +299,7 @@
     async def story(region: Region) -> None:
         await region.begin(machines=3)
         await region.submit("node-1", "wk-000001", sacks=2)
-        await _traffic(region, 6, 0.5)
+        await single_task_jobs(region, 6, 0.5)
         for label in list(region.LABELS):
             await region.kill(label)
         await curio.sleep(away_s)
@@ -368,7 +307,7 @@
         await curio.sleep(5.0)
         await region.start("node-0")
         await region.start("node-2")
-        await _all_over_but_services(region)
+        await all_over_but_services(region)
 
     simulate(story)
 
@@ -392,7 +331,7 @@
         )
         setattr(odd, trouble, False)
         await region.start("node-0")
-        await _all_over(region)
+        await all_over(region)
 
     simulate(story)
 
@@ -418,7 +357,7 @@
         await curio.sleep(hang_s / 2)
         for worker in region.workers.values():
             worker.hung = False
-        await _all_over(region)
+        await all_over(region)
         await curio.sleep(5.0)
         assert not region.running("wk-000001")
 
@@ -435,7 +374,7 @@
             await region.until(partial(region.finished, "wk-000001", done), 40.0)
             await region.look_everywhere("wk-000001")
             await region.restart(region.owners().get(0, "node-0"), 0.2 if done % 2 else 3.0)
-        await _all_over(region)
+        await all_over(region)
         assert len(region.judge.starts) == 3, "what is done is not done again"
 
     simulate(story)
@@ -446,8 +385,8 @@
 
     async def story(region: Region) -> None:
         await region.begin(machines=8)
-        await _traffic(region, 160, 0.25)
-        await _all_over(region, 60.0)
+        await single_task_jobs(region, 160, 0.25)
+        await all_over(region, 60.0)
         await curio.sleep(20.0)
         owner = region.nodes[region.owners()[0]]
         assert not any(owner.cluster.ended[k] for k in range(3))
@@ -489,7 +428,7 @@
         region.slow_s = 0.4
         cancels = await curio.spawn(_cancel_some, region)
         await curio.sleep(4.0)
-        region.refused[region.owners()[0]] = _everything
+        region.refused[region.owners()[0]] = every_request
         await curio.sleep(1.0)
         region.state.down = True
         await curio.sleep(region.cancel_s * 1.2)
@@ -546,7 +485,7 @@
     async def story(region: Region) -> None:
         await region.begin(machines=0)
         await region.lead_everywhere()
-        _every(2, region, 2.0, False, 25.0)
+        lose_answers(2, region, 2.0, False, 25.0)
         for n in range(4):
             await region.submit("node-1", f"wk-{800000 + n}", run_s=6.0, sacks=4)
         await region.until(lambda: len(region.workers) > 0, 40.0)
@@ -554,7 +493,7 @@
         await region.restart(region.leader() or "node-0", 0.4)
         await curio.sleep(6.0)
         await region.restart(region.leader() or "node-0", 3.0)
-        await _all_over(region, 150.0)
+        await all_over(region, 150.0)
 
     simulate(story)
 
@@ -588,7 +527,7 @@
         region.reaches = lambda worker, label: label in region.nodes
         region.workers["n-2"].hung = False
         assert await asks.join()
-        await _all_over(region, 120.0)
+        await all_over(region, 120.0)
 
     simulate(story)
 
@@ -603,50 +542,17 @@
         await region.begin(machines=4)
         await region.add_worker("s-0", "south")
         await region.submit("node-1", "wk-000001", sacks=2)
-        traffic = await curio.spawn(_traffic, region, 60, 1.2)
+        traffic = await curio.spawn(single_task_jobs, region, 60, 1.2)
         for _ in range(9):
             await curio.sleep(lots.uniform(1.0, 8.0))
-            await _trouble(region, lots)
-        region.state.down = False
-        region.slow_s = 0.0
-        region.mend()
-        region.fate = lambda *_: None
-        for worker in region.workers.values():
-            worker.deaf = worker.mute = worker.hung = False
+            await draw_trouble(region, lots)
+        heal(region)
         await traffic.join()
-        await _all_over_but_services(region)
+        await all_over_but_services(region)
 
     simulate(story)
 
 
-async def _trouble(region: Region, lots: random.Random) -> None:
-    label, worker = lots.choice(region.LABELS), lots.choice(list(region.workers.values()))
-    kind = lots.choice(
-        ["end", "cut", "refuse", "out", "late", "lost", "odd", "mend", "old", "slow"]
-    )
-    if kind == "end":
-        await region.restart(label, lots.choice([0.1, 1.0, 4.0]))
-    elif kind == "cut":
-        region.cut(label)
-    elif kind == "refuse":
-        region.refused[label] = _everything
-    elif kind == "out":
-        region.state.down = not region.state.down
-    elif kind in ("late", "lost"):
-        _every(lots.choice([2, 3, 5]), region, 2.0, kind == "lost", 10.0)
-    elif kind == "odd":
-        trouble = lots.choice(["deaf", "mute", "hung"])
-        setattr(worker, trouble, not getattr(worker, trouble))
-    elif kind == "mend":
-        region.mend()
-        region.state.down = False
-    elif kind == "slow":
-        region.slow_s = lots.choice([0.0, 0.3])
-    else:
-        for body in worker.copies:
-            region.deliver(body, label)
-
-
 @pytest.mark.parametrize("lot", range(4))
 def test_replicas_at_the_limit_meet_troubles_drawn_by_lot(lot: int) -> None:
     """A team at its limit, work that makes room for other work, bursts of cancellations, zones
@@ -677,26 +583,16 @@
                     await region.start(label)
                     await curio.sleep(lots.choice([0.1, 1.5]))
             elif kind == "heal":
-                _heal(region)
+                heal(region)
             else:
-                await _trouble(region, lots)
-        _heal(region)
+                await draw_trouble(region, lots)
+        heal(region)
         await users.join()
-        await _all_over_but_services(region)
+        await all_over_but_services(region)
 
     simulate(story)
 
 
-def _heal(region: Region) -> None:
-    region.state.down = False
-    region.slow_s = 0.0
-    region.mend()
-    region.fate = lambda *_: None
-    region.reaches = lambda worker, label: label in region.nodes
-    for worker in region.workers.values():
-        worker.deaf = worker.mute = worker.hung = False
-
-
 async def _replicas(region: Region, lots: random.Random) -> None:
     async def submit(job: str, at: str, fields: dict[str, Any]) -> None:
         for n in range(90):
--- a/tests/test_pipelines_in_trouble.py
+++ b/tests/test_pipelines_in_trouble.py
@@ -5,8 +5,8 @@
 import curio
 import pytest
 
+from .scenario_steps import all_over_but_services, draw_trouble, heal
 from .simulation import Region, simulate
-from .test_meetings import _all_over_but_services, _trouble
 
 Names = list[str]
 PATIENCE = 60
@@ -76,15 +76,10 @@
         looks = await curio.spawn(_look_around, region, random.Random(seed_n + 2), daemon=True)
         for _ in range(7):
             await curio.sleep(lots.uniform(1.0, 8.0))
-            await _trouble(region, lots)
-        region.state.down = False
-        region.slow_s = 0.0
-        region.mend()
-        region.fate = lambda *_: None
-        for worker in region.workers.values():
-            worker.deaf = worker.mute = worker.hung = False
+            await draw_trouble(region, lots)
+        heal(region)
         await users.join()
         await looks.cancel()
-        await _all_over_but_services(region)
+        await all_over_but_services(region)
 
     simulate(story)
--- a/tests/test_size_drawn.py
+++ b/tests/test_size_drawn.py
@@ -10,9 +10,9 @@
 from crossmill.cluster import keys
 from crossmill.settings import Settings
 
+from .scenario_steps import draw_trouble, heal
 from .simulation import Region, simulate
 from .standins import StateService
-from .test_meetings import _heal, _trouble
 
 TEAMS = ("red", "blue", "green")
 ENDED_KEPT = 4
@@ -95,7 +95,7 @@
         await curio.sleep(lots.uniform(2.0, 20.0))
         region.lost.discard(label)
     else:
-        await _trouble(region, lots)
+        await draw_trouble(region, lots)
 
 
 async def _all_told(region: Region) -> None:
@@ -129,7 +129,7 @@
         for _ in range(TROUBLES):
             await curio.sleep(lots.uniform(1.0, 8.0))
             await _size_trouble(region, lots)
-        _heal(region)
+        heal(region)
         region.still_until.clear()
         # silent machines were given up meanwhile, and nobody rents any here
         for shard in range(3):
