Rooms are kept between looks at the fleet; teams are dealt out to shards once

A room is used again while its machine, what its tasks use and its type are unchanged and nothing was planned into it. A randomised test compares it with one made anew after every event; it fails if the machine's counter or the mark of a planned task is left out (both tried).

--- a/crossmill/cluster/cluster_state.py
+++ b/crossmill/cluster/cluster_state.py
@@ -211,6 +211,7 @@
         machine = self.machines.get(row.machine)
         if machine is None or job.spec is None:
             return
+        machine.changes += 1
         machine.cpus += sign * job.spec.cpus
         machine.gpus += sign * job.spec.gpus
         machine.memory_gb += sign * job.spec.memory_gb
--- a/crossmill/cluster/model.py
+++ b/crossmill/cluster/model.py
@@ -119,6 +119,8 @@
     memory_gb: float = 0.0
     rows: dict[tuple[str, int], Row] = field(default_factory=dict)
     images: dict[str, float] = field(default_factory=dict)
+    # raised with each change of what its tasks use and of its images
+    changes: int = 0
 
     def encode(
         self,
--- a/crossmill/fleet/forecast.py
+++ b/crossmill/fleet/forecast.py
@@ -1,6 +1,7 @@
 """What a shard needs of the fleet, worked out from durable facts: every controller that looks
 sees nearly the same. The leader rents by it, a shard's owner returns machines by it."""
 
+from collections.abc import Iterable
 from dataclasses import dataclass, field, replace
 from math import inf
 
@@ -14,6 +15,7 @@
 from ..wire.cloud import MachineType
 from ..wire.users import JobSpec
 from .pipelines import PipelineBudgets
+from .room_cache import RoomCache
 
 
 @dataclass(slots=True)
@@ -40,15 +42,17 @@
         self._sources: list[Source] = []
         self._typical: Share | None = None
         self._typical_at = -inf
+        self._room_cache = self.new_cache()
 
-    def _room(self, machine: Machine, wall: float) -> Room | None:
+    def _counted_on(self, machine: Machine, wall: float) -> MachineType | None:
+        """The machine's type, if it is there or may be expected."""
         kind = self._cluster.catalog.get(machine.type)
         if kind is None or machine.retiring:
             return None
         if not machine.up and wall - machine.rented > self._settings.late_boot * kind.boot_s:
             # late: it may still come, but nobody counts on it
             return None
-        return self.room(machine, kind)
+        return kind
 
     def narrow(self, zone: str) -> bool:
         """Whether the zone offers fewer of the types than another does, so that replicas that
@@ -77,6 +81,21 @@
             for spot in (False, True)
         ]
 
+    def new_cache(self) -> RoomCache:
+        """A cache of rooms, for one that looks at the fleet again and again."""
+        return RoomCache(self._cluster.machines, self.room)
+
+    def cached_rooms(
+        self, cache: RoomCache, machines: Iterable[tuple[Machine, MachineType]]
+    ) -> list[Room]:
+        """What the plan leaves free on the machines, for use until the cache's next look."""
+        self._note_catalog()
+        typical = self._gpu_share()
+        rooms = [cache.room(machine, kind) for machine, kind in machines]
+        for room in rooms:
+            room.typical = typical
+        return rooms
+
     def room(self, machine: Machine, kind: MachineType) -> Room:
         """What the plan leaves free on a machine."""
         room = room_of(machine.id, kind, machine.zone, machine.spot)
@@ -170,9 +189,7 @@
         rooms = [
             room_of(m.id, kind, m.zone, True)
             for m in self._cluster.machines_of[shard].values()
-            if m.spot
-            and (kind := self._cluster.catalog.get(m.type)) is not None
-            and self._room(m, wall) is not None
+            if m.spot and (kind := self._counted_on(m, wall)) is not None
         ]
         base = demand(wants, rooms, self.sources(), self._limit)
         kept = {m.id for m in self._cluster.machines_of[shard].values() if m.spot}
@@ -257,11 +274,12 @@
         return 0 if self.blocked.get(key, 0.0) > self._clock.now() else 50
 
     def _rooms(self, shard: int, wall: float) -> list[Room]:
-        return [
-            room
+        machines = [
+            (machine, kind)
             for machine in self._cluster.machines_of[shard].values()
-            if (room := self._room(machine, wall)) is not None
+            if (kind := self._counted_on(machine, wall)) is not None
         ]
+        return self.cached_rooms(self._room_cache, machines)
 
     def look(self, shard: int) -> Outcome:
         wall = self._clock.wall()
--- a/crossmill/jobs/placement.py
+++ b/crossmill/jobs/placement.py
@@ -45,6 +45,7 @@
         self._preemption = preemption
         self._reassignment = reassignment
         self._failures = failures
+        self._room_cache = forecast.new_cache()
         self._resume: dict[int, str] = {}
         # set when a round ran out of time, cleared by whoever begins the next
         self.is_unfinished = False
@@ -67,13 +68,13 @@
 
     def _rooms(self, machines: list[Machine]) -> list[Room]:
         now = self._clock.now()
-        rooms: list[Room] = []
-        for machine in machines:
-            kind = self._cluster.catalog.get(machine.type)
-            if kind is None or not self._usable(machine, now):
-                continue
-            rooms.append(self._forecast.room(machine, kind))
-        return rooms
+        usable = [
+            (machine, kind)
+            for machine in machines
+            if (kind := self._cluster.catalog.get(machine.type)) is not None
+            and self._usable(machine, now)
+        ]
+        return self._forecast.cached_rooms(self._room_cache, usable)
 
     def place(self, shard: int, own: Owned, machines: list[Machine], edits: Edits) -> list[Row]:
         """Plans starts of the shard's waiting tasks into `edits`; returns the attempts to be
--- a/crossmill/planning/rooms.py
+++ b/crossmill/planning/rooms.py
@@ -63,6 +63,8 @@
     images: dict[str, float] = field(default_factory=dict)
     used: bool = False
     typical: Share | None = None
+    # whether a task was planned into it
+    taken: bool = False
 
     def harmless(self, spec: JobSpec) -> int:
         """How many tasks without GPUs fit beside the GPU tasks that the machine still has room
@@ -89,7 +91,7 @@
         self.cpus -= tasks * spec.cpus
         self.gpus -= tasks * spec.gpus
         self.memory_gb -= tasks * spec.memory_gb
-        self.used = True
+        self.used = self.taken = True
         self.images[spec.image] = spec.image_gb
 
 
--- a/crossmill/settings/model.py
+++ b/crossmill/settings/model.py
@@ -1,6 +1,6 @@
 """The checked, frozen settings, and every ratio derived from them."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from .limits import StateLimits
 
@@ -44,9 +44,23 @@
     times: float
 
 
+def deal_out(teams: tuple[Team, ...], shards: int) -> dict[str, int]:
+    """Teams parted among controllers: a team's jobs are placed by one of them. Large guarantees
+    are dealt out first, each to the shard that has least so far; a shard may get no team."""
+    order = sorted(enumerate(teams), key=lambda entry: (-entry[1].gpus, -entry[1].cpus, entry[0]))
+    loads = [(0.0, 0.0, 0, shard) for shard in range(shards)]
+    result: dict[str, int] = {}
+    for _, team in order:
+        gpus, cpus, number, shard = min(loads)
+        result.setdefault(team.name, shard)
+        loads[shard] = (gpus + team.gpus, cpus + team.cpus, number + 1, shard)
+    return result
+
+
 @dataclass(frozen=True, slots=True)
 class Settings:
-    """The checked settings of one controller, with all that is derived from them."""
+    """The checked settings of one controller, with all that is derived from them. `busy_shards` are
+    those that have a team; with fewer teams than controllers some have none."""
 
     label: str
     zone: str
@@ -68,6 +82,14 @@
     list_lag_s: float
     fd_limit: int
     ram_mb: float
+    # what follows from the teams: asked for each job's record and at each look at the write rate
+    team_shards: dict[str, int] = field(init=False, repr=False, compare=False)
+    busy_shards: frozenset[int] = field(init=False, repr=False, compare=False)
+
+    def __post_init__(self) -> None:
+        shards = deal_out(self.teams, self.nodes)
+        object.__setattr__(self, "team_shards", shards)
+        object.__setattr__(self, "busy_shards", frozenset(shards.values()))
 
     @property
     def nodes(self) -> int:
@@ -176,11 +198,6 @@
         as a burst to one controller, and the state service allows a second's worth at once."""
         return self.state_lowest.write_rps / 5
 
-    @property
-    def busy_shards(self) -> frozenset[int]:
-        """Shards that have a team; with fewer teams than controllers some have none."""
-        return frozenset(self.shard_of_team(t.name) for t in self.teams)
-
     @property
     def cloud_pace(self) -> float:
         return 0.8 * self.cloud_rps
@@ -211,6 +228,11 @@
         """Rounds of decisions start at least this far apart."""
         return self.report_s / 12
 
+    @property
+    def maintenance_s(self) -> float:
+        """How often a shard's machines are looked through for those to be given up."""
+        return self.report_s / 2
+
     @property
     def round_budget_s(self) -> float:
         """A round's time for decisions; the next goes on where it stopped."""
@@ -320,13 +342,5 @@
         return next((t for t in self.teams if t.name == name), None)
 
     def shard_of_team(self, name: str) -> int:
-        """Teams parted among controllers: a team's jobs are placed by one of them. Large
-        guarantees are dealt out first, each to the shard that has least so far."""
-        order = sorted(self.teams, key=lambda t: (-t.gpus, -t.cpus, self.teams.index(t)))
-        loads = [(0.0, 0.0, 0, shard) for shard in range(self.nodes)]
-        for team in order:
-            gpus, cpus, number, shard = min(loads)
-            if team.name == name:
-                return shard
-            loads[shard] = (gpus + team.gpus, cpus + team.cpus, number + 1, shard)
-        return 0
+        """The shard whose owner places the team's jobs."""
+        return self.team_shards.get(name, 0)
--- /dev/null
+++ b/tests/test_room_cache.py
@@ -0,0 +1,113 @@
+"""Kept rooms are what would be worked out anew, after every event."""
+
+import random
+from dataclasses import fields
+from typing import Any
+
+import pytest
+
+from crossmill.cluster import keys
+from crossmill.cluster.cluster_state import ClusterState
+from crossmill.cluster.records import encode_job
+from crossmill.fleet.cloud import stored_catalog
+from crossmill.fleet.forecast import DemandForecast
+from crossmill.fleet.room_cache import SPARE_ENTRIES
+from crossmill.planning.rooms import Room, Zones, assign
+from crossmill.state.mirror import Mirror
+from crossmill.wire.cloud import MachineType, parse_catalog
+from crossmill.wire.state import Event
+
+from .standins import CATALOG, FakeClock, make_settings, make_spec
+
+MACHINES, JOBS = 6, 5
+
+
+def _facts(room: Room) -> dict[str, Any]:
+    skipped = {"slots", "taken"}
+    return {f.name: getattr(room, f.name) for f in fields(room) if f.name not in skipped}
+
+
+class _Story:
+    """A cluster that changes at random, as the watch tells of it."""
+
+    def __init__(self, seed: int) -> None:
+        self.lots = random.Random(seed)
+        self.mirror = Mirror()
+        self.mirror.revision = 0
+        self.cluster = ClusterState(self.mirror, make_settings())
+        self.forecast = DemandForecast(make_settings(), FakeClock(), self.cluster)
+        self.cache = self.forecast.new_cache()
+        self.attempt = 0
+        self.put(keys.CATALOG, stored_catalog(parse_catalog(CATALOG)))
+
+    def put(self, key: str, value: Any) -> None:
+        version = self.mirror.revision + 1
+        self.mirror.apply(version, [Event(key, value, version, value is None)])
+
+    def _change_machine(self) -> None:
+        name = f"n-{self.lots.randrange(MACHINES)}"
+        value = {
+            "type": self.lots.choice(["g4", "c16"]),
+            "zone": "north",
+            "spot": False,
+            "shard": self.lots.randrange(2),
+            "at": 0.0,
+            "retiring": "",
+            "up": True,
+        }
+        self.put(keys.machine(name), None if self.lots.random() < 0.2 else value)
+
+    def _change_job(self) -> None:
+        name = f"wk-{self.lots.randrange(JOBS):06d}"
+        spec = make_spec(nameId=name, sacks=8, recipe=f"img-{self.lots.randrange(20)}", pullGb=30.0)
+        self.put(keys.job(name), None if self.lots.random() < 0.2 else encode_job(spec, 0.0))
+
+    def _change_plan(self) -> None:
+        name = f"wk-{self.lots.randrange(JOBS):06d}"
+        self.attempt += 1
+        rows = [
+            [task, self.attempt, f"n-{self.lots.randrange(MACHINES)}", 1]
+            for task in range(8)
+            if self.lots.random() < 0.4
+        ]
+        value = {"next": self.attempt + 1, "done": "0", "rows": rows}
+        self.put(keys.plan(name, "0"), None if self.lots.random() < 0.2 else value)
+
+    def _plan_tasks(self) -> None:
+        """What a round does with the rooms that it gets."""
+        spec = make_spec(nameId="wk-999999", sacks=3)
+        assign(spec, 2, self.rooms(), Zones(spec, {}))
+
+    def rooms(self) -> list[Room]:
+        return self.forecast.cached_rooms(self.cache, self._machines())
+
+    def _machines(self) -> list[tuple[Any, MachineType]]:
+        catalog = self.cluster.catalog
+        return [(m, catalog[m.type]) for m in self.cluster.machines.values()]
+
+    def step(self) -> None:
+        changes = (self._change_machine, self._change_job, self._change_plan, self._plan_tasks)
+        self.lots.choice(changes)()
+        fresh = [self.forecast.room(machine, kind) for machine, kind in self._machines()]
+        assert [_facts(r) for r in self.rooms()] == [_facts(r) for r in fresh]
+
+
+@pytest.mark.parametrize("seed", range(8))
+def test_rooms_are_as_if_made_anew_after_every_event(seed: int) -> None:
+    # guards against placing tasks by what was free before a start, an end or a machine's change
+    story = _Story(seed)
+    for _ in range(300):
+        story.step()
+
+
+def test_an_unchanged_machine_keeps_its_room_and_gone_ones_are_dropped() -> None:
+    story = _Story(0)
+    value = {"type": "g4", "zone": "north", "spot": False, "shard": 0, "at": 0.0}
+    value.update(retiring="", up=True)
+    story.put(keys.machine("n-kept"), value)
+    kept = story.rooms()[0]
+    for number in range(2 * SPARE_ENTRIES):
+        story.put(keys.machine(f"n-{number}"), value)
+        assert story.rooms()[0] is kept
+        story.put(keys.machine(f"n-{number}"), None)
+    assert len(story.cache) <= SPARE_ENTRIES + 1
