--- a/crossmill/wire/workers.py
+++ b/crossmill/wire/workers.py
@@ -1,6 +1,7 @@
 """Reports of workers and the commands that answer them."""
 
 from dataclasses import dataclass
+from functools import lru_cache
 from typing import Any
 
 import orjson
@@ -11,6 +12,8 @@
 # an order takes at most 128 bytes, and a line or body at most 64 KiB
 MAX_ORDERS = 64 * 1024 // 128 - 8
 COMMANDS_PATH = "/commands"
+# more than one controller's workers run at a time; some 300 bytes each
+KEPT_TASK_REPORTS = 8192
 STATES = {s: s for s in ("fetching", "running", "saving", "exited")}
 # a gang's task that has its image and waits for the others
 STATES["gathering"] = "fetching"
@@ -26,7 +29,7 @@
 }
 
 
-@dataclass(slots=True)
+@dataclass(frozen=True, slots=True)
 class TaskReport:
     """One task in a worker's report."""
 
@@ -64,7 +67,10 @@
     grace_s: float = 0.0
 
 
-def _task(data: dict[str, Any]) -> TaskReport:
+@lru_cache(maxsize=KEPT_TASK_REPORTS, typed=True)
+def _task(sack: Any, turn: Any, stage: Any, cause: Any, kept: Any) -> TaskReport:
+    """A task as reported. Nearly all are as in the report before, so they are kept."""
+    data = {"sack": sack, "turn": turn, "stage": stage}
     job, _, index = checks.text(data, "sack").rpartition("/")
     if not job or not index.isdigit():
         raise checks.Malformed("sack: not a task")
@@ -74,11 +80,22 @@
         index=int(index),
         attempt=checks.count(data, "turn"),
         state=state,
-        why=CAUSES.get(data.get("cause") or "", "error") if state == "exited" else "",
-        saved=data.get("kept") is True,
+        why=CAUSES.get(cause or "", "error") if state == "exited" else "",
+        saved=kept is True,
     )
 
 
+def _tasks(tasks: list[dict[str, Any]]) -> list[TaskReport]:
+    try:
+        return [
+            _task(t.get("sack"), t.get("turn"), t.get("stage"), t.get("cause"), t.get("kept"))
+            for t in tasks
+        ]
+    except TypeError as exc:
+        # a list or an object where a plain value belongs
+        raise checks.Malformed("sacks: a task's fields are plain values") from exc
+
+
 def parse_report(data: dict[str, Any]) -> Report:
     tasks = data.get("sacks")
     if type(tasks) is not list or not all(type(t) is dict for t in tasks):
@@ -93,7 +110,7 @@
         seq=checks.count(data, "tally"),
         token=checks.count(data, "warrant"),
         notice_s=checks.optional_amount(data, "recallS"),
-        tasks=[_task(t) for t in tasks],
+        tasks=_tasks(tasks),
     )
 
 
--- /dev/null
+++ b/tests/full_fleet.py
@@ -0,0 +1,32 @@
+"""A fleet on which every GPU runs a task, for what is counted or profiled at size."""
+
+from crossmill.cluster import keys
+from crossmill.cluster.model import Chunk, Row
+from crossmill.cluster.records import encode_chunk
+
+from .harness import Node, add_job, add_machine, seed
+from .standins import FakeClock, StateService, on
+
+# GPUs of a machine, and the tasks of a job: it stands on four machines
+EACH, JOB_TASKS = 4, 16
+
+
+def full_fleet(state: StateService, clock: FakeClock, machines: int) -> None:
+    """Every GPU of the machines runs a task."""
+    seed(state, clock, machines=0)
+    for number in range(machines):
+        add_machine(state, clock, f"n-{number}")
+    for job in range(machines * EACH // JOB_TASKS):
+        # the highest priority, so that nothing may be stopped for anybody
+        name = f"wk-{job:06d}"
+        add_job(state, clock, nameId=name, sacks=JOB_TASKS, grist="batch", precedence="production")
+        rows = {i: Row(name, i, i + 1, f"n-{job * EACH + i // EACH}", 1) for i in range(JOB_TASKS)}
+        state.put(keys.plan(name, "0"), encode_chunk(Chunk(JOB_TASKS + 1, 0, rows)))
+
+
+def report_all(node: Node, machines: int, seq: int = 1) -> None:
+    """Every worker reports that its tasks run."""
+    for number in range(machines):
+        job, first = f"wk-{number // EACH:06d}", number % EACH * EACH
+        tasks = [on(job, first + i, first + i + 1, "running") for i in range(EACH)]
+        node.report(f"n-{number}", 1, seq, node.token(), *tasks)
--- /dev/null
+++ b/tests/profile_controller.py
@@ -0,0 +1,146 @@
+"""Where a controller's processor time and memory go: `python -m tests.profile_controller`.
+
+One whole controller over the stand-ins, at the size given, by phases: the start's reading, reports,
+rounds without news, a burst of jobs, and HTTP over loopback. Prints the processor time of each
+phase by part of the program, its dearest functions, and the memory held after the start by file.
+Not a part of the test command's verdict: times differ from machine to machine."""
+
+import argparse
+import cProfile
+import pstats
+import time
+import tracemalloc
+from collections import Counter
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+
+import curio
+import curio.socket as socket
+
+from crossmill.net.server import Request, Response, Server
+from crossmill.settings import Endpoint
+
+from .full_fleet import full_fleet, report_all
+from .harness import Node, add_job, play
+from .standins import FakeClock, StateService
+
+ROOT = Path(__file__).resolve().parent.parent
+REPEATS = 20
+SHOWN = 12
+HTTP_REQUESTS = 2000
+BODY = b'{"stone":"n-000231","sacks":[' + b" " * 400 + b"]}"
+REQUEST = b"POST /agent/beat HTTP/1.1\r\nhost: a\r\ncontent-length: %d\r\n\r\n" % len(BODY) + BODY
+
+
+def _part(filename: str) -> str:
+    """The package or module that a profiled function's time is counted for."""
+    path = Path(filename)
+    if path.is_relative_to(ROOT / "crossmill") or path.is_relative_to(ROOT / "tests"):
+        return "/".join(path.relative_to(ROOT).with_suffix("").parts[:3])
+    return next((name for name in ("h11", "curio") if name in path.parts), "python")
+
+
+def _print_profile(phase: str, profile: cProfile.Profile, spent_s: float, number: int) -> None:
+    stats = pstats.Stats(profile).stats  # type: ignore[attr-defined]
+    by_part: Counter[str] = Counter()
+    for (filename, _, _), (_, _, own_s, _, _) in stats.items():
+        by_part[_part(filename)] += own_s
+    print(f"\n{phase}: {1000 * spent_s / number:.3f} ms each of {number}")
+    for part, own_s in by_part.most_common(SHOWN):
+        print(f"  {1000 * own_s / number:9.3f} ms  {part}")
+    dearest = sorted(stats.items(), key=lambda entry: -entry[1][3])
+    for (filename, line, name), (_, calls, _, total_s, _) in dearest[: 2 * SHOWN]:
+        if _part(filename).startswith("crossmill"):
+            where = f"{_part(filename)}:{line}:{name}"
+            print(f"    {1000 * total_s / number:9.3f} ms with callees, {calls:7d} calls  {where}")
+
+
+async def _profiled(phase: str, run: Callable[[], Awaitable[object]], number: int = 1) -> None:
+    profile = cProfile.Profile(time.process_time)
+    begun = time.process_time()
+    profile.enable()
+    for _ in range(number):
+        await run()
+    profile.disable()
+    _print_profile(phase, profile, time.process_time() - begun, number)
+
+
+def _print_memory() -> None:
+    shown = tracemalloc.take_snapshot().statistics("filename")
+    print(f"\nmemory held: {sum(entry.size for entry in shown) / 1e6:.1f} MB")
+    for entry in shown[:SHOWN]:
+        part = _part(entry.traceback[0].filename)
+        print(f"  {entry.size / 1e6:9.2f} MB in {entry.count:8d} objects  {part}")
+
+
+async def _profile_http() -> None:
+    async def handler(request: Request) -> Response:
+        return Response(200)
+
+    async with socket.socket(socket.AF_INET, socket.SOCK_STREAM) as free:
+        free.bind(("127.0.0.1", 0))
+        port = int(free.getsockname()[1])
+    server = Server(Endpoint("127.0.0.1", port), handler, 8, 60.0)
+    await curio.spawn(server.run, daemon=True)
+    await curio.sleep(0.05)
+    async with socket.socket(socket.AF_INET, socket.SOCK_STREAM) as sock:
+        await sock.connect(("127.0.0.1", port))
+
+        async def exchange() -> None:
+            await sock.sendall(REQUEST)
+            await sock.recv(4096)
+
+        await _profiled("http exchange, both ends", exchange, HTTP_REQUESTS)
+
+
+async def _profile_controller(
+    state: StateService, clock: FakeClock, nodes: dict[str, Node], machines: int, jobs: int
+) -> None:
+    full_fleet(state, clock, machines)
+    node = Node(state, clock, nodes)
+    await _profiled("start: reading and taking shards", node.boot)
+    seq = 0
+
+    async def reports() -> None:
+        nonlocal seq
+        seq += 1
+        report_all(node, machines, seq)
+
+    await _profiled("reports of all machines", reports, REPEATS)
+    await _profiled("round without news", node.round, REPEATS)
+    for job in range(jobs):
+        add_job(state, clock, nameId=f"wk-{job + 100000:06d}", grist="batch")
+    await _profiled("watch: jobs of a burst", node.sync)
+    await _profiled("round with a burst waiting", node.round, REPEATS)
+
+    async def look() -> None:
+        node.forecast.look(0)
+
+    await _profiled("forecast of a shard", look, REPEATS)
+
+
+def main() -> None:
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--machines", type=int, default=304, help="default %(default)s")
+    parser.add_argument("--jobs", type=int, default=200, help="of the burst, default %(default)s")
+    args = parser.parse_args()
+
+    async def memory(state: StateService, clock: FakeClock, nodes: dict[str, Node]) -> None:
+        full_fleet(state, clock, args.machines)
+        node = Node(state, clock, nodes)
+        # a run by itself: what is traced takes several times as long
+        tracemalloc.start()
+        await node.boot()
+        _print_memory()
+        tracemalloc.stop()
+
+    async def story(state: StateService, clock: FakeClock, nodes: dict[str, Node]) -> None:
+        await _profile_controller(state, clock, nodes, args.machines, args.jobs)
+
+    play(memory)
+    play(story)
+    curio.run(_profile_http)
+
+
+if __name__ == "__main__":
+    main()
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -10,7 +10,6 @@
 
 from crossmill.cluster import keys
 from crossmill.cluster.model import Chunk, Job, Row
-from crossmill.cluster.records import encode_chunk
 from crossmill.jobs.outcome_batch import ChunkNews, select
 from crossmill.planning.rooms import Room
 from crossmill.settings import Team
@@ -19,11 +18,12 @@
 from crossmill.workers.findings import Finding
 
 from . import harness
-from .harness import Node, add_job, add_machine, play, seed
+from .full_fleet import EACH, full_fleet, report_all
+from .harness import Node, add_job, play
 from .standins import FakeClock, StateService, make_settings, on
 
 Nodes = dict[str, Node]
-MACHINES, EACH = 1000, 4
+MACHINES = 1000
 
 
 @pytest.fixture(autouse=True)
@@ -35,26 +35,6 @@
     )
 
 
-def _full_fleet(state: StateService, clock: FakeClock) -> None:
-    """Every GPU of a thousand machines runs a task; a job's sixteen stand on four of them."""
-    seed(state, clock, machines=0)
-    for number in range(MACHINES):
-        add_machine(state, clock, f"n-{number}")
-    for job in range(MACHINES * EACH // 16):
-        # the highest priority, so that nothing may be stopped for anybody
-        name = f"wk-{job:06d}"
-        add_job(state, clock, nameId=name, sacks=16, grist="batch", precedence="production")
-        rows = {i: Row(name, i, i + 1, f"n-{job * 4 + i // EACH}", 1) for i in range(16)}
-        state.put(keys.plan(name, "0"), encode_chunk(Chunk(17, 0, rows)))
-
-
-async def _heard(node: Node) -> None:
-    for number in range(MACHINES):
-        job, first = f"wk-{number // 4:06d}", number % 4 * EACH
-        tasks = [on(job, first + i, first + i + 1, "running") for i in range(EACH)]
-        node.report(f"n-{number}", 1, 1, node.token(), *tasks)
-
-
 def _count(monkeypatch: pytest.MonkeyPatch, counts: Counter[str], owner: type, name: str) -> None:
     real: Callable[..., Any] = getattr(owner, name)
 
@@ -72,12 +52,12 @@
     earlier jobs two fifths."""
 
     async def story(state: StateService, clock: FakeClock, nodes: Nodes) -> None:
-        _full_fleet(state, clock)
+        full_fleet(state, clock, MACHINES)
         for job in range(300):
             add_job(state, clock, nameId=f"wk-{job + 500:06d}", grist="batch")
         node = Node(state, clock, nodes)
         await node.boot()
-        await _heard(node)
+        report_all(node, MACHINES)
         counts: Counter[str] = Counter()
         _count(monkeypatch, counts, Room, "fits")
         _count(monkeypatch, counts, Job, "done_count")
@@ -91,10 +71,10 @@
 
 def test_a_report_looks_at_its_own_machine_only() -> None:
     async def story(state: StateService, clock: FakeClock, nodes: Nodes) -> None:
-        _full_fleet(state, clock)
+        full_fleet(state, clock, MACHINES)
         node = Node(state, clock, nodes)
         await node.boot()
-        await _heard(node)
+        report_all(node, MACHINES)
 
         class Keyed(dict[str, Any]):
             def __iter__(self) -> Any:
@@ -114,7 +94,7 @@
 
 def test_a_takeover_reads_by_pages_and_writes_no_more_than_the_shards_key() -> None:
     async def story(state: StateService, clock: FakeClock, nodes: Nodes) -> None:
-        _full_fleet(state, clock)
+        full_fleet(state, clock, MACHINES)
         stored = len(state.keys)
         node = Node(state, clock, nodes)
         await node.boot()
@@ -124,7 +104,7 @@
         assert state.puts <= 2 * node.settings.nodes + 2
         assert sum(j.row_count() for j in node.cluster.jobs.values()) == MACHINES * EACH
         before = state.puts
-        await _heard(node)
+        report_all(node, MACHINES)
         await node.round()
         assert state.puts == before
 
@@ -133,14 +113,14 @@
 
 def test_a_zone_that_falls_silent_is_asked_about_in_one_message_to_each_controller() -> None:
     async def story(state: StateService, clock: FakeClock, nodes: Nodes) -> None:
-        _full_fleet(state, clock)
+        full_fleet(state, clock, MACHINES)
         node = Node(state, clock, nodes, "node-1")
         await node.boot()
         for _ in range(12):
             clock.time += node.settings.hold_ttl_s / 3
             await node.keeper.step()
             await node.membership.step()
-        await _heard(node)
+        report_all(node, MACHINES)
         asked: list[int] = []
 
         class Line:
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -79,3 +79,16 @@
     longest = Command("stop", "wk-" + "9" * 18 + "/99999", 2**64 - 1, 123456.789)
     assert len(answer_body(2**64 - 1, [longest] * MAX_ORDERS)) < 64 * 1024
     assert len(direct_body(2**64 - 1, 2**64 - 1, [longest] * MAX_ORDERS)) < 64 * 1024
+
+
+@pytest.mark.parametrize(
+    "change", [{"turn": True}, {"turn": 1.0}, {"turn": [1]}, {"stage": {}}, {"cause": []}]
+)
+def test_a_kept_task_report_stands_for_no_other(change: dict[str, Any]) -> None:
+    # guards against a table of kept reports taking true, or 1.0, for the 1 that it holds
+    task = on("wk-000001", 0, 1, "running")
+    kept = parse_report(load_object(beat("n-0", 1, 1, 1, task)))
+    again = parse_report(load_object(beat("n-0", 1, 2, 1, task)))
+    assert again.tasks[0] is kept.tasks[0]
+    with pytest.raises(Malformed):
+        parse_report(load_object(beat("n-0", 1, 3, 1, {**task, **change})))
