--- a/crossmill/app.py
+++ b/crossmill/app.py
@@ -1,5 +1,6 @@
 """Wires the parts of a controller together."""
 
+import gc
 import logging
 import os
 
@@ -162,4 +163,8 @@
 
 
 def serve(settings: Settings) -> None:
-    curio.run(App(settings, Clock()).run)
+    """Runs a controller until it is killed."""
+    app = App(settings, Clock())
+    # what was loaded lives as long as the process: the collector need not go over it again
+    gc.freeze()
+    curio.run(app.run)
--- a/crossmill/cli.py
+++ b/crossmill/cli.py
@@ -7,8 +7,9 @@
 
 from . import __version__
 from .lazy_imports import defer_unused
-from .settings import BadSettings, load
+from .settings import BadSettings, Settings, load
 
+BAD_USAGE = 2
 LEVELS = {"error": logging.ERROR, "info": logging.INFO, "debug": logging.DEBUG}
 
 
@@ -70,29 +71,48 @@
     return parser
 
 
+def _load(path: str) -> Settings | None:
+    """The settings; None, with a line that says why, if they are bad."""
+    try:
+        return load(path)
+    except BadSettings as exc:
+        print(f"crossmill: {exc}", file=sys.stderr)
+        return None
+
+
+def _check(path: str) -> int:
+    settings = _load(path)
+    if settings is None:
+        return BAD_USAGE
+    print(f"{settings.label}: {settings.nodes} controllers, {len(settings.teams)} teams")
+    for name in ("hold_ttl_s", "renew_s", "worker_end_s", "writes_share", "cloud_pace"):
+        print(f"  {name} = {getattr(settings, name):.3f}")
+    return 0
+
+
+def _serve(path: str) -> int:
+    settings = _load(path)
+    if settings is None:
+        return BAD_USAGE
+    _name_lines(settings.label)
+    defer_unused()
+    from .app import serve
+
+    serve(settings)
+    return 0
+
+
 def main(argv: list[str] | None = None) -> int:
+    """Runs the command; returns its exit code."""
     args = _parser().parse_args(argv)
     bad_level = _logging()
     if bad_level is not None:
         print(f"LOG_LEVEL: {bad_level!r} is none of {', '.join(LEVELS)}", file=sys.stderr)
-        return 2
-    if args.verb in ("serve", "check"):
-        try:
-            settings = load(args.config)
-        except BadSettings as exc:
-            print(f"crossmill: {exc}", file=sys.stderr)
-            return 2
-        if args.verb == "check":
-            print(f"{settings.label}: {settings.nodes} controllers, {len(settings.teams)} teams")
-            for name in ("hold_ttl_s", "renew_s", "worker_end_s", "writes_share", "cloud_pace"):
-                print(f"  {name} = {getattr(settings, name):.3f}")
-            return 0
-        _name_lines(settings.label)
-        defer_unused()
-        from .app import serve
-
-        serve(settings)
-        return 0
+        return BAD_USAGE
+    if args.verb == "serve":
+        return _serve(args.config)
+    if args.verb == "check":
+        return _check(args.config)
     from .verbs import run
 
     return run(args)
