--- a/crossmill/net/request_heads.py
+++ b/crossmill/net/request_heads.py
@@ -70,7 +70,8 @@
             return
         if len(self._heads) >= self._most:
             del self._heads[next(iter(self._heads))]
-        self._heads[data[:end]] = head
+        # a copy: a slice of all of the data is the data, which lies in a block of the largest size
+        self._heads[bytes(memoryview(data)[:end])] = head
 
 
 def response_head(
--- a/crossmill/net/server.py
+++ b/crossmill/net/server.py
@@ -116,25 +116,28 @@
             self.open -= 1
 
     async def _converse(self, connection: _Connection) -> None:
-        """Answers one request after the other. The h11 connection is not told of those whose
-        heads it has read before: it stands between two requests before and after them."""
+        # nothing of a request is held while the next is waited for: with it would stay, for each
+        # connection, the memory that it was received into
+        while await self._serve_one(connection):
+            pass
+
+    async def _serve_one(self, connection: _Connection) -> bool:
+        """Answers the next request; false if the connection does not go on. The h11 connection is
+        not told of requests whose heads it has read before: it stands between two requests
+        before and after them."""
         conn, client = connection.h11, connection.sock
-        while True:
-            connection.reading_since = self._idle_checks
-            # the next request may have come with the last one; h11 holds it then
-            data = None if conn.trailing_data[0] else await client.recv(RECEIVE_BYTES)
-            known = self._heads.match(data) if data is not None else None
-            if known is None:
-                if not await self._exchange(connection, data):
-                    return
-                continue
-            connection.reading_since = None
-            head, body = known
-            response = await self._answer(Request(head.method, head.path, body))
-            sent = encoded_response_head(
-                response.status, len(response.body), response.retry_after_s
-            )
-            await client.sendall(sent + response.body)
+        connection.reading_since = self._idle_checks
+        # the next request may have come with the last one; h11 holds it then
+        data = None if conn.trailing_data[0] else await client.recv(RECEIVE_BYTES)
+        known = self._heads.match(data) if data is not None else None
+        if known is None:
+            return await self._exchange(connection, data)
+        connection.reading_since = None
+        head, body = known
+        response = await self._answer(Request(head.method, head.path, body))
+        sent = encoded_response_head(response.status, len(response.body), response.retry_after_s)
+        await client.sendall(sent + response.body)
+        return True
 
     async def _exchange(self, connection: _Connection, data: bytes | None) -> bool:
         """Reads a request by h11, and answers it; false if the connection does not go on."""
