--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -10,10 +10,13 @@
 
 from crossmill.cluster import keys
 from crossmill.cluster.model import Chunk, Job, Row
+from crossmill.cluster.records import encode_chunk
+from crossmill.fleet.forecast import DemandForecast
 from crossmill.jobs.outcome_batch import ChunkNews, select
 from crossmill.planning.rooms import Room
 from crossmill.settings import Team
 from crossmill.state.writer import OK, URGENT, Intent
+from crossmill.wire import checks
 from crossmill.wire.state import Put, Txn
 from crossmill.workers.findings import Finding
 
@@ -35,7 +38,7 @@
     )
 
 
-def _count(monkeypatch: pytest.MonkeyPatch, counts: Counter[str], owner: type, name: str) -> None:
+def _count(monkeypatch: pytest.MonkeyPatch, counts: Counter[str], owner: Any, name: str) -> None:
     real: Callable[..., Any] = getattr(owner, name)
 
     def counted(*args: Any, **kwargs: Any) -> Any:
@@ -191,3 +194,47 @@
         await task.cancel()
 
     play(story)
+
+
+@pytest.mark.parametrize("machines", [200, MACHINES])
+def test_a_round_makes_rooms_anew_for_changed_machines_only(
+    machines: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    # guards against rooms of the whole fleet in each round: a quarter of the rounds' time
+    async def story(state: StateService, clock: FakeClock, nodes: Nodes) -> None:
+        full_fleet(state, clock, machines)
+        add_job(state, clock, nameId="wk-900000", grist="batch")
+        counts: Counter[str] = Counter()
+        _count(monkeypatch, counts, DemandForecast, "room")
+        node = Node(state, clock, nodes)
+        await node.boot()
+        report_all(node, machines)
+        await node.round()
+        assert counts["room"] == machines
+        counts.clear()
+        await node.round()
+        assert counts["room"] == 0
+        # one task of one job ends: its machine alone is looked at anew
+        rows = {i: Row("wk-000000", i, i + 1, f"n-{i // EACH}", 1) for i in range(1, 16)}
+        state.put(keys.plan("wk-000000", "0"), encode_chunk(Chunk(17, 1, rows)))
+        await node.sync()
+        await node.round()
+        # of what is planned onto it in that round the next one learns
+        assert counts["room"] == 1
+
+    play(story)
+
+
+def test_a_report_without_news_checks_no_task_anew(monkeypatch: pytest.MonkeyPatch) -> None:
+    # guards against parsing every task of every machine in each report interval
+    async def story(state: StateService, clock: FakeClock, nodes: Nodes) -> None:
+        full_fleet(state, clock, 40)
+        node = Node(state, clock, nodes)
+        await node.boot()
+        report_all(node, 40, 1)
+        counts: Counter[str] = Counter()
+        _count(monkeypatch, counts, checks, "one_of")
+        report_all(node, 40, 2)
+        assert counts["one_of"] == 0
+
+    play(story)
