Bounds of kept heads and tasks follow from the memory, and none lies below 4,000 machines

Need: the service also runs at about 4,000 machines; request heads were kept up to 2,048, tasks of reports up to 8,192 and response heads up to 512. Past these every pass over the fleet dropped what the next one needs, so each steady report was parsed and checked in full.

Change: heads and tasks are bounded by parts of the memory in the settings (10,000 and 16,666 at 100 MB). Response heads are templates into which the length is filled, so their number depends on statuses only. The reader of tasks belongs to the reports, which the answers to direct commands share.

Measured by a count: 4,000 machines with 10,000 tasks reported twice; with the old bounds the second pass parsed all 4,000 heads and checked all 10,000 tasks again, now none.

--- a/crossmill/app.py
+++ b/crossmill/app.py
@@ -87,10 +87,18 @@
             settings, clock, self.cluster, self.membership, client, self.writer
         )
         self.server = Server(
-            settings.bind, self._handle, settings.server_sockets, 6 * settings.lease_s
+            settings.bind,
+            self._handle,
+            settings.server_sockets,
+            settings.idle_connection_s,
+            settings.kept_request_heads,
         )
         self.peer_server = Server(
-            settings.peer_listen, self._handle_peer, settings.peer_sockets, 6 * settings.lease_s
+            settings.peer_listen,
+            self._handle_peer,
+            settings.peer_sockets,
+            settings.idle_connection_s,
+            settings.kept_request_heads,
         )
 
     async def _handle_peer(self, request: Request) -> Response:
@@ -114,7 +122,7 @@
 
     async def _report(self, request: Request) -> Response:
         try:
-            report = workers.parse_report(load_object(request.body))
+            report = workers.parse_report(load_object(request.body), self.reports.read_task)
         except Malformed as exc:
             return Response(400, users.error_body(str(exc)))
         before = len(self.reports.findings)
--- a/crossmill/net/request_heads.py
+++ b/crossmill/net/request_heads.py
@@ -2,20 +2,20 @@
 
 Workers and users repeat themselves: on a kept connection nearly every request has, byte for byte,
 a head that came before. h11 is asked about each such head once; what it said of it is kept, in a
-bounded table. Only whole requests are taken, of a connection that goes on afterwards; anything
-else is left to h11."""
+table whose size the settings derive from the memory. Only whole requests are taken, of a connection
+that goes on afterwards; anything else is left to h11."""
 
 from functools import lru_cache
 from typing import NamedTuple
 
 import h11
 
-# more than the jobs and machines that one controller is asked about at a time; some 400 bytes each
-MAX_HEADS = 2048
 MAX_HEAD_BYTES = 1024
 END_OF_HEAD = b"\r\n\r\n"
-# answers are alike in all but their length
-MAX_RESPONSE_HEADS = 512
+# answers are alike in all but their length, for which this stands in their template
+LENGTH_PLACEHOLDER = 1_234_567_890
+# pairs of a status and a Retry-After; neither grows with the fleet
+MAX_RESPONSE_TEMPLATES = 256
 # h11 chooses a response's framing by the request: this stands for any that keeps its connection
 PLAIN_REQUEST = b"GET / HTTP/1.1\r\nhost: a\r\n\r\n"
 
@@ -44,7 +44,7 @@
 class RequestHeads:
     """The heads seen, oldest first."""
 
-    def __init__(self, most: int = MAX_HEADS) -> None:
+    def __init__(self, most: int) -> None:
         self._most = most
         self._heads: dict[bytes, RequestHead] = {}
 
@@ -86,11 +86,19 @@
     return h11.Response(status_code=status, headers=headers)
 
 
-@lru_cache(maxsize=MAX_RESPONSE_HEADS)
 def encoded_response_head(status: int, length: int, retry_after_s: int | None) -> bytes:
     """How h11 writes the head of a response on a connection that is kept."""
+    before, after = _response_template(status, retry_after_s)
+    return b"%b%d%b" % (before, length, after)
+
+
+@lru_cache(maxsize=MAX_RESPONSE_TEMPLATES)
+def _response_template(status: int, retry_after_s: int | None) -> tuple[bytes, bytes]:
+    """What h11 writes before and after the length in the head of such a response."""
     conn = h11.Connection(h11.SERVER)
     conn.receive_data(PLAIN_REQUEST)
     conn.next_event()
     conn.next_event()
-    return conn.send(response_head(status, length, retry_after_s, False)) or b""
+    head = conn.send(response_head(status, LENGTH_PLACEHOLDER, retry_after_s, False)) or b""
+    before, _, after = head.partition(b"%d" % LENGTH_PLACEHOLDER)
+    return before, after
--- a/crossmill/net/server.py
+++ b/crossmill/net/server.py
@@ -57,7 +57,12 @@
     by one task for all: a timer for each request costs more than many a request itself."""
 
     def __init__(
-        self, endpoint: Endpoint, handler: Handler, max_sockets: int, idle_s: float
+        self,
+        endpoint: Endpoint,
+        handler: Handler,
+        max_sockets: int,
+        idle_s: float,
+        kept_heads: int,
     ) -> None:
         self._endpoint = endpoint
         self._handler = handler
@@ -65,7 +70,7 @@
         self._idle_s = idle_s
         self._idle_checks = 0
         self._connections: dict[_Connection, curio.Task] = {}
-        self._heads = RequestHeads()
+        self._heads = RequestHeads(kept_heads)
         self.open = 0
 
     async def run(self) -> None:
--- a/crossmill/settings/model.py
+++ b/crossmill/settings/model.py
@@ -209,6 +209,21 @@
         With all controllers' shares, some 4 KB each, that is a tenth of the memory."""
         return max(100, int(self.ram_mb * 0.1 * 1e6 / 4096 / self.nodes))
 
+    @property
+    def kept_request_heads(self) -> int:
+        """Request heads that a server keeps: 400 bytes each, a twenty-fifth of the memory."""
+        return int(self.ram_mb * 0.04 * 1e6 / 400)
+
+    @property
+    def kept_task_reports(self) -> int:
+        """Tasks of reports that are kept: at some 300 bytes each a twentieth of the memory."""
+        return int(self.ram_mb * 0.05 * 1e6 / 300)
+
+    @property
+    def idle_connection_s(self) -> float:
+        """A connection on which no request was completed for this long is closed."""
+        return 6 * self.lease_s
+
     @property
     def fixed_wait_s(self) -> float:
         """Where a job without a deadline stands in the queue: arrival plus this."""
--- a/crossmill/wire/workers.py
+++ b/crossmill/wire/workers.py
@@ -1,5 +1,6 @@
 """Reports of workers and the commands that answer them."""
 
+from collections.abc import Callable
 from dataclasses import dataclass
 from functools import lru_cache
 from typing import Any, NamedTuple
@@ -12,8 +13,6 @@
 # an order takes at most 128 bytes, and a line or body at most 64 KiB
 MAX_ORDERS = 64 * 1024 // 128 - 8
 COMMANDS_PATH = "/commands"
-# more than one controller's workers run at a time; some 300 bytes each
-KEPT_TASK_REPORTS = 8192
 STATES = {s: s for s in ("fetching", "running", "saving", "exited")}
 # a gang's task that has its image and waits for the others
 STATES["gathering"] = "fetching"
@@ -66,9 +65,12 @@
     grace_s: float = 0.0
 
 
-@lru_cache(maxsize=KEPT_TASK_REPORTS, typed=True)
-def _task(sack: Any, turn: Any, stage: Any, cause: Any, kept: Any) -> TaskReport:
-    """A task as reported. Nearly all are as in the report before, so they are kept."""
+# reads one task of a report from its fields on the wire
+TaskReader = Callable[[Any, Any, Any, Any, Any], TaskReport]
+
+
+def read_task(sack: Any, turn: Any, stage: Any, cause: Any, kept: Any) -> TaskReport:
+    """A task as reported, checked."""
     data = {"sack": sack, "turn": turn, "stage": stage}
     job, _, index = checks.text(data, "sack").rpartition("/")
     if not job or not index.isdigit():
@@ -84,10 +86,15 @@
     )
 
 
-def _tasks(tasks: list[dict[str, Any]]) -> list[TaskReport]:
+def cached_task_reader(most: int) -> TaskReader:
+    """A reader that keeps up to so many tasks: nearly all are as in the report before."""
+    return lru_cache(maxsize=most, typed=True)(read_task)
+
+
+def _tasks(tasks: list[dict[str, Any]], read: TaskReader) -> list[TaskReport]:
     try:
         return [
-            _task(t.get("sack"), t.get("turn"), t.get("stage"), t.get("cause"), t.get("kept"))
+            read(t.get("sack"), t.get("turn"), t.get("stage"), t.get("cause"), t.get("kept"))
             for t in tasks
         ]
     except TypeError as exc:
@@ -95,7 +102,8 @@
         raise checks.Malformed("sacks: a task's fields are plain values") from exc
 
 
-def parse_report(data: dict[str, Any]) -> Report:
+def parse_report(data: dict[str, Any], read: TaskReader = read_task) -> Report:
+    """A worker's report, checked; raises Malformed."""
     tasks = data.get("sacks")
     if type(tasks) is not list or not all(type(t) is dict for t in tasks):
         raise checks.Malformed("sacks: a list is needed")
@@ -109,7 +117,7 @@
         seq=checks.count(data, "tally"),
         token=checks.count(data, "warrant"),
         notice_s=checks.optional_amount(data, "recallS"),
-        tasks=_tasks(tasks),
+        tasks=_tasks(tasks, read),
     )
 
 
--- a/crossmill/workers/direct.py
+++ b/crossmill/workers/direct.py
@@ -106,7 +106,7 @@
         if status not in (200, 409):
             return
         try:
-            report = parse_report(load_object(data))
+            report = parse_report(load_object(data), self._reports.read_task)
         except Malformed as exc:
             log.info("odd answer machine=%s error=%s", machine_id, exc)
             return
--- a/crossmill/workers/reports.py
+++ b/crossmill/workers/reports.py
@@ -12,7 +12,7 @@
 from ..cluster.model import Machine, Row
 from ..net.clock import Clock
 from ..settings import Settings
-from ..wire.workers import MAX_ORDERS, Command, Report, TaskReport
+from ..wire.workers import MAX_ORDERS, Command, Report, TaskReport, cached_task_reader
 from .findings import Attempt, Finding, Findings
 from .views import Verdict, View
 
@@ -45,6 +45,7 @@
         self._membership = membership
         self._deputies = deputies
         self._views: dict[str, View] = {}
+        self.read_task = cached_task_reader(settings.kept_task_reports)
         self.findings = Findings(cluster)
         # tasks to be stopped to make room or to drain, by attempt
         self.stopping: dict[Attempt, str] = {}
--- a/tests/harness.py
+++ b/tests/harness.py
@@ -190,7 +190,8 @@
         return self.membership.owned[shard].token
 
     def report(self, machine: str, session: int, seq: int, token: int, *tasks: Any) -> Answer:
-        report = parse_report(load_object(beat(machine, session, seq, token, *tasks)))
+        body = load_object(beat(machine, session, seq, token, *tasks))
+        report = parse_report(body, self.reports.read_task)
         return self.reports.handle(report)
 
     async def ask(self, method: str, path: str, body: bytes = b"") -> Response:
--- a/tests/test_request_heads.py
+++ b/tests/test_request_heads.py
@@ -25,7 +25,7 @@
 
 
 def test_a_noted_head_matches_whole_requests_only() -> None:
-    heads = RequestHeads()
+    heads = RequestHeads(most=8)
     heads.note(POST, _parsed(POST))
     known = RequestHead("POST", "/agent/beat", len(BODY))
     assert heads.match(POST) == (known, BODY)
@@ -47,7 +47,7 @@
     ],
 )
 def test_heads_that_say_more_than_a_length_are_left_to_h11(data: bytes) -> None:
-    heads = RequestHeads()
+    heads = RequestHeads(most=8)
     heads.note(data, _parsed(data))
     assert heads.match(data) is None and len(heads) == 0
 
@@ -102,7 +102,7 @@
 
     async def story() -> None:
         port = await _free_port()
-        server = Server(Endpoint("127.0.0.1", port), handler, 8, 60.0)
+        server = Server(Endpoint("127.0.0.1", port), handler, 8, 60.0, kept_heads=8)
         await curio.spawn(server.run, daemon=True)
         await curio.sleep(0.05)
         async with socket.socket(socket.AF_INET, socket.SOCK_STREAM) as sock:
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 import curio
+import h11
 import pytest
 
 from crossmill.cluster import keys
@@ -13,17 +14,20 @@
 from crossmill.cluster.records import encode_chunk
 from crossmill.fleet.forecast import DemandForecast
 from crossmill.jobs.outcome_batch import ChunkNews, select
+from crossmill.net.request_heads import RequestHeads
 from crossmill.planning.rooms import Room
 from crossmill.settings import Team
 from crossmill.state.writer import OK, URGENT, Intent
 from crossmill.wire import checks
+from crossmill.wire.checks import load_object
 from crossmill.wire.state import Put, Txn
+from crossmill.wire.workers import cached_task_reader, parse_report
 from crossmill.workers.findings import Finding
 
 from . import harness
 from .full_fleet import EACH, full_fleet, report_all
 from .harness import Node, add_job, play
-from .standins import FakeClock, StateService, make_settings, on
+from .standins import FakeClock, StateService, beat, make_settings, on
 
 Nodes = dict[str, Node]
 MACHINES = 1000
@@ -225,6 +229,44 @@
     play(story)
 
 
+def test_steady_reports_of_four_thousand_machines_cost_the_cheap_path(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    # guards against bounds of kept requests and tasks below the largest fleet: each pass over it
+    # would then drop what the next one needs
+    machines, tasks = 4000, 10_000
+    settings = make_settings()
+    heads = RequestHeads(settings.kept_request_heads)
+    read = cached_task_reader(settings.kept_task_reports)
+    counts: Counter[str] = Counter()
+    _count(monkeypatch, counts, checks, "one_of")
+
+    def report(machine: int) -> None:
+        body = beat(f"n-{machine}", 1, 1, 1, *(on("wk-1", i, 1, "running") for i in mine(machine)))
+        # each worker's head differs: it comes by an address of its own
+        target = f"/agent/beat?machine={machine}"
+        request = h11.Request(
+            method="POST",
+            target=target,
+            headers=[("host", "a"), ("content-length", str(len(body)))],
+        )
+        data = (h11.Connection(h11.CLIENT).send(request) or b"") + body
+        if heads.match(data) is None:
+            counts["parsed"] += 1
+            heads.note(data, request)
+        parse_report(load_object(body), read)
+
+    def mine(machine: int) -> range:
+        return range(machine * tasks // machines, (machine + 1) * tasks // machines)
+
+    for machine in range(machines):
+        report(machine)
+    assert counts == {"parsed": machines, "one_of": tasks}
+    for machine in range(machines):
+        report(machine)
+    assert counts == {"parsed": machines, "one_of": tasks}
+
+
 def test_a_report_without_news_checks_no_task_anew(monkeypatch: pytest.MonkeyPatch) -> None:
     # guards against parsing every task of every machine in each report interval
     async def story(state: StateService, clock: FakeClock, nodes: Nodes) -> None:
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -51,7 +51,7 @@
         free.bind(("127.0.0.1", 0))
         port = free.getsockname()[1]
         await free.close()
-        server = Server(Endpoint("127.0.0.1", port), _handler, 8, 0.5)
+        server = Server(Endpoint("127.0.0.1", port), _handler, 8, 0.5, kept_heads=8)
         await curio.spawn(server.run, daemon=True)
         await curio.sleep(0.05)
         answer = await curio.timeout_after(5.0, _converse, port, data, drip_s)
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -8,6 +8,7 @@
     MAX_ORDERS,
     Command,
     answer_body,
+    cached_task_reader,
     direct_body,
     parse_report,
 )
@@ -87,8 +88,9 @@
 def test_a_kept_task_report_stands_for_no_other(change: dict[str, Any]) -> None:
     # guards against a table of kept reports taking true, or 1.0, for the 1 that it holds
     task = on("wk-000001", 0, 1, "running")
-    kept = parse_report(load_object(beat("n-0", 1, 1, 1, task)))
-    again = parse_report(load_object(beat("n-0", 1, 2, 1, task)))
+    read = cached_task_reader(8)
+    kept = parse_report(load_object(beat("n-0", 1, 1, 1, task)), read)
+    again = parse_report(load_object(beat("n-0", 1, 2, 1, task)), read)
     assert again.tasks[0] is kept.tasks[0]
     with pytest.raises(Malformed):
-        parse_report(load_object(beat("n-0", 1, 3, 1, {**task, **change})))
+        parse_report(load_object(beat("n-0", 1, 3, 1, {**task, **change})), read)
