--- a/crossmill/app.py
+++ b/crossmill/app.py
@@ -3,6 +3,8 @@
 import gc
 import logging
 import os
+from collections.abc import Awaitable, Callable
+from typing import TYPE_CHECKING
 
 import curio
 
@@ -31,11 +33,19 @@
 from .workers.direct import Direct
 from .workers.reports import Reports
 
+if TYPE_CHECKING:
+    from .multihost.settings import MultihostSettings
+
 log = logging.getLogger(__name__)
 
 
 class App:
-    def __init__(self, settings: Settings, clock: Clock) -> None:
+    """All parts of one controller. Those of multi-machine replicas are there only with their own
+    settings; without them nothing of `multihost` is loaded."""
+
+    def __init__(
+        self, settings: Settings, clock: Clock, multihost: "MultihostSettings | None" = None
+    ) -> None:
         self.settings = settings
         client = StateClient(settings, clock)
         mirror = Mirror()
@@ -101,6 +111,38 @@
             settings.kept_request_heads,
         )
 
+        self._loops: list[Callable[[], Awaitable[None]]] = [
+            self.server.run,
+            self.peer_server.run,
+            self.keeper.run,
+            self.follower.run,
+            self.follower.run_syncs,
+            self.writer.run,
+            self.membership.run,
+            self.feature_level.run,
+            self.deputies.run,
+            self.rounds.run,
+            self.record_repair.run,
+            self.leader.run,
+        ]
+        if multihost is not None:
+            self._add_multihost(multihost, clock)
+
+    def _add_multihost(self, multihost: "MultihostSettings", clock: Clock) -> None:
+        from .multihost.service import MultihostService
+
+        service = MultihostService(
+            self.settings,
+            multihost,
+            clock,
+            self.cluster,
+            self.membership,
+            self.follower,
+            self.writer,
+            os.urandom(8).hex(),
+        )
+        self._loops += service.loops
+
     async def _handle_peer(self, request: Request) -> Response:
         if request.path in (peers.QUIET_PATH, peers.ENDING_PATH):
             return self.deputies.handle(request)
@@ -136,20 +178,7 @@
     async def run(self) -> None:
         s = self.settings
         log.info("starting controller=%s zone=%s bind=%s:%d", s.label, s.zone, *_pair(s))
-        for run in (
-            self.server.run,
-            self.peer_server.run,
-            self.keeper.run,
-            self.follower.run,
-            self.follower.run_syncs,
-            self.writer.run,
-            self.membership.run,
-            self.feature_level.run,
-            self.deputies.run,
-            self.rounds.run,
-            self.record_repair.run,
-            self.leader.run,
-        ):
+        for run in self._loops:
             await curio.spawn(_guard, run, daemon=True)
         await curio.Event().wait()
 
@@ -170,9 +199,9 @@
             await curio.sleep(1.0)
 
 
-def serve(settings: Settings) -> None:
+def serve(settings: Settings, multihost: "MultihostSettings | None" = None) -> None:
     """Runs a controller until it is killed."""
-    app = App(settings, Clock())
+    app = App(settings, Clock(), multihost)
     # what was loaded lives as long as the process: the collector need not go over it again
     gc.freeze()
     curio.run(app.run)
--- a/crossmill/cli.py
+++ b/crossmill/cli.py
@@ -4,11 +4,15 @@
 import logging
 import os
 import sys
+from typing import TYPE_CHECKING
 
 from . import __version__
 from .lazy_imports import defer_unused
 from .settings import BadSettings, Settings, load
 
+if TYPE_CHECKING:
+    from .multihost.settings import MultihostSettings
+
 BAD_USAGE = 2
 LEVELS = {"error": logging.ERROR, "info": logging.INFO, "debug": logging.DEBUG}
 
@@ -31,7 +35,7 @@
         handler.setFormatter(logging.Formatter(line))
 
 
-def _parser() -> argparse.ArgumentParser:
+def _parser(argv: list[str]) -> argparse.ArgumentParser:
     parser = argparse.ArgumentParser(
         prog="crossmill",
         description="A scheduler for fleets that serve language models.",
@@ -45,6 +49,9 @@
     ):
         verb = verbs.add_parser(name, help=text, description=text)
         verb.add_argument("--config", required=True, metavar="FILE", help="settings (TOML)")
+        verb.add_argument(
+            "--multihost", metavar="FILE", help="also schedule multi-machine replicas (TOML)"
+        )
     submit = verbs.add_parser("submit", help="submit a job read as JSON")
     submit.add_argument("file", help="the job's JSON, or - for standard input")
     submit.add_argument(
@@ -59,18 +66,30 @@
     for verb in (show, cancel):
         verb.add_argument("job", help="the job's id")
     for verb in (submit, show, cancel):
-        verb.add_argument(
-            "--server",
-            metavar="HOST:PORT",
-            default=os.environ.get("CROSSMILL_SERVER", "127.0.0.1:8080"),
-            help="a controller or the load balancer (CROSSMILL_SERVER; default %(default)s)",
-        )
-        verb.add_argument(
-            "--timeout", type=float, default=5.0, metavar="S", help="default %(default)s"
+        _add_client_options(
+            verb, "CROSSMILL_SERVER", "127.0.0.1:8080", "a controller or the load balancer"
         )
+    replicas = verbs.add_parser("replicas", help="multi-machine replicas: list, declare, drain")
+    if argv[:1] == ["replicas"]:
+        # a start of a controller does not pay for verbs that it has no use for
+        from .multihost.verbs import add_replica_verbs
+
+        add_replica_verbs(replicas, _add_client_options)
     return parser
 
 
+def _add_client_options(
+    verb: argparse.ArgumentParser, variable: str, default: str, what: str
+) -> None:
+    verb.add_argument(
+        "--server",
+        metavar="HOST:PORT",
+        default=os.environ.get(variable, default),
+        help=f"{what} ({variable}; default %(default)s)",
+    )
+    verb.add_argument("--timeout", type=float, default=5.0, metavar="S", help="default %(default)s")
+
+
 def _load(path: str) -> Settings | None:
     """The settings; None, with a line that says why, if they are bad."""
     try:
@@ -80,39 +99,67 @@
         return None
 
 
-def _check(path: str) -> int:
+def _load_multihost(path: str | None, settings: Settings) -> "MultihostSettings | None":
+    """The settings of multi-machine replicas, if a file is given; raises BadSettings."""
+    if path is None:
+        return None
+    from .multihost.settings import load as load_multihost
+
+    return load_multihost(path, settings)
+
+
+def _check(path: str, multihost_path: str | None) -> int:
     settings = _load(path)
     if settings is None:
         return BAD_USAGE
+    try:
+        multihost = _load_multihost(multihost_path, settings)
+    except BadSettings as exc:
+        print(f"crossmill: {exc}", file=sys.stderr)
+        return BAD_USAGE
     print(f"{settings.label}: {settings.nodes} controllers, {len(settings.teams)} teams")
     for name in ("hold_ttl_s", "renew_s", "worker_end_s", "writes_share", "cloud_pace"):
         print(f"  {name} = {getattr(settings, name):.3f}")
+    if multihost is not None:
+        print(f"multi-machine replicas on {multihost.listen.host}:{multihost.listen.port}")
+        for name in ("heartbeat_s", "detection_s", "serving_lease_s", "agent_lease_s"):
+            print(f"  {name} = {getattr(multihost, name):.3f}")
     return 0
 
 
-def _serve(path: str) -> int:
+def _serve(path: str, multihost_path: str | None) -> int:
     settings = _load(path)
     if settings is None:
         return BAD_USAGE
+    try:
+        multihost = _load_multihost(multihost_path, settings)
+    except BadSettings as exc:
+        print(f"crossmill: {exc}", file=sys.stderr)
+        return BAD_USAGE
     _name_lines(settings.label)
     defer_unused()
     from .app import serve
 
-    serve(settings)
+    serve(settings, multihost)
     return 0
 
 
 def main(argv: list[str] | None = None) -> int:
     """Runs the command; returns its exit code."""
-    args = _parser().parse_args(argv)
+    argv = sys.argv[1:] if argv is None else argv
+    args = _parser(argv).parse_args(argv)
     bad_level = _logging()
     if bad_level is not None:
         print(f"LOG_LEVEL: {bad_level!r} is none of {', '.join(LEVELS)}", file=sys.stderr)
         return BAD_USAGE
     if args.verb == "serve":
-        return _serve(args.config)
+        return _serve(args.config, args.multihost)
     if args.verb == "check":
-        return _check(args.config)
+        return _check(args.config, args.multihost)
+    if args.verb == "replicas":
+        from .multihost.verbs import run as run_replicas
+
+        return run_replicas(args)
     from .verbs import run
 
     return run(args)
--- /dev/null
+++ b/crossmill/client_command.py
@@ -0,0 +1,61 @@
+"""What the client verbs of the command line share: input, request, answer."""
+
+import sys
+from typing import NamedTuple
+
+import curio
+
+from .net.client import Client, Unanswered, Unreached
+from .settings import Endpoint
+
+BAD_USAGE = 2
+FAILED = 1
+SUCCESSES = (200, 201)
+
+
+class BadUsage(ValueError):
+    """The arguments can't be used; the text says why."""
+
+
+class ClientRequest(NamedTuple):
+    """A request of a client verb."""
+
+    method: str
+    path: str
+    body: bytes = b""
+
+
+def read_input(file_name: str) -> bytes:
+    """A file's content, or standard input for `-`; raises BadUsage."""
+    if file_name == "-":
+        return sys.stdin.buffer.read()
+    try:
+        with open(file_name, "rb") as file:
+            return file.read()
+    except OSError as exc:
+        raise BadUsage(f"{file_name}: {exc.strerror}") from exc
+
+
+def parse_server(server: str) -> Endpoint:
+    """The address given with --server; raises BadUsage."""
+    host, _, port = server.rpartition(":")
+    if not host or not port.isdigit():
+        raise BadUsage(f"--server: {server!r} is not HOST:PORT")
+    return Endpoint(host, int(port))
+
+
+def send(server: Endpoint, timeout_s: float, request: ClientRequest) -> int:
+    """Sends the request and prints the answer; the exit code."""
+    client = Client(server)
+    try:
+        status, data = curio.run(
+            client.request, request.method, request.path, request.body, timeout_s
+        )
+    except (Unreached, Unanswered) as exc:
+        print(f"crossmill: {exc}", file=sys.stderr)
+        return FAILED
+    print(data.decode("utf-8", "replace"))
+    if status not in SUCCESSES:
+        print(f"crossmill: status {status}", file=sys.stderr)
+        return FAILED
+    return 0
--- /dev/null
+++ b/crossmill/multihost/agents.py
@@ -0,0 +1,99 @@
+"""What the pool's owner knows of the machines from their agents' heartbeats.
+
+Everything here ends with the ownership: the next owner believes only agents that it has itself
+answered."""
+
+from collections import OrderedDict
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+from enum import Enum
+
+from ..wire.multihost import Heartbeat, MemberReport
+
+
+class Freshness(Enum):
+    """What a heartbeat is worth."""
+
+    # a late copy of an earlier one, or one that overtook it
+    STALE = "stale"
+    # made before the agent had an answer of this owner: nothing in it is believed
+    GREETING = "greeting"
+    NEW = "new"
+
+
+@dataclass(slots=True, eq=False)
+class AgentView:
+    """A machine as its newest believed heartbeat shows it."""
+
+    machine: str
+    heard_at: float = 0.0
+    # the machine was alive at this moment: an answer sent then has arrived there
+    alive_at: float | None = None
+    session: int = 0
+    sequence: int = -1
+    address: str = ""
+    notice_at: float | None = None
+    images: frozenset[str] = frozenset()
+    members: dict[str, MemberReport] = field(default_factory=dict)
+    # reports of the newest heartbeat that contradict the plan or one another
+    rejected: int = 0
+
+    @property
+    def is_trusted(self) -> bool:
+        """Whether a heartbeat was believed since the ownership began."""
+        return self.alive_at is not None
+
+
+class Agents:
+    """The views of all machines, the one heard longest ago first."""
+
+    def __init__(self, process: str) -> None:
+        # names this process in the proofs that it hands out
+        self.process = process
+        self._views: OrderedDict[str, AgentView] = OrderedDict()
+
+    def __len__(self) -> int:
+        return len(self._views)
+
+    def get(self, machine: str) -> AgentView | None:
+        """The machine's view, if it was heard."""
+        return self._views.get(machine)
+
+    def clear(self) -> None:
+        """The ownership has ended."""
+        self._views.clear()
+
+    def forget(self, machine: str) -> None:
+        """The machine has left the pool."""
+        self._views.pop(machine, None)
+
+    def silent_since(self, moment: float) -> Iterator[AgentView]:
+        """The views of machines not heard since the moment, oldest first; looks no further than
+        the first that was."""
+        for view in self._views.values():
+            if view.heard_at >= moment:
+                return
+            yield view
+
+    def note(self, beat: Heartbeat, token: int, now: float) -> Freshness:
+        """Takes a heartbeat in. It is believed if it returns a proof of this process, made under
+        the owner's token, and is the newest of its agent."""
+        view = self._views.get(beat.machine)
+        if view is None:
+            view = self._views[beat.machine] = AgentView(beat.machine, heard_at=now)
+        if (beat.session, beat.sequence) <= (view.session, view.sequence):
+            return Freshness.STALE
+        proof = beat.proof
+        if proof is None or proof.process != self.process or beat.token != token:
+            return Freshness.GREETING
+        is_newer = view.alive_at is None or proof.sent > view.alive_at
+        view.session, view.sequence = beat.session, beat.sequence
+        if is_newer:
+            # a heartbeat that was long under way shows only that the machine lived then
+            view.alive_at = proof.sent
+            view.heard_at = now
+            self._views.move_to_end(beat.machine)
+        view.address = beat.address
+        view.notice_at = None if beat.notice_s is None else now + beat.notice_s
+        view.images = frozenset(beat.images)
+        return Freshness.NEW
--- /dev/null
+++ b/crossmill/multihost/coordinator.py
@@ -0,0 +1,448 @@
+"""The pool's owner: notices what has changed, and takes each replica a step further.
+
+A round looks only at replicas and sets of which something has changed or is due. Whatever it
+decides is durable before an agent hears of it, so a controller may end at any moment: the next
+owner finds every replica in a phase from which it goes on."""
+
+import heapq
+import logging
+from collections.abc import Iterable
+from dataclasses import replace
+from itertools import count
+
+import curio
+
+from ..cluster.membership import Membership, Owned
+from ..net.clock import Clock
+from ..state.writer import Intent
+from .agents import Agents
+from .failure_scores import FailureScores
+from .lifecycle import (
+    Action,
+    Decision,
+    MemberStatus,
+    Moment,
+    Situation,
+    decide,
+    first_contact_s,
+    is_silent,
+    member_status,
+    recent_restarts,
+    start_limit_s,
+)
+from .model import Member, Replica, ReplicaId, ReplicaSet
+from .phases import Phase
+from .pool import PoolState
+from .registration import Registration
+from .scheduling import Scheduler
+from .serving import ServingLeases
+from .sets import PREEMPTED, plan_set
+from .settings import MultihostSettings
+from .writes import PoolWriter, advanced
+
+log = logging.getLogger(__name__)
+
+# the phase that follows from an action that changes nothing else
+PHASE_OF = {
+    Action.CONFIRM: Phase.READY,
+    Action.REPAIR: Phase.REPAIRING,
+    Action.RELEASE: Phase.PENDING,
+    Action.DRAIN: Phase.DRAINING,
+    Action.STOP: Phase.STOPPED,
+    Action.FAIL: Phase.FAILED,
+    Action.RETRY: Phase.PENDING,
+}
+
+
+class Coordinator:
+    """Runs rounds while this controller owns the pool."""
+
+    def __init__(
+        self,
+        settings: MultihostSettings,
+        clock: Clock,
+        membership: Membership,
+        pool: PoolState,
+        agents: Agents,
+        leases: ServingLeases,
+        writes: PoolWriter,
+        registration: Registration,
+    ) -> None:
+        self._settings = settings
+        self._clock = clock
+        self._membership = membership
+        self._pool = pool
+        self._agents = agents
+        self._leases = leases
+        self._writes = writes
+        self._registration = registration
+        self._failures = FailureScores(settings.failure_half_life_s)
+        self._scheduler = Scheduler(settings, pool, agents, self._failures)
+        self.wake = curio.Event()
+        self._pending_wake = False
+        # the token under which the present ownership began
+        self._term: int | None = None
+        self._due: list[tuple[float, int, ReplicaId]] = []
+        self._due_at: dict[ReplicaId, float] = {}
+        self._numbers = count()
+        self._silent: set[str] = set()
+        # replicas whose members' state has changed since they were last looked at
+        self._news: set[ReplicaId] = set()
+        # ranks whose machines are left out when their replica is repaired
+        self._suspects: dict[ReplicaId, frozenset[int]] = {}
+        # how often a replica was looked at, since the start
+        self.looks = 0
+        pool.on_change = self._note_change
+        membership.on_lost.append(self._lost)
+
+    # -- what wakes a round ----------------------------------------------------------
+
+    def _note_change(self) -> None:
+        self._pending_wake = True
+
+    def note_heartbeat(self, machine: str, replicas: set[ReplicaId]) -> None:
+        """A heartbeat brought news of replicas, or of a machine."""
+        self._news |= replicas
+        self._pending_wake = True
+
+    async def wake_if_news(self) -> None:
+        """Ends the nap between two rounds if there is something to look at."""
+        if self._pending_wake:
+            await self.wake.set()
+
+    async def run(self) -> None:
+        """Rounds, as soon as something has changed and whenever something is due."""
+        while True:
+            own = self._membership.commanding(self._settings.pool_shard)
+            if own is not None:
+                await self.round(own)
+            await curio.sleep(self._settings.heartbeat_s / 20)
+            if not self._pending_wake:
+                await curio.ignore_after(self._nap_s(), self.wake.wait)
+            self.wake.clear()
+            self._pending_wake = False
+
+    def _nap_s(self) -> float:
+        """Until something is due; a silent machine is noticed by looking each half heartbeat."""
+        longest = self._settings.heartbeat_s / 2
+        if self._due:
+            return max(0.0, min(longest, self._due[0][0] - self._clock.now()))
+        return longest
+
+    def _lost(self, shard: int) -> None:
+        """All that was believed of the agents ends with the ownership."""
+        if shard == self._settings.pool_shard:
+            self._forget_all()
+
+    def _forget_all(self) -> None:
+        self._term = None
+        self._agents.clear()
+        self._leases.clear()
+        self._failures.clear()
+        self._scheduler.clear()
+        self._due.clear()
+        self._due_at.clear()
+        self._silent.clear()
+        self._suspects.clear()
+
+    def _begin_term(self, own: Owned) -> None:
+        """The first round of an ownership looks at everything."""
+        self._forget_all()
+        self._term = own.term
+        self._pool.changes.replicas |= set(self._pool.replicas)
+        self._pool.changes.sets |= set(self._pool.sets) | set(self._pool.replicas_of)
+        self._pool.changes.machines |= set(self._pool.machines)
+        log.info(
+            "pool owned machines=%d sets=%d replicas=%d",
+            len(self._pool.machines),
+            len(self._pool.sets),
+            len(self._pool.replicas),
+        )
+
+    def moment(self, own: Owned) -> Moment:
+        """Now, as decisions see it."""
+        return Moment(self._clock.now(), self._clock.wall(), own.acquired_at)
+
+    # -- one round -------------------------------------------------------------------
+
+    async def round(self, own: Owned) -> None:
+        """Takes every replica that has changed or is due a step further."""
+        if self._term != own.term:
+            self._begin_term(own)
+        moment = self.moment(own)
+        await self._registration.admit(own)
+        self._notice_silence(moment)
+        self._notice_machines()
+        changes = self._pool.take_changes()
+        replicas = changes.replicas | self._news | self._due_now(moment.now)
+        sets = changes.sets
+        self._news = set()
+        intents = self._look_at_machines(own, changes.machines)
+        sets |= {r.set_name for r in replicas} | self._scheduler.waiting_sets()
+        allowed = self._look_at_sets(own, moment, sets, intents)
+        to_clear: list[tuple[Replica, bool]] = []
+        # what one replica of a set has come to may let another one be stopped
+        for replica_id in sorted(replicas | allowed):
+            replica = self._pool.replicas.get(replica_id)
+            if replica is not None:
+                self._step(own, moment, replica, replica_id in allowed, intents, to_clear)
+        await self._writes.submit(intents)
+        for replica, record_too in to_clear:
+            await self._writes.clear(own, replica, record_too)
+        await self._place(own, moment)
+
+    def _notice_silence(self, moment: Moment) -> None:
+        """Machines that have just been silent for too long: their replicas are looked at."""
+        for view in self._agents.silent_since(moment.now - self._settings.detection_s):
+            if view.machine not in self._silent:
+                self._silent.add(view.machine)
+                log.info("machine silent machine=%s", view.machine)
+                self._touch_machine(view.machine)
+        for machine in list(self._silent):
+            view_now = self._agents.get(machine)
+            if view_now is None or not is_silent(view_now, moment, self._settings):
+                self._silent.discard(machine)
+                log.info("machine heard again machine=%s", machine)
+                self._touch_machine(machine)
+
+    def _notice_machines(self) -> None:
+        for machine in self._pool.changes.machines:
+            self._touch_machine(machine)
+
+    def _touch_machine(self, machine_id: str) -> None:
+        machine = self._pool.machines.get(machine_id)
+        if machine is not None:
+            self._news |= machine.planned.keys()
+        view = self._agents.get(machine_id)
+        if view is not None:
+            reported = (ReplicaId.parse(name) for name in view.members)
+            self._news |= {r for r in reported if r is not None and r in self._pool.replicas}
+
+    def _due_now(self, now: float) -> set[ReplicaId]:
+        due: set[ReplicaId] = set()
+        while self._due and self._due[0][0] <= now:
+            at, _, replica_id = heapq.heappop(self._due)
+            if self._due_at.get(replica_id) == at:
+                del self._due_at[replica_id]
+                due.add(replica_id)
+        return due
+
+    def _look_again(self, replica_id: ReplicaId, at: float) -> None:
+        known = self._due_at.get(replica_id)
+        if known is not None and known <= at:
+            return
+        self._due_at[replica_id] = at
+        heapq.heappush(self._due, (at, next(self._numbers), replica_id))
+
+    def _look_at_machines(self, own: Owned, changed: Iterable[str]) -> list[Intent]:
+        """Machines that were returned are taken out of the pool."""
+        gone = [
+            m for m in changed if m in self._pool.machines and self._pool.record_version(m) == 0
+        ]
+        for machine_id in gone:
+            self._agents.forget(machine_id)
+            self._silent.discard(machine_id)
+            log.info("machine left the pool machine=%s", machine_id)
+        return [self._writes.deletion_of_machine(own, m) for m in gone]
+
+    # -- sets ------------------------------------------------------------------------
+
+    def _look_at_sets(
+        self, own: Owned, moment: Moment, names: Iterable[str], intents: list[Intent]
+    ) -> set[ReplicaId]:
+        """Creates and marks replicas; returns those that the disruption budget lets stop."""
+        allowed: set[ReplicaId] = set()
+        for name in sorted(names):
+            stored = self._pool.sets.get(name)
+            if stored is None:
+                continue
+            replicas = self._pool.replicas_of.get(name, {})
+            plan = plan_set(
+                stored,
+                replicas,
+                self._evacuated(replicas.values()),
+                self._scheduler.waits_in_vain(name, moment.now),
+            )
+            allowed |= plan.may_stop
+            for replica_id, reason in plan.leaving.items():
+                self._mark_leaving(own, replica_id, reason, intents)
+            if plan.create:
+                intents.append(self._writes.creation(own, stored, plan.create, self._clock.wall()))
+            if plan.is_over:
+                intents.append(self._writes.deletion_of_set(own, stored))
+        return allowed
+
+    def _evacuated(self, replicas: Iterable[Replica]) -> dict[ReplicaId, str]:
+        """Replicas with a member on a machine that is to be emptied or will be taken away."""
+        evacuated: dict[ReplicaId, str] = {}
+        for replica in replicas:
+            for member in replica.all_members():
+                reason = self._leaving_reason(member.machine)
+                if reason:
+                    evacuated[replica.id] = reason
+        return evacuated
+
+    def _leaving_reason(self, machine_id: str) -> str:
+        machine = self._pool.machines.get(machine_id)
+        view = self._agents.get(machine_id)
+        if machine is not None and machine.draining:
+            return f"machine {machine_id} is drained: {machine.draining}"
+        if view is not None and view.notice_at is not None:
+            return f"machine {machine_id} is taken away soon"
+        return ""
+
+    def _mark_leaving(
+        self, own: Owned, replica_id: ReplicaId, reason: str, intents: list[Intent]
+    ) -> None:
+        replica = self._pool.replicas[replica_id]
+        after = replace(replica, leaving=reason)
+        log.info("replica leaves replica=%s reason=%s", replica_id, reason)
+        intents.append(self._writes.transition(own, replica, after))
+
+    # -- replicas --------------------------------------------------------------------
+
+    def _situation(
+        self, replica: Replica, stored: ReplicaSet, moment: Moment, may_stop: bool
+    ) -> Situation:
+        members = replica.members()
+        statuses = {m.rank: self._status(m, replica, moment) for m in members}
+        front = next((m for m in members if m.rank == 0), None)
+        front_view = self._agents.get(front.machine) if front is not None else None
+        unreachable: frozenset[int] = frozenset()
+        if front_view is not None and statuses.get(0) is MemberStatus.LOADED:
+            unreachable = frozenset(front_view.members[str(replica.id)].unreachable)
+        granted = self._leases.granted_machine(replica.id)
+        granted_view = self._agents.get(granted) if granted is not None else None
+        slowest = min(
+            (
+                self._pool.machines[m.machine].fetch_gb_per_s
+                for m in members
+                if m.machine in self._pool.machines
+            ),
+            default=1.0,
+        )
+        return Situation(
+            statuses,
+            unreachable & statuses.keys(),
+            self._leases.fenced_at(replica, moment.owned_since, granted_view),
+            start_limit_s(stored.spec, slowest, self._settings),
+            may_stop,
+            self._all_gone(replica, moment),
+        )
+
+    def _status(self, member: Member, replica: Replica, moment: Moment) -> MemberStatus:
+        if member.machine not in self._pool.machines:
+            return MemberStatus.LOST
+        view = self._agents.get(member.machine)
+        return member_status(member, replica, view, moment, self._settings)
+
+    def _all_gone(self, replica: Replica, moment: Moment) -> bool:
+        """Whether no agent can still run a member: it says so, or must have stopped it."""
+        for member in replica.all_members():
+            if member.machine not in self._pool.machines:
+                continue
+            view = self._agents.get(member.machine)
+            last = moment.owned_since
+            if view is not None and view.is_trusted:
+                if str(replica.id) not in view.members:
+                    continue
+                last = max(last, view.heard_at)
+            if moment.now - last <= self._settings.agent_lease_s * 1.1:
+                return False
+        return True
+
+    def _step(
+        self,
+        own: Owned,
+        moment: Moment,
+        replica: Replica,
+        may_stop: bool,
+        intents: list[Intent],
+        to_clear: list[tuple[Replica, bool]],
+    ) -> None:
+        self.looks += 1
+        stored = self._pool.sets.get(replica.id.set_name)
+        if replica.version == 0 or stored is None:
+            # a record that was read before, or is gone after, the one that it belongs to
+            return
+        situation = self._situation(replica, stored, moment, may_stop)
+        decision = decide(replica, stored.spec, situation, moment, self._settings)
+        if decision.look_at is not None:
+            self._look_again(replica.id, decision.look_at)
+        if MemberStatus.UNHEARD in situation.statuses.values():
+            first_contact = moment.owned_since + first_contact_s(self._settings)
+            self._look_again(replica.id, first_contact + self._settings.heartbeat_s / 20)
+        if decision.action is Action.PLACE:
+            self._scheduler.add(replica.id, moment.now)
+            return
+        self._scheduler.remove(replica.id)
+        match decision.action:
+            case Action.WAIT:
+                return
+            case Action.CLEAR:
+                to_clear.append((replica, False))
+            case Action.DELETE:
+                self._leases.forget(replica.id)
+                self._suspects.pop(replica.id, None)
+                to_clear.append((replica, True))
+            case _:
+                intents.append(self._transition(own, moment, replica, stored, decision))
+
+    def _transition(
+        self, own: Owned, moment: Moment, replica: Replica, stored: ReplicaSet, decision: Decision
+    ) -> Intent:
+        after = advanced(replica, PHASE_OF[decision.action], moment.wall, decision.reason)
+        if decision.action is Action.REPAIR:
+            recent = recent_restarts(replica, stored.spec, moment.wall)
+            after.restarts = (*recent, moment.wall)
+        if decision.suspects:
+            self._suspects[replica.id] = decision.suspects
+            for member in replica.members():
+                if member.rank in decision.suspects:
+                    self._failures.note_failure(member.machine, moment.now)
+        elif decision.action is Action.CONFIRM:
+            self._suspects.pop(replica.id, None)
+        log.info(
+            "replica phase replica=%s from=%s to=%s generation=%d reason=%s",
+            replica.id,
+            replica.phase,
+            after.phase,
+            after.generation,
+            decision.reason,
+        )
+        return self._writes.transition(own, replica, after)
+
+    # -- placing ---------------------------------------------------------------------
+
+    async def _place(self, own: Owned, moment: Moment) -> None:
+        """Reserves machines for those that wait, one replica after another in the total order."""
+        for choice in self._scheduler.choose(moment, self._suspects):
+            if choice.victims:
+                await self._preempt(own, choice.victims, choice.replica_id)
+            if choice.placement is None:
+                continue
+            replica = self._pool.replicas.get(choice.replica_id)
+            if replica is None:
+                continue
+            placed = await self._writes.reserve(
+                own, replica, choice.placement, moment.wall, choice.reason
+            )
+            if placed:
+                self._scheduler.remove(choice.replica_id)
+                after = self._pool.replicas[choice.replica_id]
+                log.info(
+                    "replica placed replica=%s generation=%d members=%d kept=%d load_s=%.1f",
+                    choice.replica_id,
+                    after.generation,
+                    len(choice.placement.places),
+                    choice.placement.kept,
+                    choice.placement.ready_s,
+                )
+
+    async def _preempt(
+        self, own: Owned, victims: tuple[ReplicaId, ...], waiting: ReplicaId
+    ) -> None:
+        intents: list[Intent] = []
+        for victim in victims:
+            self._mark_leaving(own, victim, f"{PREEMPTED} {waiting}", intents)
+        await self._writes.submit(intents)
--- /dev/null
+++ b/crossmill/multihost/records.py
@@ -0,0 +1,149 @@
+"""Stored formats of replica sets, replicas, members and pool machines, field by field.
+
+Other versions of the program read them, so a format changes only here; unknown fields are
+ignored."""
+
+from typing import Any
+
+from .model import (
+    Member,
+    MemberChunk,
+    PhaseChange,
+    PoolMachine,
+    Replica,
+    ReplicaId,
+    ReplicaSet,
+    ReplicaSetSpec,
+    Resources,
+)
+from .phases import Phase
+
+# entries of a replica's history that are kept
+HISTORY_LENGTH = 8
+# what older versions of the program read as a machine type that no catalog has: they put nothing
+# on such a machine and never give it up
+RESERVED_TYPE_PREFIX = "multihost/"
+
+
+def encode_set(stored: ReplicaSet) -> dict[str, Any]:
+    """The record of a declaration."""
+    spec = stored.spec
+    return {
+        "name": spec.name,
+        "members": spec.members,
+        "replicas": spec.replicas,
+        "resources": list(spec.resources),
+        "image": spec.image,
+        "image_gb": spec.image_gb,
+        "priority": spec.priority,
+        "zones": list(spec.zones),
+        "one_zone": spec.one_zone,
+        "spread": spec.spread,
+        "min_ready": spec.min_ready,
+        "restart_budget": spec.restart_budget,
+        "restart_window_s": spec.restart_window_s,
+        "hold_s": spec.hold_s,
+        "removed": stored.removed,
+        "next": stored.next_index,
+    }
+
+
+def decode_set(value: dict[str, Any], version: int) -> ReplicaSet:
+    """A declaration from its record."""
+    spec = ReplicaSetSpec(
+        name=value["name"],
+        members=value["members"],
+        replicas=value["replicas"],
+        resources=Resources(*value["resources"]),
+        image=value["image"],
+        image_gb=value["image_gb"],
+        priority=value["priority"],
+        zones=tuple(value["zones"]),
+        one_zone=value["one_zone"],
+        spread=value["spread"],
+        min_ready=value["min_ready"],
+        restart_budget=value["restart_budget"],
+        restart_window_s=value["restart_window_s"],
+        hold_s=value["hold_s"],
+    )
+    return ReplicaSet(spec, value["removed"], value["next"], version)
+
+
+def encode_replica(replica: Replica) -> dict[str, Any]:
+    """The record of a replica, without its members."""
+    return {
+        "phase": replica.phase.value,
+        "generation": replica.generation,
+        "chunks": replica.chunk_count,
+        "since": replica.since,
+        "reason": replica.reason,
+        "leaving": replica.leaving,
+        "restarts": list(replica.restarts),
+        "history": [[c.phase.value, c.at, c.reason] for c in replica.history[-HISTORY_LENGTH:]],
+    }
+
+
+def decode_replica(replica_id: ReplicaId, value: dict[str, Any], version: int) -> Replica:
+    """A replica from its record; its members are read from records of their own."""
+    return Replica(
+        replica_id,
+        Phase(value["phase"]),
+        value["generation"],
+        value["chunks"],
+        value["since"],
+        value["reason"],
+        value["leaving"],
+        tuple(value["restarts"]),
+        tuple(PhaseChange(Phase(p), at, reason) for p, at, reason in value["history"]),
+        version=version,
+    )
+
+
+def encode_chunk(generation: int, members: tuple[Member, ...]) -> dict[str, Any]:
+    """The record of a stretch of members."""
+    return {"generation": generation, "members": [list(m) for m in members]}
+
+
+def decode_chunk(value: dict[str, Any], version: int) -> MemberChunk:
+    """A stretch of members from its record."""
+    return MemberChunk(value["generation"], tuple(Member(*m) for m in value["members"]), version)
+
+
+def encode_machine(machine: PoolMachine) -> dict[str, Any]:
+    """The record of a pool machine."""
+    return {
+        "zone": machine.zone,
+        "capacity": list(machine.capacity),
+        "fetch_gb_per_s": machine.fetch_gb_per_s,
+        "draining": machine.draining,
+    }
+
+
+def decode_machine(machine_id: str, value: dict[str, Any], version: int) -> PoolMachine:
+    """A pool machine from its record."""
+    return PoolMachine(
+        machine_id,
+        value["zone"],
+        Resources(*value["capacity"]),
+        value["fetch_gb_per_s"],
+        value["draining"],
+        version,
+    )
+
+
+def reservation_record(
+    machine_type: str, zone: str, spot: bool, shard: int, rented: float
+) -> dict[str, Any]:
+    """The ordinary record of a pool machine, in the format that every version reads. Its type keeps
+    single-machine tasks and the return of idle machines away; it is never counted as up, so that
+    its silence towards the ordinary interface says nothing about its zone."""
+    return {
+        "type": RESERVED_TYPE_PREFIX + machine_type,
+        "zone": zone,
+        "spot": spot,
+        "shard": shard,
+        "token": 0,
+        "at": rented,
+        "retiring": "",
+        "up": False,
+    }
--- /dev/null
+++ b/crossmill/multihost/writes.py
@@ -0,0 +1,216 @@
+"""Transactions of the pool's owner: transitions, reservations, deletions.
+
+Each rests on the shard's key, so that it does nothing once another controller owns the pool, and on
+the versions of the records that it was decided on."""
+
+import logging
+from collections.abc import Sequence
+from dataclasses import replace as with_changes
+
+from ..cluster import keys as cluster_keys
+from ..cluster.membership import Membership, Owned
+from ..jobs.shard_writes import shard_intent
+from ..state.writer import OK, PLACE, URGENT, Intent, Writer
+from ..wire.state import Put, Txn
+from . import keys
+from .model import Member, PhaseChange, Replica, ReplicaId, ReplicaSet
+from .phases import Phase, next_generation
+from .placement import Placement
+from .pool import PoolState
+from .records import HISTORY_LENGTH, encode_chunk, encode_replica, encode_set
+
+log = logging.getLogger(__name__)
+
+# the longest encoding of a member in a record
+MEMBER_BYTES = 96
+
+
+def advanced(replica: Replica, phase: Phase, wall: float, reason: str) -> Replica:
+    """The replica after a transition; raises IllegalTransition."""
+    change = PhaseChange(phase, wall, reason)
+    return with_changes(
+        replica,
+        phase=phase,
+        generation=next_generation(replica.generation, replica.phase, phase),
+        since=wall,
+        reason=reason,
+        history=(*replica.history, change)[-HISTORY_LENGTH:],
+    )
+
+
+class PoolWriter:
+    """Writes for the owner of the pool, counted."""
+
+    def __init__(
+        self, membership: Membership, writer: Writer, pool: PoolState, pool_shard: int
+    ) -> None:
+        self._membership = membership
+        self._writer = writer
+        self._pool = pool
+        self._shard = pool_shard
+        self.transactions = 0
+
+    def _intent(self, own: Owned, rank: int, txn: Txn) -> Intent:
+        self.transactions += 1
+        return shard_intent(self._membership, self._shard, own, rank, txn)
+
+    async def _commit(self, own: Owned, rank: int, txn: Txn) -> bool:
+        return await self._writer.commit(self._intent(own, rank, txn)) == OK
+
+    async def submit(self, intents: Sequence[Intent]) -> list[bool]:
+        """Sends all, then waits for all."""
+        for intent in intents:
+            await self._writer.submit(intent)
+        return [await intent.future.wait() == OK for intent in intents]
+
+    # -- single records --------------------------------------------------------------
+
+    def transition(self, own: Owned, replica: Replica, after: Replica) -> Intent:
+        """A replica's record, changed. What ends service is urgent."""
+        key = keys.replica(replica.id)
+        rank = PLACE if after.phase in (Phase.PENDING, Phase.STOPPED) else URGENT
+        return self._intent(
+            own, rank, Txn({key: replica.version}, [Put(key, encode_replica(after))])
+        )
+
+    def creation(self, own: Owned, stored: ReplicaSet, number: int, wall: float) -> Intent:
+        """New replicas of a set, and its counter of their numbers. As many as one transaction
+        takes; the rest follows."""
+        number = min(number, self._writer.limits.txn_ops - 1)
+        set_key = keys.replica_set(stored.spec.name)
+        after = ReplicaSet(stored.spec, stored.removed, stored.next_index + number)
+        txn = Txn({set_key: stored.version}, [Put(set_key, encode_set(after))])
+        for index in range(stored.next_index, after.next_index):
+            replica_id = ReplicaId(stored.spec.name, index)
+            history = (PhaseChange(Phase.PENDING, wall, "declared"),)
+            replica = Replica(replica_id, since=wall, reason="declared", history=history)
+            key = keys.replica(replica_id)
+            txn.conditions[key] = 0
+            txn.puts.append(Put(key, encode_replica(replica)))
+        return self._intent(own, PLACE, txn)
+
+    def deletion_of_set(self, own: Owned, stored: ReplicaSet) -> Intent:
+        """The record of a removed set without replicas."""
+        key = keys.replica_set(stored.spec.name)
+        return self._intent(own, PLACE, Txn({key: stored.version}, [], [key]))
+
+    def deletion_of_machine(self, own: Owned, machine_id: str) -> Intent:
+        """The pool's record of a machine that was returned: its ordinary record is gone."""
+        key = keys.machine(machine_id)
+        version = self._pool.machines[machine_id].version
+        conditions = {key: version, cluster_keys.machine(machine_id): 0}
+        return self._intent(own, PLACE, Txn(conditions, [], [key]))
+
+    async def clear(self, own: Owned, replica: Replica, record_too: bool) -> bool:
+        """Deletes the members' records, and at last the replica's own if it is to go."""
+        most = max(1, self._writer.limits.txn_ops - 1)
+        chunks = sorted(replica.chunks)
+        for first in range(0, len(chunks), most):
+            txn = Txn({keys.replica(replica.id): replica.version})
+            for number in chunks[first : first + most]:
+                key = keys.members(replica.id, number)
+                txn.conditions[key] = replica.chunks[number].version
+                txn.deletes.append(key)
+            if record_too and first + most >= len(chunks):
+                txn.deletes.append(keys.replica(replica.id))
+            if not await self._commit(own, PLACE, txn):
+                return False
+        if record_too and not chunks:
+            key = keys.replica(replica.id)
+            return await self._commit(own, PLACE, Txn({key: replica.version}, [], [key]))
+        return True
+
+    # -- reservations ----------------------------------------------------------------
+
+    def members_per_chunk(self) -> int:
+        """How many members one transaction reserves, with a condition on each machine."""
+        limits = self._writer.limits
+        by_size = limits.record_bytes // MEMBER_BYTES
+        return max(1, min(limits.machines_per_txn, by_size))
+
+    def _split(self, replica: Replica, members: Sequence[Member]) -> list[tuple[Member, ...]]:
+        """The members' records. A reservation under way keeps their number: limits may differ
+        from those that it was begun under."""
+        size = self.members_per_chunk()
+        return [tuple(members[i : i + size]) for i in range(0, len(members), size)]
+
+    def _reservation(
+        self, replica: Replica, number: int, generation: int, members: tuple[Member, ...]
+    ) -> Txn:
+        """Reserves the machines of some members: none of them may be on its way out."""
+        key = keys.members(replica.id, number)
+        known = replica.chunks.get(number)
+        txn = Txn({key: known.version if known else 0})
+        txn.conditions[keys.replica(replica.id)] = replica.version
+        for member in members:
+            machine_key = cluster_keys.machine(member.machine)
+            txn.conditions[machine_key] = self._pool.record_version(member.machine)
+        txn.puts.append(Put(key, encode_chunk(generation, members)))
+        return txn
+
+    async def reserve(
+        self, own: Owned, replica: Replica, placement: Placement, wall: float, reason: str
+    ) -> bool:
+        """Reserves all machines and begins the start. In one transaction if it takes them all;
+        else in steps under a durable intent (the phase), which this owner or the next goes on
+        with or undoes."""
+        members = self._members(replica, placement)
+        chunks = self._split(replica, members)
+        if len(chunks) == 1 and replica.chunk_count <= 1:
+            return await self._reserve_at_once(own, replica, chunks[0], wall, reason)
+        return await self._reserve_in_steps(own, replica, chunks, wall, reason)
+
+    @staticmethod
+    def _members(replica: Replica, placement: Placement) -> list[Member]:
+        before = {m.rank: m for m in replica.all_members()}
+        members = []
+        for rank, machine, session in placement.places:
+            old = before.get(rank)
+            attempt = 1 if old is None else old.attempt + (old.machine != machine)
+            members.append(Member(rank, machine, session, attempt))
+        return members
+
+    async def _reserve_at_once(
+        self,
+        own: Owned,
+        replica: Replica,
+        members: tuple[Member, ...],
+        wall: float,
+        reason: str,
+    ) -> bool:
+        after = advanced(replica, Phase.STARTING, wall, reason)
+        after.chunk_count = 1
+        txn = self._reservation(replica, 0, after.generation, members)
+        txn.puts.append(Put(keys.replica(replica.id), encode_replica(after)))
+        return await self._commit(own, PLACE, txn)
+
+    async def _reserve_in_steps(
+        self,
+        own: Owned,
+        replica: Replica,
+        chunks: list[tuple[Member, ...]],
+        wall: float,
+        reason: str,
+    ) -> bool:
+        if replica.phase is Phase.PENDING:
+            after = advanced(replica, Phase.RESERVING, wall, reason)
+            after.chunk_count = len(chunks)
+            if not all(await self.submit([self.transition(own, replica, after)])):
+                return False
+            replica = self._pool.replicas[replica.id]
+        for number, members in enumerate(chunks):
+            known = replica.chunks.get(number)
+            done = known is not None and known.generation == replica.generation
+            if done and known is not None and known.members == members:
+                continue
+            txn = self._reservation(replica, number, replica.generation, members)
+            if not await self._commit(own, PLACE, txn):
+                return False
+        replica = self._pool.replicas[replica.id]
+        after = advanced(replica, Phase.STARTING, wall, reason)
+        after.chunk_count = len(chunks)
+        key = keys.replica(replica.id)
+        txn = Txn({key: replica.version}, [Put(key, encode_replica(after))])
+        for number in [n for n in replica.chunks if n >= len(chunks)]:
+            txn.deletes.append(keys.members(replica.id, number))
+        return await self._commit(own, PLACE, txn)
--- a/crossmill/verbs.py
+++ b/crossmill/verbs.py
@@ -1,14 +1,12 @@
-"""The client verbs of the command line."""
+"""The client verbs about jobs."""
 
 import argparse
 import sys
 from collections.abc import Sequence
 
-import curio
 import orjson
 
-from .net.client import Client, Unanswered, Unreached
-from .settings import Endpoint
+from .client_command import BAD_USAGE, BadUsage, ClientRequest, parse_server, read_input, send
 from .wire.checks import Malformed, load_object
 from .wire.users import JOBS_PATH, NEEDS, WITHDRAW
 
@@ -22,41 +20,25 @@
     return orjson.dumps(data)
 
 
-def run(args: argparse.Namespace) -> int:
-    """Sends the request of a client verb and prints the answer; the exit code."""
-    host, _, port = args.server.rpartition(":")
-    if not host or not port.isdigit():
-        print(f"--server: {args.server!r} is not HOST:PORT", file=sys.stderr)
-        return 2
-    body = b""
+def _request(args: argparse.Namespace) -> ClientRequest:
+    """The request of a verb; raises BadUsage."""
     if args.verb == "submit":
         try:
-            if args.file == "-":
-                body = sys.stdin.buffer.read()
-            else:
-                with open(args.file, "rb") as file:
-                    body = file.read()
-        except OSError as exc:
-            print(f"{args.file}: {exc.strerror}", file=sys.stderr)
-            return 2
-        try:
-            body = with_needs(body, args.after)
+            body = with_needs(read_input(args.file), args.after)
         except Malformed as exc:
-            print(f"{args.file}: {exc}", file=sys.stderr)
-            return 2
-        method, path = "POST", JOBS_PATH
-    elif args.verb == "show":
-        method, path = "GET", f"{JOBS_PATH}/{args.job}"
-    else:
-        method, path = "POST", f"{JOBS_PATH}/{args.job}/{WITHDRAW}"
-    client = Client(Endpoint(host, int(port)))
+            raise BadUsage(f"{args.file}: {exc}") from exc
+        return ClientRequest("POST", JOBS_PATH, body)
+    if args.verb == "show":
+        return ClientRequest("GET", f"{JOBS_PATH}/{args.job}")
+    return ClientRequest("POST", f"{JOBS_PATH}/{args.job}/{WITHDRAW}")
+
+
+def run(args: argparse.Namespace) -> int:
+    """Sends the request of a client verb and prints the answer; the exit code."""
     try:
-        status, data = curio.run(client.request, method, path, body, args.timeout)
-    except (Unreached, Unanswered) as exc:
-        print(f"crossmill: {exc}", file=sys.stderr)
-        return 1
-    print(data.decode("utf-8", "replace"))
-    if status not in (200, 201):
-        print(f"crossmill: status {status}", file=sys.stderr)
-        return 1
-    return 0
+        server = parse_server(args.server)
+        request = _request(args)
+    except BadUsage as exc:
+        print(exc, file=sys.stderr)
+        return BAD_USAGE
+    return send(server, args.timeout, request)
--- /dev/null
+++ b/crossmill/wire/multihost.py
@@ -0,0 +1,310 @@
+"""Messages between controllers, agents and operators about multi-machine replicas.
+
+The protocol is crossmill's own: agents (one a machine) send heartbeats to the controller that owns
+the pool, whose answers carry orders; the front member's agent pings the others. PROTOCOL's
+interfaces know nothing of it. Unknown fields are ignored; another protocol version is refused."""
+
+from enum import StrEnum
+from typing import Any, NamedTuple
+
+import orjson
+
+from . import checks
+
+PROTOCOL_VERSION = 1
+BASE_PATH = "/multihost/v1"
+HEARTBEAT_PATH = BASE_PATH + "/heartbeat"
+PING_PATH = BASE_PATH + "/ping"
+SETS_PATH = BASE_PATH + "/replica-sets"
+REPLICAS_PATH = BASE_PATH + "/replicas"
+MACHINES_PATH = BASE_PATH + "/machines"
+
+# more members than one machine runs at a time
+MAX_REPORTED_MEMBERS = 256
+
+
+class MemberState(StrEnum):
+    """What an agent says of a member."""
+
+    LOADING = "loading"
+    # it has its weights and has confirmed its generation
+    LOADED = "loaded"
+    FAILED = "failed"
+    # the machine has no room for it at the moment
+    REFUSED = "refused"
+
+
+class Op(StrEnum):
+    """What an agent is ordered to do."""
+
+    START = "start"
+    STOP = "stop"
+    SERVE = "serve"
+
+
+class Proof(NamedTuple):
+    """Names an answer of a controller: the process that sent it and when, by that process's steady
+    clock. A heartbeat that returns it was sent after that answer had arrived."""
+
+    process: str
+    sent: float
+
+
+class MemberReport(NamedTuple):
+    """A member as its agent sees it."""
+
+    replica: str
+    rank: int
+    generation: int
+    state: MemberState
+    # ranks that the front member has not reached for as long as its lease on them lasts
+    unreachable: tuple[int, ...] = ()
+
+
+class Offer(NamedTuple):
+    """What a machine brings into the pool."""
+
+    type: str
+    zone: str
+    spot: bool
+    cpus: float
+    gpus: float
+    memory_gb: float
+    fetch_gb_per_s: float
+
+
+class Heartbeat(NamedTuple):
+    """An agent's report. The larger (session, sequence) is the newer one."""
+
+    machine: str
+    address: str
+    offer: Offer
+    session: int
+    sequence: int
+    token: int
+    proof: Proof | None
+    notice_s: float | None
+    images: tuple[str, ...]
+    members: tuple[MemberReport, ...]
+
+
+class PeerAddress(NamedTuple):
+    """Where a member of a replica is reached."""
+
+    rank: int
+    address: str
+
+
+class Order(NamedTuple):
+    """What an agent is to do with a member. A lease is counted from the sending of the heartbeat
+    that the order answers."""
+
+    op: Op
+    replica: str
+    rank: int
+    generation: int
+    image: str = ""
+    image_gb: float = 0.0
+    resources: tuple[float, float, float] = (0.0, 0.0, 0.0)
+    peers: tuple[PeerAddress, ...] = ()
+    lease_s: float = 0.0
+
+
+class HeartbeatAnswer(NamedTuple):
+    """A controller's answer to a heartbeat."""
+
+    token: int
+    proof: Proof
+    orders: tuple[Order, ...]
+
+
+class Ping(NamedTuple):
+    """The front member asks another member whether it runs the same generation."""
+
+    replica: str
+    rank: int
+    generation: int
+
+
+def _check_version(data: dict[str, Any]) -> None:
+    version = checks.count(data, "version")
+    if version != PROTOCOL_VERSION:
+        raise checks.Malformed(f"version: {PROTOCOL_VERSION} is needed")
+
+
+def _objects(data: dict[str, Any], name: str, most: int) -> list[dict[str, Any]]:
+    rows = data.get(name)
+    if type(rows) is not list or not all(type(r) is dict for r in rows):
+        raise checks.Malformed(f"{name}: a list of objects is needed")
+    if len(rows) > most:
+        raise checks.Malformed(f"{name}: {most} at most")
+    return rows
+
+
+def _object(data: dict[str, Any], name: str) -> dict[str, Any]:
+    value = data.get(name)
+    if type(value) is not dict:
+        raise checks.Malformed(f"{name}: an object is needed")
+    return value
+
+
+def _texts(data: dict[str, Any], name: str) -> tuple[str, ...]:
+    value = data.get(name, [])
+    if type(value) is not list or not all(type(v) is str for v in value):
+        raise checks.Malformed(f"{name}: a list of strings is needed")
+    return tuple(value)
+
+
+def _ranks(data: dict[str, Any], name: str) -> tuple[int, ...]:
+    value = data.get(name, [])
+    if type(value) is not list or not all(type(v) is int and v >= 0 for v in value):
+        raise checks.Malformed(f"{name}: a list of ranks is needed")
+    return tuple(value)
+
+
+def _encode_proof(proof: Proof | None) -> dict[str, Any] | None:
+    return None if proof is None else proof._asdict()
+
+
+def _parse_proof(data: dict[str, Any]) -> Proof | None:
+    if data.get("proof") is None:
+        return None
+    proof = _object(data, "proof")
+    return Proof(checks.text(proof, "process"), checks.amount(proof, "sent"))
+
+
+def _parse_member(data: dict[str, Any]) -> MemberReport:
+    states = {state.value: state.value for state in MemberState}
+    return MemberReport(
+        replica=checks.text(data, "replica"),
+        rank=checks.count(data, "rank"),
+        generation=checks.count(data, "generation"),
+        state=MemberState(checks.one_of(data, "state", states)),
+        unreachable=_ranks(data, "unreachable"),
+    )
+
+
+def heartbeat_body(beat: Heartbeat) -> bytes:
+    """A heartbeat as it is sent."""
+    return orjson.dumps(
+        {
+            "version": PROTOCOL_VERSION,
+            "machine": beat.machine,
+            "address": beat.address,
+            "offer": beat.offer._asdict(),
+            "session": beat.session,
+            "sequence": beat.sequence,
+            "token": beat.token,
+            "proof": _encode_proof(beat.proof),
+            "notice_s": beat.notice_s,
+            "images": list(beat.images),
+            "members": [m._asdict() for m in beat.members],
+        }
+    )
+
+
+def parse_heartbeat(body: bytes) -> Heartbeat:
+    """A heartbeat, checked; raises Malformed."""
+    data = checks.load_object(body)
+    _check_version(data)
+    offer = _object(data, "offer")
+    return Heartbeat(
+        machine=checks.text(data, "machine"),
+        address=checks.text(data, "address"),
+        offer=Offer(
+            type=checks.text(offer, "type"),
+            zone=checks.text(offer, "zone"),
+            spot=checks.flag(offer, "spot"),
+            cpus=checks.amount(offer, "cpus"),
+            gpus=checks.amount(offer, "gpus"),
+            memory_gb=checks.amount(offer, "memory_gb"),
+            fetch_gb_per_s=checks.amount(offer, "fetch_gb_per_s"),
+        ),
+        session=checks.count(data, "session", low=1),
+        sequence=checks.count(data, "sequence"),
+        token=checks.count(data, "token"),
+        proof=_parse_proof(data),
+        notice_s=checks.optional_amount(data, "notice_s"),
+        images=_texts(data, "images"),
+        members=tuple(_parse_member(m) for m in _objects(data, "members", MAX_REPORTED_MEMBERS)),
+    )
+
+
+def _encode_order(order: Order) -> dict[str, Any]:
+    data = order._asdict()
+    data["peers"] = [peer._asdict() for peer in order.peers]
+    return data
+
+
+def answer_body(answer: HeartbeatAnswer) -> bytes:
+    """A controller's answer as it is sent."""
+    return orjson.dumps(
+        {
+            "version": PROTOCOL_VERSION,
+            "token": answer.token,
+            "proof": _encode_proof(answer.proof),
+            "orders": [_encode_order(o) for o in answer.orders],
+        }
+    )
+
+
+def _parse_order(data: dict[str, Any]) -> Order:
+    ops = {op.value: op.value for op in Op}
+    resources = data.get("resources")
+    if type(resources) is not list or len(resources) != 3:
+        raise checks.Malformed("resources: three amounts are needed")
+    peers = tuple(
+        PeerAddress(checks.count(p, "rank"), checks.text(p, "address"))
+        for p in _objects(data, "peers", checks.U64)
+    )
+    return Order(
+        op=Op(checks.one_of(data, "op", ops)),
+        replica=checks.text(data, "replica"),
+        rank=checks.count(data, "rank"),
+        generation=checks.count(data, "generation"),
+        image=str(data.get("image", "")),
+        image_gb=checks.amount(data, "image_gb"),
+        resources=(float(resources[0]), float(resources[1]), float(resources[2])),
+        peers=peers,
+        lease_s=checks.amount(data, "lease_s"),
+    )
+
+
+def parse_answer(body: bytes) -> HeartbeatAnswer:
+    """A controller's answer, checked; raises Malformed."""
+    data = checks.load_object(body)
+    _check_version(data)
+    proof = _parse_proof(data)
+    if proof is None:
+        raise checks.Malformed("proof: an object is needed")
+    orders = tuple(_parse_order(o) for o in _objects(data, "orders", checks.U64))
+    return HeartbeatAnswer(checks.count(data, "token"), proof, orders)
+
+
+def redirect_body(owner: str | None) -> bytes:
+    """Names the controller that an agent should go to, if it is known."""
+    return orjson.dumps({} if owner is None else {"owner": owner})
+
+
+def parse_redirect(body: bytes) -> str | None:
+    """The controller that an agent is sent to."""
+    return checks.optional_text(checks.load_object(body), "owner")
+
+
+def ping_body(ping: Ping) -> bytes:
+    """A ping as it is sent."""
+    return orjson.dumps({"version": PROTOCOL_VERSION, **ping._asdict()})
+
+
+def parse_ping(body: bytes) -> Ping:
+    """A ping, checked; raises Malformed."""
+    data = checks.load_object(body)
+    _check_version(data)
+    return Ping(
+        checks.text(data, "replica"), checks.count(data, "rank"), checks.count(data, "generation")
+    )
+
+
+def error_body(error: str, field: str = "") -> bytes:
+    """An error of the operators' interface; it names the field where one is wrong."""
+    return orjson.dumps({"error": error, "field": field} if field else {"error": error})
--- /dev/null
+++ b/tests/multihost_agents.py
@@ -0,0 +1,275 @@
+"""Stand-in agents of the multihost protocol: one a machine, under virtual time, with a steady clock
+of its own that drifts."""
+
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+import curio
+
+from crossmill.net.server import Request
+from crossmill.wire.multihost import (
+    HEARTBEAT_PATH,
+    Heartbeat,
+    HeartbeatAnswer,
+    MemberReport,
+    MemberState,
+    Offer,
+    Op,
+    Order,
+    PeerAddress,
+    Ping,
+    Proof,
+    heartbeat_body,
+    parse_answer,
+    parse_ping,
+    parse_redirect,
+    ping_body,
+)
+
+from .simulation import HOP_S
+
+if TYPE_CHECKING:
+    from .multihost_region import MultihostRegion
+
+# PROTOCOL: steady clocks drift apart by as much as this
+DRIFT = 0.0005
+
+
+@dataclass
+class AgentMember:
+    """A member on a machine. Times are the agent's own."""
+
+    rank: int
+    generation: int
+    resources: tuple[float, float, float]
+    peers: tuple[PeerAddress, ...]
+    peer_lease_s: float
+    loaded_at: float
+    refused: bool = False
+    serve_until: float = 0.0
+    # by rank: the sending of the last ping that was answered
+    peer_alive_at: dict[int, float] = field(default_factory=dict)
+
+
+class Agent:
+    """A machine's agent. `lease_from_receipt` plants a fault: the serving lease is counted from the
+    receipt of the answer instead of the sending of the heartbeat."""
+
+    def __init__(self, region: "MultihostRegion", machine: str, number: int, zone: str) -> None:
+        self.region, self.machine, self.number, self.zone = region, machine, number, zone
+        self.address = f"127.0.0.1:{30000 + number}"
+        # neighbouring machines drift in opposite directions
+        self._rate = 1.0 + (DRIFT if number % 2 else -DRIFT)
+        self.capacity = (32.0, 4.0, 256.0)
+        self.fetch_gb_per_s = 1.0
+        self.session, self.sequence, self.token = 1, 0, 0
+        self.proof: Proof | None = None
+        self.members: dict[str, AgentMember] = {}
+        self.highest: dict[str, int] = {}
+        self.images: dict[str, float] = {}
+        self.answered_at = self.now()
+        self.dead = False
+        self.hung = False
+        self.notice_s: float | None = None
+        # one-way cuts: whether heartbeats get through, and whether answers do
+        self.mute, self.deaf = False, False
+        self.lease_from_receipt = False
+        self.copies: list[bytes] = []
+        self.orders: list[tuple[float, Order]] = []
+        # what is reported in place of the truth, if anything
+        self.lies: list[MemberReport] = []
+        self._target = 0
+
+    def now(self) -> float:
+        """This machine's steady time."""
+        return self.region.clock.now() * self._rate
+
+    # -- members ---------------------------------------------------------------------
+
+    def state(self, member: AgentMember) -> MemberState:
+        """What the agent says of the member."""
+        if member.refused:
+            return MemberState.REFUSED
+        return MemberState.LOADED if self.now() >= member.loaded_at else MemberState.LOADING
+
+    def runs(self, replica: str, generation: int) -> bool:
+        """Whether a member of the generation is there with its weights."""
+        member = self.members.get(replica)
+        if self.dead or self.hung or member is None or member.generation != generation:
+            return False
+        return self.state(member) is MemberState.LOADED
+
+    def serves(self, replica: str) -> int | None:
+        """The generation under which the front member would answer a request at this moment."""
+        member = self.members.get(replica)
+        if self.dead or self.hung or member is None or member.rank != 0:
+            return None
+        now = self.now()
+        if self._lease_over() or now >= member.serve_until:
+            return None
+        for peer in member.peers:
+            alive_at = member.peer_alive_at.get(peer.rank)
+            if peer.rank != 0 and (alive_at is None or now >= alive_at + member.peer_lease_s):
+                return None
+        return member.generation
+
+    def _unreachable(self, member: AgentMember) -> tuple[int, ...]:
+        if member.rank != 0 or self.state(member) is not MemberState.LOADED:
+            return ()
+        since = {p.rank: member.peer_alive_at.get(p.rank, member.loaded_at) for p in member.peers}
+        # a peer may load for longer than this one; only what was reached once is missed
+        return tuple(
+            rank
+            for rank, at in since.items()
+            if rank in member.peer_alive_at and self.now() - at > member.peer_lease_s
+        )
+
+    def restart(self) -> None:
+        """The agent's process ends and begins anew: it remembers nothing but its session."""
+        self.session += 1
+        self.members.clear()
+        self.highest.clear()
+        self.proof, self.answered_at = None, self.now()
+
+    def _lease_over(self) -> bool:
+        return self.now() - self.answered_at > self.region.multihost.agent_lease_s
+
+    def _tick(self) -> None:
+        if self._lease_over():
+            self.session += 1
+            self.members.clear()
+            self.proof, self.answered_at = None, self.now()
+
+    def obey(self, answer: HeartbeatAnswer, sent: float) -> None:
+        """Carries out an answer's orders."""
+        for order in answer.orders:
+            self.orders.append((self.region.clock.now(), order))
+            self.region.judge.ordered(self, order)
+            match order.op:
+                case Op.START:
+                    self._start(order)
+                case Op.STOP:
+                    self._stop(order)
+                case Op.SERVE:
+                    member = self.members.get(order.replica)
+                    if member is not None and member.generation == order.generation:
+                        begin = self.now() if self.lease_from_receipt else sent
+                        member.serve_until = max(member.serve_until, begin + order.lease_s)
+
+    def _start(self, order: Order) -> None:
+        known = self.members.get(order.replica)
+        if order.generation < self.highest.get(order.replica, 0):
+            return
+        if known is not None and not known.refused and known.generation == order.generation:
+            return
+        self.highest[order.replica] = order.generation
+        others = [m.resources for r, m in self.members.items() if r != order.replica]
+        used = [sum(amounts) for amounts in zip(order.resources, *others, strict=True)]
+        fits = all(u <= c for u, c in zip(used, self.capacity, strict=True))
+        load_s = 0.0 if order.image in self.images else order.image_gb / self.fetch_gb_per_s
+        self.images[order.image] = order.image_gb
+        self.members[order.replica] = AgentMember(
+            order.rank,
+            order.generation,
+            order.resources,
+            order.peers,
+            order.lease_s,
+            self.now() + load_s,
+            refused=not fits,
+        )
+
+    def _stop(self, order: Order) -> None:
+        known = self.members.get(order.replica)
+        if known is not None and known.generation <= order.generation:
+            del self.members[order.replica]
+            self.highest[order.replica] = max(order.generation, self.highest.get(order.replica, 0))
+
+    # -- talking ---------------------------------------------------------------------
+
+    def heartbeat(self) -> Heartbeat:
+        """The next heartbeat."""
+        self.sequence += 1
+        truth = [
+            MemberReport(r, m.rank, m.generation, self.state(m), self._unreachable(m))
+            for r, m in self.members.items()
+        ]
+        return Heartbeat(
+            self.machine,
+            self.address,
+            Offer("g4", self.zone, False, *self.capacity, self.fetch_gb_per_s),
+            self.session,
+            self.sequence,
+            self.token,
+            self.proof,
+            self.notice_s,
+            tuple(self.images),
+            tuple(self.lies or truth),
+        )
+
+    async def run(self) -> None:
+        """Heartbeats, and pings of the front member, until the machine dies."""
+        await curio.spawn(self._run_pings, daemon=True)
+        labels = list(self.region.lines)
+        self._target = self.number % len(labels)
+        while not self.dead:
+            if self.hung:
+                await curio.sleep(0.1)
+                continue
+            self._tick()
+            wait_s = await self._beat(labels)
+            await curio.sleep(wait_s)
+
+    async def _beat(self, labels: list[str]) -> float:
+        """One heartbeat; the time until the next."""
+        label = labels[self._target]
+        body, sent, session = heartbeat_body(self.heartbeat()), self.now(), self.session
+        self.copies = [*self.copies[-40:], body]
+        await curio.sleep(HOP_S + self.region.delay_s(self))
+        reply = await self.region.deliver_heartbeat(self, label, body)
+        await curio.sleep(HOP_S)
+        timeout_s = self.region.multihost.answer_timeout_s
+        while self.hung and not self.dead:
+            await curio.sleep(0.1)
+        if reply is None or self.deaf or self.now() - sent > timeout_s:
+            self._target = (self._target + 1) % len(labels)
+            return max(0.2, timeout_s - (self.now() - sent))
+        status, data = reply
+        if status != 200:
+            owner = parse_redirect(data) if status == 421 else None
+            moves = owner in labels and owner != label
+            following = (self._target + 1) % len(labels)
+            self._target = labels.index(str(owner)) if moves else following
+            return 0.2 if moves else 0.5
+        answer = parse_answer(data)
+        if session == self.session and answer.token >= self.token and not self.dead:
+            self.token, self.proof, self.answered_at = answer.token, answer.proof, sent
+            self.obey(answer, sent)
+        return self.region.multihost.heartbeat_s
+
+    async def _run_pings(self) -> None:
+        while not self.dead:
+            await curio.sleep(self.region.multihost.heartbeat_s / 2)
+            for name, member in list(self.members.items()):
+                if member.rank == 0 and not self.hung:
+                    for peer in member.peers:
+                        if peer.rank != 0:
+                            await curio.spawn(self._ping, name, member, peer, daemon=True)
+
+    async def _ping(self, name: str, member: AgentMember, peer: PeerAddress) -> None:
+        sent = self.now()
+        body = ping_body(Ping(name, peer.rank, member.generation))
+        if await self.region.deliver_ping(self, peer.address, body) and not self.hung:
+            known = member.peer_alive_at.get(peer.rank, sent)
+            member.peer_alive_at[peer.rank] = max(known, sent)
+
+    def answer_ping(self, body: bytes) -> bool:
+        """Whether this machine runs the member that is asked for, in that very generation."""
+        ping = parse_ping(body)
+        member = self.members.get(ping.replica)
+        is_right = member is not None and member.rank == ping.rank
+        return is_right and self.runs(ping.replica, ping.generation)
+
+
+def heartbeat_request(body: bytes) -> Request:
+    """The request that carries a heartbeat."""
+    return Request("POST", HEARTBEAT_PATH, body)
--- a/tests/simulation.py
+++ b/tests/simulation.py
@@ -566,6 +566,7 @@
             node.deputies.run,
             node.rounds.run,
             node.record_repair.run,
+            *self.more_parts(node),
         ]
         if self._leads:
             parts.append(node.leader.run)
@@ -574,6 +575,10 @@
         ]
         return node
 
+    def more_parts(self, node: Node) -> list[Callable[[], Awaitable[None]]]:
+        """Loops that a controller runs beside the ordinary ones, made before any of them runs."""
+        return []
+
     async def _run_part(self, label: str, part: Callable[[], Awaitable[None]]) -> None:
         def until() -> float:
             return self.still_until.get(label, 0.0)
