--- a/crossmill/multihost/agents.py
+++ b/crossmill/multihost/agents.py
@@ -35,9 +35,18 @@
     notice_at: float | None = None
     images: frozenset[str] = frozenset()
     members: dict[str, MemberReport] = field(default_factory=dict)
+    # by replica: when an answer with an order to start a member of it was sent. Until a heartbeat
+    # returns that answer or a later one, the order may still be carried out
+    start_sent_at: dict[str, float] = field(default_factory=dict)
     # reports of the newest heartbeat that contradict the plan or one another
     rejected: int = 0
 
+    def has_none_of(self, replica: str) -> bool:
+        """Whether the machine runs no member of the replica, nor has been ordered to."""
+        if replica in self.members or self.alive_at is None:
+            return False
+        return self.alive_at >= self.start_sent_at.get(replica, self.alive_at)
+
     @property
     def is_trusted(self) -> bool:
         """Whether a heartbeat was believed since the ownership began."""
@@ -67,6 +76,10 @@
         """The machine has left the pool."""
         self._views.pop(machine, None)
 
+    def note_start(self, machine: str, replica: str, sent_at: float) -> None:
+        """An answer sent now orders a member of the replica to be started."""
+        self._views[machine].start_sent_at[replica] = sent_at
+
     def silent_since(self, moment: float) -> Iterator[AgentView]:
         """The views of machines not heard since the moment, oldest first; looks no further than
         the first that was."""
@@ -93,6 +106,9 @@
             view.alive_at = proof.sent
             view.heard_at = now
             self._views.move_to_end(beat.machine)
+            view.start_sent_at = {
+                replica: at for replica, at in view.start_sent_at.items() if at > proof.sent
+            }
         view.address = beat.address
         view.notice_at = None if beat.notice_s is None else now + beat.notice_s
         view.images = frozenset(beat.images)
--- a/crossmill/multihost/coordinator.py
+++ b/crossmill/multihost/coordinator.py
@@ -6,7 +6,7 @@
 
 import heapq
 import logging
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from dataclasses import replace
 from itertools import count
 
@@ -34,6 +34,7 @@
 from .phases import Phase
 from .pool import PoolState
 from .registration import Registration
+from .rendezvous import Rendezvous
 from .scheduling import Scheduler
 from .serving import ServingLeases
 from .sets import PREEMPTED, plan_set
@@ -77,6 +78,7 @@
         self._writes = writes
         self._registration = registration
         self._failures = FailureScores(settings.failure_half_life_s)
+        self._rendezvous = Rendezvous()
         self._scheduler = Scheduler(settings, pool, agents, self._failures)
         self.wake = curio.Event()
         self._pending_wake = False
@@ -131,14 +133,13 @@
 
     def _lost(self, shard: int) -> None:
         """All that was believed of the agents ends with the ownership."""
-        if shard == self._settings.pool_shard:
-            self._forget_all()
-
-    def _forget_all(self) -> None:
+        if shard != self._settings.pool_shard:
+            return
         self._term = None
         self._agents.clear()
         self._leases.clear()
         self._failures.clear()
+        self._rendezvous.clear()
         self._scheduler.clear()
         self._due.clear()
         self._due_at.clear()
@@ -146,8 +147,8 @@
         self._suspects.clear()
 
     def _begin_term(self, own: Owned) -> None:
-        """The first round of an ownership looks at everything."""
-        self._forget_all()
+        """The first round of an ownership looks at everything. What agents have said and were
+        granted since it began stays: all of it was dropped when the one before ended."""
         self._term = own.term
         self._pool.changes.replicas |= set(self._pool.replicas)
         self._pool.changes.sets |= set(self._pool.sets) | set(self._pool.replicas_of)
@@ -324,12 +325,27 @@
         return Situation(
             statuses,
             unreachable & statuses.keys(),
+            self._have_met(replica, members, statuses, moment),
             self._leases.fenced_at(replica, moment.owned_since, granted_view),
             start_limit_s(stored.spec, slowest, self._settings),
             may_stop,
             self._all_gone(replica, moment),
         )
 
+    def _have_met(
+        self,
+        replica: Replica,
+        members: list[Member],
+        statuses: Mapping[int, MemberStatus],
+        moment: Moment,
+    ) -> bool:
+        is_starting = replica.phase is Phase.STARTING
+        if not is_starting or any(s is not MemberStatus.LOADED for s in statuses.values()):
+            self._rendezvous.forget(replica.id)
+            return False
+        views = [self._agents.get(m.machine) for m in members]
+        return self._rendezvous.have_met(replica, members, views, moment.now)
+
     def _status(self, member: Member, replica: Replica, moment: Moment) -> MemberStatus:
         if member.machine not in self._pool.machines:
             return MemberStatus.LOST
@@ -344,7 +360,7 @@
             view = self._agents.get(member.machine)
             last = moment.owned_since
             if view is not None and view.is_trusted:
-                if str(replica.id) not in view.members:
+                if view.has_none_of(str(replica.id)):
                     continue
                 last = max(last, view.heard_at)
             if moment.now - last <= self._settings.agent_lease_s * 1.1:
--- a/crossmill/multihost/heartbeats.py
+++ b/crossmill/multihost/heartbeats.py
@@ -95,7 +95,11 @@
             if may_order:
                 orders += self._orders(beat, view)
             orders += self._grants(view, now)
-        proof = Proof(self._agents.process, self._clock.now())
+        sent_at = self._clock.now()
+        for order in orders:
+            if order.op is Op.START:
+                self._agents.note_start(beat.machine, order.replica, sent_at)
+        proof = Proof(self._agents.process, sent_at)
         return Reply(200, HeartbeatAnswer(own.token, proof, tuple(orders)))
 
     # -- what is reported ------------------------------------------------------------
--- a/crossmill/multihost/lifecycle.py
+++ b/crossmill/multihost/lifecycle.py
@@ -145,6 +145,8 @@
     statuses: Mapping[int, MemberStatus]
     # ranks that the front member does not reach
     unreachable: frozenset[int]
+    # every member was alive, in this generation, after the last of them had confirmed it
+    have_met: bool
     # no grant of an earlier generation holds from this moment on
     fenced_at: float
     start_limit_s: float
@@ -190,7 +192,7 @@
         case Phase.RESERVING | Phase.REPAIRING:
             return _decide_placing(replica, spec, moment, settings)
         case Phase.STARTING:
-            return _decide_starting(replica, spec, situation, moment)
+            return _decide_starting(replica, spec, situation, moment, settings)
         case Phase.READY:
             return _decide_ready(replica, spec, situation, moment)
         case Phase.DRAINING:
@@ -235,14 +237,18 @@
     moment: Moment,
 ) -> Decision:
     if replica.leaving:
-        return Decision(Action.DRAIN, replica.leaving)
+        return Decision(Action.DRAIN, f"{replica.leaving}; {reason}")
     if len(recent_restarts(replica, spec, moment.wall)) >= spec.restart_budget:
         return Decision(Action.FAIL, f"restart budget used up; {reason}", suspects=suspects)
     return Decision(Action.REPAIR, reason, suspects=suspects)
 
 
 def _decide_starting(
-    replica: Replica, spec: ReplicaSetSpec, situation: Situation, moment: Moment
+    replica: Replica,
+    spec: ReplicaSetSpec,
+    situation: Situation,
+    moment: Moment,
+    settings: MultihostSettings,
 ) -> Decision:
     if replica.leaving:
         return Decision(Action.DRAIN, replica.leaving)
@@ -250,6 +256,8 @@
     if suspects:
         return _decide_failing(replica, spec, suspects, reason, moment)
     if all(s is MemberStatus.LOADED for s in situation.statuses.values()):
+        if not situation.have_met:
+            return Decision(Action.WAIT, look_at=moment.now + settings.heartbeat_s / 8)
         if moment.now < situation.fenced_at:
             return Decision(Action.WAIT, look_at=situation.fenced_at)
         return Decision(Action.CONFIRM, "every member has confirmed the generation")
--- a/crossmill/multihost/placement.py
+++ b/crossmill/multihost/placement.py
@@ -4,7 +4,7 @@
 generation stay where they are, unless the whole replica is back sooner elsewhere."""
 
 from collections.abc import Collection, Iterable, Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import NamedTuple
 
 from .model import ReplicaSetSpec, Resources
@@ -201,16 +201,5 @@
             known = freed.get(machine)
             freed[machine] = victim.resources if known is None else known.plus(victim.resources)
     return [
-        c
-        if c.machine not in freed
-        else Candidate(
-            c.machine,
-            c.zone,
-            c.session,
-            c.free.plus(freed[c.machine]),
-            c.fetch_gb_per_s,
-            c.images,
-            c.avoided,
-        )
-        for c in pool
+        replace(c, free=c.free.plus(freed[c.machine])) if c.machine in freed else c for c in pool
     ]
--- a/crossmill/multihost/scheduling.py
+++ b/crossmill/multihost/scheduling.py
@@ -4,7 +4,7 @@
 few keeps free machines from those behind it, up to a stated part of the pool."""
 
 from collections.abc import Iterator, Mapping
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from .agents import Agents
 from .declaration import Unplaceable, check_placeable
@@ -133,14 +133,18 @@
         kept = self._kept(replica, suspects or frozenset(), state)
         excluded = self._excluded(replica, suspects or frozenset()) | state.earmarked
         in_zone = self._in_zone(replica)
-        candidates = list(state.candidates.values())
+        own = {m.machine for m in replica.all_members()}
+        candidates = [
+            replace(c, free=c.free.plus(spec.resources)) if c.machine in own else c
+            for c in state.candidates.values()
+        ]
         placement = choose(spec, kept, candidates, in_zone, excluded)
         if placement is None and len(excluded) > len(state.earmarked):
             # better a machine that failed just now than none
             placement = choose(spec, kept, candidates, in_zone, state.earmarked)
         if placement is not None:
             entry.in_vain_since = None
-            self._take(spec, placement, kept, state)
+            self._take(spec, placement, own, state)
             reason = "repaired" if replica.phase is Phase.REPAIRING else "placed"
             return Choice(replica_id, reason, placement)
         if entry.in_vain_since is None:
@@ -210,22 +214,14 @@
         return in_zone
 
     @staticmethod
-    def _take(
-        spec: ReplicaSetSpec, placement: Placement, kept: Mapping[int, str], state: _Pass
-    ) -> None:
-        for rank, machine, _ in placement.places:
-            if kept.get(rank) == machine:
-                continue
-            c = state.candidates[machine]
-            state.candidates[machine] = Candidate(
-                c.machine,
-                c.zone,
-                c.session,
-                c.free.minus(spec.resources),
-                c.fetch_gb_per_s,
-                c.images,
-                c.avoided,
-            )
+    def _take(spec: ReplicaSetSpec, placement: Placement, own: set[str], state: _Pass) -> None:
+        """What the placement takes is no longer free in this pass. Where the replica stood before,
+        its room is counted as its own already."""
+        for _, machine, _ in placement.places:
+            if machine not in own:
+                candidate = state.candidates[machine]
+                room = candidate.free.minus(spec.resources)
+                state.candidates[machine] = replace(candidate, free=room)
 
     def _earmark(self, spec: ReplicaSetSpec, in_zone: Mapping[str, int], state: _Pass) -> None:
         """Keeps free machines for the first that waits in vain, and for it alone; none if the pool
--- a/tests/multihost_agents.py
+++ b/tests/multihost_agents.py
@@ -52,8 +52,8 @@
 
 
 class Agent:
-    """A machine's agent. `lease_from_receipt` plants a fault: the serving lease is counted from the
-    receipt of the answer instead of the sending of the heartbeat."""
+    """A machine's agent. `lease_from_receipt` plants a fault: leases are counted from the receipt
+    of an answer instead of the sending of what it answers."""
 
     def __init__(self, region: "MultihostRegion", machine: str, number: int, zone: str) -> None:
         self.region, self.machine, self.number, self.zone = region, machine, number, zone
@@ -226,7 +226,7 @@
         self.copies = [*self.copies[-40:], body]
         await curio.sleep(HOP_S + self.region.delay_s(self))
         reply = await self.region.deliver_heartbeat(self, label, body)
-        await curio.sleep(HOP_S)
+        await curio.sleep(HOP_S + self.region.delay_s(self) + self.region.answer_delay_s(self))
         timeout_s = self.region.multihost.answer_timeout_s
         while self.hung and not self.dead:
             await curio.sleep(0.1)
@@ -244,7 +244,13 @@
         if session == self.session and answer.token >= self.token and not self.dead:
             self.token, self.proof, self.answered_at = answer.token, answer.proof, sent
             self.obey(answer, sent)
-        return self.region.multihost.heartbeat_s
+        return self._next_beat_s()
+
+    def _next_beat_s(self) -> float:
+        """Until the next heartbeat: sooner if a member's weights come before."""
+        loads = [m.loaded_at - self.now() for m in self.members.values()]
+        soon = [max(0.2, s + 0.01) for s in loads if s > -0.2]
+        return min(self.region.multihost.heartbeat_s, *soon, self.region.multihost.heartbeat_s)
 
     async def _run_pings(self) -> None:
         while not self.dead:
@@ -259,8 +265,9 @@
         sent = self.now()
         body = ping_body(Ping(name, peer.rank, member.generation))
         if await self.region.deliver_ping(self, peer.address, body) and not self.hung:
-            known = member.peer_alive_at.get(peer.rank, sent)
-            member.peer_alive_at[peer.rank] = max(known, sent)
+            alive_at = self.now() if self.lease_from_receipt else sent
+            known = member.peer_alive_at.get(peer.rank, alive_at)
+            member.peer_alive_at[peer.rank] = max(known, alive_at)
 
     def answer_ping(self, body: bytes) -> bool:
         """Whether this machine runs the member that is asked for, in that very generation."""
--- a/tests/multihost_region.py
+++ b/tests/multihost_region.py
@@ -106,14 +106,10 @@
 
     def _judge_records(self) -> None:
         """No machine is promised twice, and no voluntary stop goes below the minimum."""
-        used: dict[str, list[float]] = {}
         ready: dict[str, int] = {}
         changes: list[tuple[str, str, str]] = []
         for key, (value, _, _) in self.region.state.keys.items():
-            if key.startswith(keys.MEMBERS):
-                replica_id, _ = keys.parse_members(key[len(keys.MEMBERS) :])
-                self._add_use(used, replica_id, value)
-            elif key.startswith(keys.REPLICA):
+            if key.startswith(keys.REPLICA):
                 name = key[len(keys.REPLICA) :]
                 set_name = name.rpartition("/")[0]
                 ready[set_name] = ready.get(set_name, 0) + (value["phase"] == "ready")
@@ -121,7 +117,7 @@
                 if before != value["phase"]:
                     changes.append((name, before, value["phase"]))
                 self._phases[name] = value["phase"]
-        for machine, amounts in used.items():
+        for machine, amounts in self.planned_use().items():
             capacity = self.region.state.keys.get(keys.machine(machine))
             if capacity is not None and any(
                 u > c + 1e-9 for u, c in zip(amounts, capacity[0]["capacity"], strict=True)
@@ -132,9 +128,22 @@
             row = self.region.state.keys.get(keys.replica_set(set_name))
             if (before, after) != ("ready", "draining") or row is None or row[0]["removed"]:
                 continue
+            reason = self.region.state.keys[keys.REPLICA + name][0]["reason"]
+            if "; " in reason:
+                # it had lost a member, which is not voluntary
+                continue
             if ready[set_name] < row[0]["min_ready"]:
                 self.blame(f"below_minimum {name} stopped, {ready[set_name]} ready")
 
+    def planned_use(self) -> dict[str, list[float]]:
+        """What the records have planned onto each machine."""
+        used: dict[str, list[float]] = {}
+        for key, (value, _, _) in self.region.state.keys.items():
+            if key.startswith(keys.MEMBERS):
+                replica_id, _ = keys.parse_members(key[len(keys.MEMBERS) :])
+                self._add_use(used, replica_id, value)
+        return used
+
     def _add_use(self, used: dict[str, list[float]], replica_id: ReplicaId, value: Any) -> None:
         row = self.region.state.keys.get(keys.replica_set(replica_id.set_name))
         if row is None:
@@ -182,6 +191,8 @@
         # machines that reach no controller, by label; None: none at all
         self.unheard: dict[str, set[str]] = {}
         self.delay_s: Callable[[Agent], float] = lambda agent: 0.0
+        self.answer_delay_s: Callable[[Agent], float] = lambda agent: 0.0
+        self.ping_back_s = 0.0
         self._processes = 0
 
     def more_parts(self, node: Node) -> list[Callable[[], Awaitable[None]]]:
@@ -215,6 +226,15 @@
         await curio.spawn(agent.run, daemon=True)
         return agent
 
+    async def revive(self, machine: str) -> Agent:
+        """A machine that died is back, with a new agent that knows nothing but its session."""
+        old = self.agents[machine]
+        old.dead = True
+        agent = self.agents[machine] = Agent(self, machine, old.number, old.zone)
+        agent.session = old.session + 1
+        await curio.spawn(agent.run, daemon=True)
+        return agent
+
     def pool_size(self) -> int:
         return sum(k.startswith(keys.MACHINE) for k in self.state.keys)
 
@@ -231,14 +251,14 @@
         return response.status, response.body
 
     async def deliver_ping(self, source: Agent, address: str, body: bytes) -> bool:
-        await curio.sleep(HOP_S)
+        await curio.sleep(HOP_S + self.delay_s(source))
         target = next((a for a in self.agents.values() if a.address == address), None)
         if target is None or target.dead or target.hung or source.dead:
             return False
         if (source.machine, target.machine) in self.parted:
             return False
         answer = target.answer_ping(body)
-        await curio.sleep(HOP_S)
+        await curio.sleep(HOP_S + self.delay_s(target) + self.ping_back_s)
         return answer and (target.machine, source.machine) not in self.parted
 
     async def operate(self, method: str, path: str, body: Any = None, label: str = "") -> Any:
--- /dev/null
+++ b/tests/test_multihost_service.py
@@ -0,0 +1,298 @@
+"""The operators' interface, the pool at size, and other versions beside it."""
+
+import subprocess
+import sys
+from collections import Counter
+from pathlib import Path
+from typing import Any
+
+import curio
+import curio.socket as socket
+import orjson
+import pytest
+
+from crossmill.cluster import keys as cluster_keys
+from crossmill.multihost import keys, scheduling
+from crossmill.multihost.model import Member, PoolMachine, Replica, ReplicaId, Resources
+from crossmill.multihost.phases import Phase
+from crossmill.multihost.records import (
+    encode_chunk,
+    encode_machine,
+    encode_replica,
+    reservation_record,
+)
+from crossmill.multihost.service import MultihostService
+from crossmill.net.server import Server
+from crossmill.settings import Endpoint
+from crossmill.wire.multihost import Heartbeat, MemberReport, MemberState, Offer, Proof
+
+from .harness import Node, add_job, play, seed
+from .multihost_region import SETTINGS, MultihostRegion, simulate_multihost
+from .standins import FakeClock, StateService
+
+ROOT = Path(__file__).resolve().parent.parent
+Nodes = dict[str, Node]
+DECLARED = {
+    "members": 2,
+    "replicas": 1,
+    "cpus": 16,
+    "gpus": 4,
+    "memory_gb": 64,
+    "image": "weights",
+    "image_gb": 1,
+}
+
+
+def test_operators_get_answers_that_say_what_is_wrong() -> None:
+    async def story(region: MultihostRegion) -> None:
+        await region.begin_pool(4)
+
+        async def put(name: str, body: Any) -> tuple[int, Any]:
+            answer: tuple[int, Any] = await region.operate("PUT", f"replica-sets/{name}", body)
+            return answer
+
+        assert (await put("chat", DECLARED | {"members": 0}))[1]["field"] == "members"
+        assert (await put("Chat", DECLARED))[1]["field"] == "name"
+        assert (await put("chat", [1]))[0] == 400
+        status, answer = await put("chat", DECLARED | {"members": 5})
+        assert status == 422 and "the pool has 4" in answer["error"]
+        assert (await put("chat", DECLARED))[0] == 201
+        assert (await put("chat", DECLARED | {"min_ready": 1}))[0] == 200
+        status, answer = await put("chat", DECLARED | {"image": "other"})
+        assert status == 409 and "min_ready" in answer["error"]
+        await region.until_serving("chat/0")
+        status, answer = await region.operate("GET", "replicas/chat/0")
+        assert (status, answer["phase"], len(answer["members"])) == (200, "ready", 2)
+        assert [h["phase"] for h in answer["history"]] == ["pending", "starting", "ready"]
+        assert (await region.operate("GET", "replica-sets/chat"))[1]["ready"] == 1
+        assert len((await region.operate("GET", "replicas"))[1]["replicas"]) == 1
+        machines = (await region.operate("GET", "machines"))[1]["machines"]
+        assert sum(m["replicas"] == ["chat/0"] for m in machines) == 2
+        for path in ("replica-sets/none", "replicas/chat/9", "odd", "replicas/chat/x"):
+            assert (await region.operate("GET", path))[0] == 404
+        assert (await region.operate("POST", "machines/none/drain"))[0] == 404
+        assert (await region.operate("DELETE", "replica-sets/none"))[0] == 404
+        region.state.down = True
+        for method, path in (("GET", "replicas"), ("PUT", "replica-sets/more")):
+            assert (await region.operate(method, path, DECLARED))[0] == 503
+
+    simulate_multihost(story)
+
+
+def test_a_declaration_through_any_controller_is_seen_by_the_owner() -> None:
+    async def story(region: MultihostRegion) -> None:
+        await region.begin_pool(4)
+        other = next(label for label in region.services if label != region.owner())
+        status, _ = await region.operate("PUT", "replica-sets/chat", DECLARED, label=other)
+        assert status == 201
+        await region.until_serving("chat/0")
+
+    simulate_multihost(story)
+
+
+def test_client_verbs_over_a_real_socket() -> None:
+    async def story(state: StateService, clock: FakeClock, nodes: Nodes) -> None:
+        node, service = await _booted(state, clock, nodes, machines=4)
+        async with socket.socket(socket.AF_INET, socket.SOCK_STREAM) as free:
+            free.bind(("127.0.0.1", 0))
+            port = int(free.getsockname()[1])
+        server = Server(Endpoint("127.0.0.1", port), service.handle, 8, 60.0, kept_heads=8)
+        await curio.spawn(server.run, daemon=True)
+        await curio.sleep(0.05)
+
+        async def verb(*args: str) -> subprocess.CompletedProcess[str]:
+            command = [sys.executable, "run.py", "replicas", *args]
+            command += ["--server", f"127.0.0.1:{port}"]
+            result: subprocess.CompletedProcess[str] = await curio.run_in_thread(
+                lambda: subprocess.run(
+                    command,
+                    cwd=ROOT,
+                    input=orjson.dumps(DECLARED).decode(),
+                    capture_output=True,
+                    text=True,
+                    timeout=30,
+                )
+            )
+            return result
+
+        declared = await verb("declare", "chat", "-")
+        assert declared.returncode == 0, declared.stderr
+        await node.sync()
+        shown = await verb("sets")
+        assert orjson.loads(shown.stdout)["replica_sets"][0]["name"] == "chat"
+        assert (await verb("drain", "m-1")).returncode == 0
+        assert (await verb("show", "chat/7")).returncode == 1
+        assert (await verb("show", "chat")).returncode == 2
+
+    play(story)
+
+
+# -- at size -------------------------------------------------------------------------
+
+
+async def _booted(
+    state: StateService, clock: FakeClock, nodes: Nodes, machines: int
+) -> tuple[Node, MultihostService]:
+    """An owner of a pool whose every two machines run a ready replica, all heard."""
+    seed(state, clock, machines=0)
+    for number in range(machines):
+        machine = PoolMachine(f"m-{number}", "north", Resources(32.0, 4.0, 256.0), 1.0)
+        record = reservation_record("g4", "north", False, SETTINGS.pool_shard, clock.wall())
+        state.put(keys.machine(machine.id), encode_machine(machine))
+        state.put(cluster_keys.machine(machine.id), record)
+    node = Node(state, clock, nodes)
+    service = MultihostService(
+        node.settings,
+        SETTINGS,
+        clock,
+        node.cluster,
+        node.membership,
+        node.follower,
+        node.writer,
+        "process",
+    )
+    await node.boot()
+    return node, service
+
+
+def _beat(node: Node, machine: int, sequence: int, *members: MemberReport) -> Heartbeat:
+    proof = Proof("process", node.clock.now())
+    offer = Offer("g4", "north", False, 32.0, 4.0, 256.0, 1.0)
+    token = node.token(SETTINGS.pool_shard)
+    name, address = f"m-{machine}", f"127.0.0.1:{30000 + machine}"
+    return Heartbeat(name, address, offer, 1, sequence, token, proof, None, (), members)
+
+
+@pytest.mark.parametrize("machines", [100, 1000, 4000])
+def test_a_round_looks_only_at_what_has_changed(
+    machines: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    counts: Counter[str] = Counter()
+    real = scheduling.Scheduler._candidate
+
+    def counted(*args: Any) -> Any:
+        counts["candidates"] += 1
+        return real(*args)
+
+    monkeypatch.setattr(scheduling.Scheduler, "_candidate", counted)
+
+    async def story(state: StateService, clock: FakeClock, nodes: Nodes) -> None:
+        for index in range(machines // 2):
+            replica = Replica(ReplicaId("chat", index), Phase.READY, 1, 1, since=clock.wall())
+            members = tuple(Member(r, f"m-{2 * index + r}", 1, 1) for r in range(2))
+            state.put(keys.replica(replica.id), encode_replica(replica))
+            state.put(keys.members(replica.id, 0), encode_chunk(1, members))
+        value = DECLARED | {"name": "chat", "replicas": machines // 2, "resources": [16, 4, 64]}
+        value |= {"priority": 0, "zones": [], "one_zone": True, "spread": False, "min_ready": 0}
+        value |= {"restart_budget": 5, "restart_window_s": 600.0, "hold_s": 30.0}
+        value |= {"removed": False, "next": machines // 2}
+        state.put(keys.replica_set("chat"), value)
+        node, service = await _booted(state, clock, nodes, machines)
+
+        def all_beat(sequence: int) -> None:
+            for m in range(machines):
+                report = MemberReport(f"chat/{m // 2}", m % 2, 1, MemberState.LOADED)
+                service.heartbeats.handle(_beat(node, m, sequence, report))
+
+        async def round_looks() -> int:
+            before = service.coordinator.looks
+            own = node.membership.commanding(SETTINGS.pool_shard)
+            assert own is not None
+            await service.coordinator.round(own)
+            return service.coordinator.looks - before
+
+        all_beat(1)
+        assert await round_looks() == machines // 2
+        transactions = service.writes.transactions
+        clock.time += 0.9
+        await node.live()
+        all_beat(2)
+        assert await round_looks() == 0
+        # one member fails: its replica alone is looked at, and machines only while one waits
+        failed = MemberReport("chat/3", 1, 1, MemberState.FAILED)
+        service.heartbeats.handle(_beat(node, 7, 3, failed))
+        assert await round_looks() == 1
+        assert counts["candidates"] == 0
+        # its record has changed, and it waits for room
+        assert await round_looks() == 1
+        assert counts["candidates"] == machines
+        assert service.writes.transactions - transactions <= 2
+        assert len(service.agents) == machines
+
+    play(story)
+
+
+# -- other versions ------------------------------------------------------------------
+
+
+def test_a_controller_without_the_file_leaves_the_pool_alone() -> None:
+    """What older versions do with the keys, and with machines of a type that no catalog has."""
+
+    async def story(state: StateService, clock: FakeClock, nodes: Nodes) -> None:
+        seed(state, clock, machines=1)
+        record = reservation_record("g4", "north", False, 0, clock.wall())
+        state.put(cluster_keys.machine("m-0"), record)
+        state.put(keys.machine("m-0"), {"zone": "north"})
+        replica = Replica(ReplicaId("chat", 0), Phase.READY, 1, 1)
+        state.put(keys.replica(replica.id), encode_replica(replica))
+        state.put(keys.members(replica.id, 0), encode_chunk(1, (Member(0, "m-0", 1, 1),)))
+        add_job(state, clock, sacks=9)
+        node = Node(state, clock, nodes)
+        await node.boot()
+        stored = {k: v for k, v in state.keys.items() if k.startswith(keys.PREFIX)}
+        # the cloud lists it for long: it is neither adopted nor returned
+        node.cloud.listed = [
+            {
+                "nameId": "m-0",
+                "address": "127.0.0.1:1",
+                "frame": "g4",
+                "yard": "north",
+                "loaners": False,
+                "stage": "running",
+                "heldS": 9999.0,
+            }
+        ]
+        for sequence in range(1, 40):
+            clock.time += node.settings.lease_s / 4
+            await node.keeper.step()
+            await node.sync()
+            await node.membership.step()
+            node.report("n-0", 1, sequence, node.token())
+            # an ordinary worker on the machine, should there be one, is told nothing either
+            answer = node.report("m-0", 1, sequence, node.token())
+            assert answer.commands == ()
+            await node.round()
+            if node.membership.leading() is not None:
+                await node.leader._step()
+        assert not node.cluster.machines["m-0"].rows
+        assert len(node.cluster.machines["n-0"].rows) > 0
+        # that its ordinary worker reports is noted, and nothing else
+        assert state.keys[cluster_keys.machine("m-0")][0] == record | {"up": True}
+        assert {k: v for k, v in state.keys.items() if k.startswith(keys.PREFIX)} == stored
+        assert "m-0" not in node.cloud.released
+
+    play(story)
+
+
+def test_a_machine_with_ordinary_tasks_or_on_its_way_out_does_not_join() -> None:
+    async def story(state: StateService, clock: FakeClock, nodes: Nodes) -> None:
+        node, service = await _booted(state, clock, nodes, machines=0)
+        seed(state, clock, machines=2)
+        add_job(state, clock, sacks=1)
+        await node.sync()
+        token = node.token()
+        node.report("n-0", 1, 1, token)
+        node.report("n-0", 1, 2, token)
+        await node.round()
+        await node.sync()
+        own = node.membership.commanding(0)
+        assert own is not None and node.cluster.machines["n-0"].rows
+        for machine in ("n-0", "n-1", "n-2"):
+            service.heartbeats.handle(_beat(node, 0, 1)._replace(machine=machine))
+        await service.coordinator.round(own)
+        # the busy one stays; the empty one and the unknown one are taken in
+        assert sorted(service.pool.machines) == ["n-1", "n-2"]
+        assert state.keys[cluster_keys.machine("n-1")][0]["type"] == "multihost/g4"
+        assert state.keys[cluster_keys.machine("n-0")][0]["type"] == "g4"
+
+    play(story)
