--- /dev/null
+++ b/tests/multihost_pool.py
@@ -0,0 +1,80 @@
+"""A pool at any size, stepped by hand: one controller that owns it, and heartbeats handed to it."""
+
+from crossmill.cluster import keys as cluster_keys
+from crossmill.multihost import keys
+from crossmill.multihost.model import (
+    Member,
+    PoolMachine,
+    Replica,
+    ReplicaId,
+    ReplicaSet,
+    ReplicaSetSpec,
+    Resources,
+)
+from crossmill.multihost.phases import Phase
+from crossmill.multihost.records import (
+    encode_chunk,
+    encode_machine,
+    encode_replica,
+    encode_set,
+    reservation_record,
+)
+from crossmill.multihost.service import MultihostService
+from crossmill.wire.multihost import Heartbeat, MemberReport, MemberState, Offer, Proof
+
+from .harness import Node, seed
+from .multihost_region import SETTINGS
+from .standins import FakeClock, StateService
+
+EACH = Resources(16.0, 4.0, 64.0)
+
+
+def add_ready_pairs(state: StateService, clock: FakeClock, number: int) -> None:
+    """A set of ready replicas of two members, on the machines of a pool in order."""
+    for index in range(number):
+        replica = Replica(ReplicaId("chat", index), Phase.READY, 1, 1, since=clock.wall())
+        members = tuple(Member(r, f"m-{2 * index + r}", 1, 1) for r in range(2))
+        state.put(keys.replica(replica.id), encode_replica(replica))
+        state.put(keys.members(replica.id, 0), encode_chunk(1, members))
+    spec = ReplicaSetSpec("chat", 2, number, EACH, "weights", 1.0)
+    state.put(keys.replica_set("chat"), encode_set(ReplicaSet(spec, False, number)))
+
+
+def all_beat(node: Node, service: MultihostService, machines: int, sequence: int) -> None:
+    """Every machine reports that its member of a pair runs."""
+    for m in range(machines):
+        report = MemberReport(f"chat/{m // 2}", m % 2, 1, MemberState.LOADED)
+        service.heartbeats.handle(heartbeat_of(node, m, sequence, report))
+
+
+async def booted_pool(
+    state: StateService, clock: FakeClock, nodes: dict[str, Node], machines: int
+) -> tuple[Node, MultihostService]:
+    """An owner of a pool whose every two machines run a ready replica, all heard."""
+    seed(state, clock, machines=0)
+    for number in range(machines):
+        machine = PoolMachine(f"m-{number}", "north", Resources(32.0, 4.0, 256.0), 1.0)
+        record = reservation_record("g4", "north", False, SETTINGS.pool_shard, clock.wall())
+        state.put(keys.machine(machine.id), encode_machine(machine))
+        state.put(cluster_keys.machine(machine.id), record)
+    node = Node(state, clock, nodes)
+    service = MultihostService(
+        node.settings,
+        SETTINGS,
+        clock,
+        node.cluster,
+        node.membership,
+        node.follower,
+        node.writer,
+        "process",
+    )
+    await node.boot()
+    return node, service
+
+
+def heartbeat_of(node: Node, machine: int, sequence: int, *members: MemberReport) -> Heartbeat:
+    proof = Proof("process", node.clock.now())
+    offer = Offer("g4", "north", False, 32.0, 4.0, 256.0, 1.0)
+    token = node.token(SETTINGS.pool_shard)
+    name, address = f"m-{machine}", f"127.0.0.1:{30000 + machine}"
+    return Heartbeat(name, address, offer, 1, sequence, token, proof, None, (), members)
--- a/tests/test_multihost_service.py
+++ b/tests/test_multihost_service.py
@@ -13,20 +13,15 @@
 
 from crossmill.cluster import keys as cluster_keys
 from crossmill.multihost import keys, scheduling
-from crossmill.multihost.model import Member, PoolMachine, Replica, ReplicaId, Resources
+from crossmill.multihost.model import Member, Replica, ReplicaId
 from crossmill.multihost.phases import Phase
-from crossmill.multihost.records import (
-    encode_chunk,
-    encode_machine,
-    encode_replica,
-    reservation_record,
-)
-from crossmill.multihost.service import MultihostService
+from crossmill.multihost.records import encode_chunk, encode_replica, reservation_record
 from crossmill.net.server import Server
 from crossmill.settings import Endpoint
-from crossmill.wire.multihost import Heartbeat, MemberReport, MemberState, Offer, Proof
+from crossmill.wire.multihost import MemberReport, MemberState
 
 from .harness import Node, add_job, play, seed
+from .multihost_pool import add_ready_pairs, all_beat, booted_pool, heartbeat_of
 from .multihost_region import SETTINGS, MultihostRegion, simulate_multihost
 from .standins import FakeClock, StateService
 
@@ -92,7 +87,7 @@
 
 def test_client_verbs_over_a_real_socket() -> None:
     async def story(state: StateService, clock: FakeClock, nodes: Nodes) -> None:
-        node, service = await _booted(state, clock, nodes, machines=4)
+        node, service = await booted_pool(state, clock, nodes, machines=4)
         async with socket.socket(socket.AF_INET, socket.SOCK_STREAM) as free:
             free.bind(("127.0.0.1", 0))
             port = int(free.getsockname()[1])
@@ -130,39 +125,6 @@
 # -- at size -------------------------------------------------------------------------
 
 
-async def _booted(
-    state: StateService, clock: FakeClock, nodes: Nodes, machines: int
-) -> tuple[Node, MultihostService]:
-    """An owner of a pool whose every two machines run a ready replica, all heard."""
-    seed(state, clock, machines=0)
-    for number in range(machines):
-        machine = PoolMachine(f"m-{number}", "north", Resources(32.0, 4.0, 256.0), 1.0)
-        record = reservation_record("g4", "north", False, SETTINGS.pool_shard, clock.wall())
-        state.put(keys.machine(machine.id), encode_machine(machine))
-        state.put(cluster_keys.machine(machine.id), record)
-    node = Node(state, clock, nodes)
-    service = MultihostService(
-        node.settings,
-        SETTINGS,
-        clock,
-        node.cluster,
-        node.membership,
-        node.follower,
-        node.writer,
-        "process",
-    )
-    await node.boot()
-    return node, service
-
-
-def _beat(node: Node, machine: int, sequence: int, *members: MemberReport) -> Heartbeat:
-    proof = Proof("process", node.clock.now())
-    offer = Offer("g4", "north", False, 32.0, 4.0, 256.0, 1.0)
-    token = node.token(SETTINGS.pool_shard)
-    name, address = f"m-{machine}", f"127.0.0.1:{30000 + machine}"
-    return Heartbeat(name, address, offer, 1, sequence, token, proof, None, (), members)
-
-
 @pytest.mark.parametrize("machines", [100, 1000, 4000])
 def test_a_round_looks_only_at_what_has_changed(
     machines: int, monkeypatch: pytest.MonkeyPatch
@@ -177,22 +139,8 @@
     monkeypatch.setattr(scheduling.Scheduler, "_candidate", counted)
 
     async def story(state: StateService, clock: FakeClock, nodes: Nodes) -> None:
-        for index in range(machines // 2):
-            replica = Replica(ReplicaId("chat", index), Phase.READY, 1, 1, since=clock.wall())
-            members = tuple(Member(r, f"m-{2 * index + r}", 1, 1) for r in range(2))
-            state.put(keys.replica(replica.id), encode_replica(replica))
-            state.put(keys.members(replica.id, 0), encode_chunk(1, members))
-        value = DECLARED | {"name": "chat", "replicas": machines // 2, "resources": [16, 4, 64]}
-        value |= {"priority": 0, "zones": [], "one_zone": True, "spread": False, "min_ready": 0}
-        value |= {"restart_budget": 5, "restart_window_s": 600.0, "hold_s": 30.0}
-        value |= {"removed": False, "next": machines // 2}
-        state.put(keys.replica_set("chat"), value)
-        node, service = await _booted(state, clock, nodes, machines)
-
-        def all_beat(sequence: int) -> None:
-            for m in range(machines):
-                report = MemberReport(f"chat/{m // 2}", m % 2, 1, MemberState.LOADED)
-                service.heartbeats.handle(_beat(node, m, sequence, report))
+        add_ready_pairs(state, clock, machines // 2)
+        node, service = await booted_pool(state, clock, nodes, machines)
 
         async def round_looks() -> int:
             before = service.coordinator.looks
@@ -201,16 +149,16 @@
             await service.coordinator.round(own)
             return service.coordinator.looks - before
 
-        all_beat(1)
+        all_beat(node, service, machines, 1)
         assert await round_looks() == machines // 2
         transactions = service.writes.transactions
         clock.time += 0.9
         await node.live()
-        all_beat(2)
+        all_beat(node, service, machines, 2)
         assert await round_looks() == 0
         # one member fails: its replica alone is looked at, and machines only while one waits
         failed = MemberReport("chat/3", 1, 1, MemberState.FAILED)
-        service.heartbeats.handle(_beat(node, 7, 3, failed))
+        service.heartbeats.handle(heartbeat_of(node, 7, 3, failed))
         assert await round_looks() == 1
         assert counts["candidates"] == 0
         # its record has changed, and it waits for room
@@ -276,7 +224,7 @@
 
 def test_a_machine_with_ordinary_tasks_or_on_its_way_out_does_not_join() -> None:
     async def story(state: StateService, clock: FakeClock, nodes: Nodes) -> None:
-        node, service = await _booted(state, clock, nodes, machines=0)
+        node, service = await booted_pool(state, clock, nodes, machines=0)
         seed(state, clock, machines=2)
         add_job(state, clock, sacks=1)
         await node.sync()
@@ -288,7 +236,7 @@
         own = node.membership.commanding(0)
         assert own is not None and node.cluster.machines["n-0"].rows
         for machine in ("n-0", "n-1", "n-2"):
-            service.heartbeats.handle(_beat(node, 0, 1)._replace(machine=machine))
+            service.heartbeats.handle(heartbeat_of(node, 0, 1)._replace(machine=machine))
         await service.coordinator.round(own)
         # the busy one stays; the empty one and the unknown one are taken in
         assert sorted(service.pool.machines) == ["n-1", "n-2"]
