Multihost measurement: the baseline keeps its spare machines

Cause: in the first trial run idle machines of the baseline were returned before the failure, so it had no room and never recovered; that said nothing of tasks handled one by one.

--- a/tests/measure_multihost.py
+++ b/tests/measure_multihost.py
@@ -15,10 +15,12 @@
 from pathlib import Path
 from random import Random
 from typing import Any, NamedTuple
+from unittest import mock
 
 import curio
 
 from crossmill.multihost import keys, scheduling
+from crossmill.settings import Settings
 
 from .harness import Node, play
 from .multihost_pool import add_ready_pairs, all_beat, booted_pool
@@ -140,7 +142,8 @@
 
 def measure_baseline(job: tuple[str, int, int]) -> Sample:
     """The same failures of a service whose tasks are the members, on the ordinary path. Its front,
-    task 0, answers whenever it runs itself; images are there at once."""
+    task 0, answers whenever it runs itself; images are there at once, and idle machines are kept
+    for the whole story, so that spare ones are there as they are in the pool."""
     failure, members, seed = job
     result: list[Sample] = []
 
@@ -176,7 +179,9 @@
             Sample(failure, members, seed, last, None, None, None, serving, round(wrong, 3))
         )
 
-    simulate(story)
+    kept = property(lambda _: 10 * LONGEST_S)
+    with mock.patch.object(Settings, "idle_s", kept):
+        simulate(story)
     return result[0]
 
 
@@ -238,26 +243,23 @@
             counts["candidates"] += 1
             return real(*args)
 
-        setattr(scheduling.Scheduler, real.__name__, counted)
-        try:
-            add_ready_pairs(state, clock, machines // 2)
-            node, service = await booted_pool(state, clock, nodes, machines)
-            own = node.membership.commanding(SETTINGS.pool_shard)
-            assert own is not None
-            all_beat(node, service, machines, 1)
-            await service.coordinator.round(own)
-            begun = time.process_time()
-            all_beat(node, service, machines, 2)
-            result["heartbeat_us"] = (time.process_time() - begun) / machines * 1e6
-            looks = service.coordinator.looks
+        add_ready_pairs(state, clock, machines // 2)
+        node, service = await booted_pool(state, clock, nodes, machines)
+        own = node.membership.commanding(SETTINGS.pool_shard)
+        assert own is not None
+        all_beat(node, service, machines, 1)
+        await service.coordinator.round(own)
+        begun = time.process_time()
+        all_beat(node, service, machines, 2)
+        result["heartbeat_us"] = (time.process_time() - begun) / machines * 1e6
+        looks = service.coordinator.looks
+        with mock.patch.object(scheduling.Scheduler, "_candidate", counted):
             begun = time.process_time()
             for _ in range(20):
                 await service.coordinator.round(own)
             result["idle_round_us"] = (time.process_time() - begun) / 20 * 1e6
-            result["looks_idle_round"] = service.coordinator.looks - looks
-            result["candidates_idle_round"] = counts["candidates"]
-        finally:
-            setattr(scheduling.Scheduler, real.__name__, real)
+        result["looks_idle_round"] = service.coordinator.looks - looks
+        result["candidates_idle_round"] = counts["candidates"]
 
     play(story)
     return {k: round(v, 1) for k, v in result.items()}
