Multihost: machines leave the pool once empty; situations are a module of their own

Need: the return of a machine concerns the replica, not the member. A machine to be released is emptied replica by replica within the disruption budget, then its ordinary record names its own type again in the transaction that marks it as gone from the pool; its agent is told to stop asking.

--- a/crossmill/multihost/agents.py
+++ b/crossmill/multihost/agents.py
@@ -47,6 +47,11 @@
             return False
         return self.alive_at >= self.start_sent_at.get(replica, self.alive_at)
 
+    @property
+    def is_empty(self) -> bool:
+        """Whether the machine runs no member, nor has been ordered to."""
+        return self.is_trusted and not self.members and not self.start_sent_at
+
     @property
     def is_trusted(self) -> bool:
         """Whether a heartbeat was believed since the ownership began."""
--- a/crossmill/multihost/api.py
+++ b/crossmill/multihost/api.py
@@ -43,6 +43,7 @@
 NO_SUCH_MACHINE = Response(404, error_body("no such machine in the pool"))
 NO_SUCH_PATH = Response(404, error_body("no such path"))
 RESTARTED = "restarted by an operator"
+RELEASED = "it leaves the pool"
 
 # what a declaration may change while replicas run
 CHANGEABLE = ("replicas", "priority", "min_ready", "restart_budget", "restart_window_s", "hold_s")
@@ -105,6 +106,8 @@
                 return lambda: self._drain(machine, request.body)
             case "POST", ["machines", machine, "undrain"]:
                 return lambda: self._set_draining(machine, "")
+            case "POST", ["machines", machine, "release"]:
+                return lambda: self._set_draining(machine, RELEASED, leaving=True)
         return None
 
     # -- reads -----------------------------------------------------------------------
@@ -167,6 +170,7 @@
             "machine": machine.id,
             "zone": machine.zone,
             "draining": machine.draining,
+            "has_left": machine.has_left,
             "capacity": machine.capacity._asdict(),
             "free": self._pool.free(machine)._asdict(),
             "replicas": sorted(str(r) for r in machine.planned),
@@ -178,7 +182,7 @@
         try:
             data = checks.load_object(body)
             spec = parse_declaration(name, data, self._settings.zones)
-            check_placeable(spec, self._pool.machines.values())
+            check_placeable(spec, self._pool.placeable())
         except checks.Malformed as exc:
             return Response(400, error_body(str(exc)))
         except InvalidDeclaration as exc:
@@ -257,12 +261,14 @@
             return Response(400, error_body(str(exc), "reason"))
         return await self._set_draining(machine_id, reason)
 
-    async def _set_draining(self, machine_id: str, reason: str) -> Response:
+    async def _set_draining(self, machine_id: str, reason: str, leaving: bool = False) -> Response:
         machine = self._pool.machines.get(machine_id)
         if machine is None:
             return NO_SUCH_MACHINE
+        if machine.has_left:
+            return Response(409, error_body("the machine has left the pool"))
         key = keys.machine(machine_id)
-        value = encode_machine(machine) | {"draining": reason}
+        value = encode_machine(replace(machine, draining=reason, leaving=leaving))
         if not await self._write(Txn({key: machine.version}, [Put(key, value)])):
             return UNAVAILABLE
         return Response(200, orjson.dumps(self._describe_machine(self._pool.machines[machine_id])))
--- a/crossmill/multihost/coordinator.py
+++ b/crossmill/multihost/coordinator.py
@@ -6,7 +6,7 @@
 
 import heapq
 import logging
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable
 from dataclasses import replace
 from itertools import count
 
@@ -22,23 +22,20 @@
     Decision,
     MemberStatus,
     Moment,
-    Situation,
     decide,
     first_contact_s,
     is_silent,
-    member_status,
     recent_restarts,
-    start_limit_s,
 )
-from .model import Member, Replica, ReplicaId, ReplicaSet
+from .model import PoolMachine, Replica, ReplicaId, ReplicaSet
 from .phases import Phase
 from .pool import PoolState
 from .registration import Registration
-from .rendezvous import Rendezvous
 from .scheduling import Scheduler
 from .serving import ServingLeases
 from .sets import PREEMPTED, plan_set
 from .settings import MultihostSettings
+from .situations import Situations
 from .writes import PoolWriter, advanced
 
 log = logging.getLogger(__name__)
@@ -78,7 +75,7 @@
         self._writes = writes
         self._registration = registration
         self._failures = FailureScores(settings.failure_half_life_s)
-        self._rendezvous = Rendezvous()
+        self._situations = Situations(settings, pool, agents, leases)
         self._scheduler = Scheduler(settings, pool, agents, self._failures)
         self.wake = curio.Event()
         self._pending_wake = False
@@ -105,6 +102,7 @@
     def note_heartbeat(self, machine: str, replicas: set[ReplicaId]) -> None:
         """A heartbeat brought news of replicas, or of a machine."""
         self._news |= replicas
+        self._pool.changes.machines.add(machine)
         self._pending_wake = True
 
     async def wake_if_news(self) -> None:
@@ -139,7 +137,7 @@
         self._agents.clear()
         self._leases.clear()
         self._failures.clear()
-        self._rendezvous.clear()
+        self._situations.clear()
         self._scheduler.clear()
         self._due.clear()
         self._due_at.clear()
@@ -236,7 +234,8 @@
         heapq.heappush(self._due, (at, next(self._numbers), replica_id))
 
     def _look_at_machines(self, own: Owned, changed: Iterable[str]) -> list[Intent]:
-        """Machines that were returned are taken out of the pool."""
+        """Machines that were returned are taken out of the pool, empty ones that are to leave it
+        become ordinary again."""
         gone = [
             m for m in changed if m in self._pool.machines and self._pool.record_version(m) == 0
         ]
@@ -244,7 +243,20 @@
             self._agents.forget(machine_id)
             self._silent.discard(machine_id)
             log.info("machine left the pool machine=%s", machine_id)
-        return [self._writes.deletion_of_machine(own, m) for m in gone]
+        intents = [self._writes.deletion_of_machine(own, m) for m in gone]
+        for machine_id in set(changed) - set(gone):
+            machine = self._pool.machines.get(machine_id)
+            if machine is not None and self._may_leave(machine):
+                log.info("machine leaves the pool empty machine=%s", machine_id)
+                intents.append(self._writes.departure_of_machine(own, machine))
+        return intents
+
+    def _may_leave(self, machine: PoolMachine) -> bool:
+        """Whether it is to leave the pool, and its agent says that no member is there."""
+        if not machine.leaving or machine.has_left or machine.planned:
+            return False
+        view = self._agents.get(machine.id)
+        return view is not None and view.is_empty
 
     # -- sets ------------------------------------------------------------------------
 
@@ -302,71 +314,6 @@
 
     # -- replicas --------------------------------------------------------------------
 
-    def _situation(
-        self, replica: Replica, stored: ReplicaSet, moment: Moment, may_stop: bool
-    ) -> Situation:
-        members = replica.members()
-        statuses = {m.rank: self._status(m, replica, moment) for m in members}
-        front = next((m for m in members if m.rank == 0), None)
-        front_view = self._agents.get(front.machine) if front is not None else None
-        unreachable: frozenset[int] = frozenset()
-        if front_view is not None and statuses.get(0) is MemberStatus.LOADED:
-            unreachable = frozenset(front_view.members[str(replica.id)].unreachable)
-        granted = self._leases.granted_machine(replica.id)
-        granted_view = self._agents.get(granted) if granted is not None else None
-        slowest = min(
-            (
-                self._pool.machines[m.machine].fetch_gb_per_s
-                for m in members
-                if m.machine in self._pool.machines
-            ),
-            default=1.0,
-        )
-        return Situation(
-            statuses,
-            unreachable & statuses.keys(),
-            self._have_met(replica, members, statuses, moment),
-            self._leases.fenced_at(replica, moment.owned_since, granted_view),
-            start_limit_s(stored.spec, slowest, self._settings),
-            may_stop,
-            self._all_gone(replica, moment),
-        )
-
-    def _have_met(
-        self,
-        replica: Replica,
-        members: list[Member],
-        statuses: Mapping[int, MemberStatus],
-        moment: Moment,
-    ) -> bool:
-        is_starting = replica.phase is Phase.STARTING
-        if not is_starting or any(s is not MemberStatus.LOADED for s in statuses.values()):
-            self._rendezvous.forget(replica.id)
-            return False
-        views = [self._agents.get(m.machine) for m in members]
-        return self._rendezvous.have_met(replica, members, views, moment.now)
-
-    def _status(self, member: Member, replica: Replica, moment: Moment) -> MemberStatus:
-        if member.machine not in self._pool.machines:
-            return MemberStatus.LOST
-        view = self._agents.get(member.machine)
-        return member_status(member, replica, view, moment, self._settings)
-
-    def _all_gone(self, replica: Replica, moment: Moment) -> bool:
-        """Whether no agent can still run a member: it says so, or must have stopped it."""
-        for member in replica.all_members():
-            if member.machine not in self._pool.machines:
-                continue
-            view = self._agents.get(member.machine)
-            last = moment.owned_since
-            if view is not None and view.is_trusted:
-                if view.has_none_of(str(replica.id)):
-                    continue
-                last = max(last, view.heard_at)
-            if moment.now - last <= self._settings.agent_lease_s * 1.1:
-                return False
-        return True
-
     def _step(
         self,
         own: Owned,
@@ -381,7 +328,7 @@
         if replica.version == 0 or stored is None:
             # a record that was read before, or is gone after, the one that it belongs to
             return
-        situation = self._situation(replica, stored, moment, may_stop)
+        situation = self._situations.of(replica, stored, moment, may_stop)
         decision = decide(replica, stored.spec, situation, moment, self._settings)
         if decision.look_at is not None:
             self._look_again(replica.id, decision.look_at)
--- a/crossmill/multihost/heartbeats.py
+++ b/crossmill/multihost/heartbeats.py
@@ -84,6 +84,8 @@
             return Reply(503)
         known = self._agents.get(beat.machine)
         had_notice = known is not None and known.notice_at is not None
+        if self._pool.machines[beat.machine].has_left:
+            return Reply(410)
         freshness = self._agents.note(beat, own.token, now)
         orders: list[Order] = []
         if freshness is Freshness.NEW:
--- a/crossmill/multihost/model.py
+++ b/crossmill/multihost/model.py
@@ -154,5 +154,8 @@
     capacity: Resources
     fetch_gb_per_s: float
     draining: str = ""
+    # it is to leave the pool once it is empty, and has left it
+    leaving: bool = False
+    has_left: bool = False
     version: int = 0
     planned: dict[ReplicaId, Member] = field(default_factory=dict)
--- a/crossmill/multihost/pool.py
+++ b/crossmill/multihost/pool.py
@@ -63,6 +63,10 @@
             free = free.minus(self.spec_resources(replica_id))
         return free
 
+    def placeable(self) -> list[PoolMachine]:
+        """The machines that have not left the pool."""
+        return [m for m in self.machines.values() if not m.has_left]
+
     def is_retiring(self, machine_id: str) -> bool:
         """Whether the machine is about to be returned, or was."""
         value = self.mirror.value(cluster_keys.machine(machine_id))
--- a/crossmill/multihost/records.py
+++ b/crossmill/multihost/records.py
@@ -116,6 +116,8 @@
         "capacity": list(machine.capacity),
         "fetch_gb_per_s": machine.fetch_gb_per_s,
         "draining": machine.draining,
+        "leaving": machine.leaving,
+        "left": machine.has_left,
     }
 
 
@@ -127,10 +129,18 @@
         Resources(*value["capacity"]),
         value["fetch_gb_per_s"],
         value["draining"],
+        value.get("leaving", False),
+        value.get("left", False),
         version,
     )
 
 
+def returned_record(record: dict[str, Any]) -> dict[str, Any]:
+    """The ordinary record of a machine that has left the pool: single-machine tasks may use it, and
+    it is given back if nobody does."""
+    return record | {"type": str(record["type"]).removeprefix(RESERVED_TYPE_PREFIX)}
+
+
 def reservation_record(
     machine_type: str, zone: str, spot: bool, shard: int, rented: float
 ) -> dict[str, Any]:
--- a/crossmill/multihost/scheduling.py
+++ b/crossmill/multihost/scheduling.py
@@ -162,7 +162,12 @@
         view = self._agents.get(machine.id)
         if view is None or not view.is_trusted or is_silent(view, moment, self._settings):
             return None
-        if machine.draining or view.notice_at is not None or self._pool.is_retiring(machine.id):
+        if (
+            machine.draining
+            or machine.leaving
+            or view.notice_at is not None
+            or self._pool.is_retiring(machine.id)
+        ):
             return None
         free = self._pool.free(machine)
         for name in view.members:
--- a/crossmill/multihost/verbs.py
+++ b/crossmill/multihost/verbs.py
@@ -28,6 +28,11 @@
         ),
         ("remove", "stop all replicas of a set", (("set", "its name"),)),
         ("drain", "empty a machine, replica by replica", (("machine", "the machine's id"),)),
+        (
+            "release",
+            "empty a machine and take it out of the pool",
+            (("machine", "the machine's id"),),
+        ),
         ("undrain", "let replicas stand on a machine again", (("machine", "the machine's id"),)),
     )
     for name, text, positional in arguments:
@@ -62,7 +67,7 @@
             return ClientRequest("PUT", f"{SETS_PATH}/{args.set}", read_input(args.file))
         case "remove":
             return ClientRequest("DELETE", f"{SETS_PATH}/{args.set}")
-        case "drain" | "undrain":
+        case "drain" | "undrain" | "release":
             return ClientRequest("POST", f"{MACHINES_PATH}/{args.machine}/{args.replica_verb}")
     raise BadUsage(f"{args.replica_verb!r} is no verb")
 
--- a/crossmill/multihost/writes.py
+++ b/crossmill/multihost/writes.py
@@ -13,11 +13,18 @@
 from ..state.writer import OK, PLACE, URGENT, Intent, Writer
 from ..wire.state import Put, Txn
 from . import keys
-from .model import Member, PhaseChange, Replica, ReplicaId, ReplicaSet
+from .model import Member, PhaseChange, PoolMachine, Replica, ReplicaId, ReplicaSet
 from .phases import Phase, next_generation
 from .placement import Placement
 from .pool import PoolState
-from .records import HISTORY_LENGTH, encode_chunk, encode_replica, encode_set
+from .records import (
+    HISTORY_LENGTH,
+    encode_chunk,
+    encode_machine,
+    encode_replica,
+    encode_set,
+    returned_record,
+)
 
 log = logging.getLogger(__name__)
 
@@ -101,6 +108,16 @@
         conditions = {key: version, cluster_keys.machine(machine_id): 0}
         return self._intent(own, PLACE, Txn(conditions, [], [key]))
 
+    def departure_of_machine(self, own: Owned, machine: PoolMachine) -> Intent:
+        """An empty machine leaves the pool: its ordinary record names its own type again. The
+        pool's record stays until the machine is gone, so that its agent is not taken in anew."""
+        key, ordinary = keys.machine(machine.id), cluster_keys.machine(machine.id)
+        value = encode_machine(with_changes(machine, has_left=True))
+        record = returned_record(self._pool.mirror.value(ordinary))
+        txn = Txn({key: machine.version, ordinary: self._pool.record_version(machine.id)})
+        txn.puts += [Put(key, value), Put(ordinary, record)]
+        return self._intent(own, PLACE, txn)
+
     async def clear(self, own: Owned, replica: Replica, record_too: bool) -> bool:
         """Deletes the members' records, and at last the replica's own if it is to go."""
         most = max(1, self._writer.limits.txn_ops - 1)
--- a/tests/multihost_agents.py
+++ b/tests/multihost_agents.py
@@ -68,7 +68,7 @@
         self.highest: dict[str, int] = {}
         self.images: dict[str, float] = {}
         self.answered_at = self.now()
-        self.dead = False
+        self.dead, self.has_left = False, False
         self.hung = False
         self.notice_s: float | None = None
         # one-way cuts: whether heartbeats get through, and whether answers do
@@ -211,7 +211,7 @@
         await curio.spawn(self._run_pings, daemon=True)
         labels = list(self.region.lines)
         self._target = self.number % len(labels)
-        while not self.dead:
+        while not self.dead and not self.has_left:
             if self.hung:
                 await curio.sleep(0.1)
                 continue
@@ -234,6 +234,8 @@
             self._target = (self._target + 1) % len(labels)
             return max(0.2, timeout_s - (self.now() - sent))
         status, data = reply
+        if status == 410:
+            self.has_left = True
         if status != 200:
             owner = parse_redirect(data) if status == 421 else None
             moves = owner in labels and owner != label
--- a/tests/test_multihost_failures.py
+++ b/tests/test_multihost_failures.py
@@ -7,6 +7,7 @@
 import curio
 import pytest
 
+from crossmill.cluster import keys as cluster_keys
 from crossmill.wire.multihost import HeartbeatAnswer, MemberReport, MemberState, Op, Proof
 
 from .multihost_agents import Agent
@@ -361,6 +362,26 @@
     simulate_multihost(story)
 
 
+def test_a_released_machine_leaves_the_pool_only_when_it_is_empty() -> None:
+    async def story(region: MultihostRegion) -> None:
+        await region.begin_pool(10)
+        await region.declare("chat", min_ready=1, image_gb=LOAD_S)
+        await region.until_serving("chat/0")
+        agent = region.agents_of("chat/0")[2]
+        record = cluster_keys.machine(agent.machine)
+        assert (await region.operate("POST", f"machines/{agent.machine}/release"))[0] == 200
+        await region.until_serving("chat/1", BOUND_S)
+        assert region.state.keys[record][0]["type"] == "multihost/g4"
+        await region.until(lambda: agent.has_left, 20.0)
+        assert not agent.members and region.state.keys[record][0]["type"] == "g4"
+        assert (await region.operate("POST", f"machines/{agent.machine}/undrain"))[0] == 409
+        # once the machine is returned nothing is left of it
+        region.state.delete(record)
+        await region.until(lambda: region.pool_size() == 9)
+
+    simulate_multihost(story)
+
+
 def test_a_spot_notice_moves_the_whole_replica() -> None:
     async def story(region: MultihostRegion) -> None:
         await region.begin_pool(10)
