--- a/crossmill/multihost/coordinator.py
+++ b/crossmill/multihost/coordinator.py
@@ -4,11 +4,8 @@
 decides is durable before an agent hears of it, so a controller may end at any moment: the next
 owner finds every replica in a phase from which it goes on."""
 
-import heapq
 import logging
 from collections.abc import Iterable
-from dataclasses import replace
-from itertools import count
 
 import curio
 
@@ -16,6 +13,7 @@
 from ..net.clock import Clock
 from ..state.writer import Intent
 from .agents import Agents
+from .due_times import DueTimes
 from .failure_scores import FailureScores
 from .lifecycle import (
     Action,
@@ -33,7 +31,8 @@
 from .registration import Registration
 from .scheduling import Scheduler
 from .serving import ServingLeases
-from .sets import PREEMPTED, plan_set
+from .set_rounds import SetRounds
+from .sets import PREEMPTED
 from .settings import MultihostSettings
 from .situations import Situations
 from .writes import PoolWriter, advanced
@@ -77,13 +76,12 @@
         self._failures = FailureScores(settings.failure_half_life_s)
         self._situations = Situations(settings, pool, agents, leases)
         self._scheduler = Scheduler(settings, pool, agents, self._failures)
+        self._sets = SetRounds(pool, agents, self._scheduler, writes)
         self.wake = curio.Event()
         self._pending_wake = False
         # the token under which the present ownership began
         self._term: int | None = None
-        self._due: list[tuple[float, int, ReplicaId]] = []
-        self._due_at: dict[ReplicaId, float] = {}
-        self._numbers = count()
+        self._due = DueTimes()
         self._silent: set[str] = set()
         # replicas whose members' state has changed since they were last looked at
         self._news: set[ReplicaId] = set()
@@ -125,9 +123,10 @@
     def _nap_s(self) -> float:
         """Until something is due; a silent machine is noticed by looking each half heartbeat."""
         longest = self._settings.heartbeat_s / 2
-        if self._due:
-            return max(0.0, min(longest, self._due[0][0] - self._clock.now()))
-        return longest
+        due_at = self._due.next_at()
+        if due_at is None:
+            return longest
+        return max(0.0, min(longest, due_at - self._clock.now()))
 
     def _lost(self, shard: int) -> None:
         """All that was believed of the agents ends with the ownership."""
@@ -140,7 +139,6 @@
         self._situations.clear()
         self._scheduler.clear()
         self._due.clear()
-        self._due_at.clear()
         self._silent.clear()
         self._suspects.clear()
 
@@ -173,12 +171,12 @@
         self._notice_silence(moment)
         self._notice_machines()
         changes = self._pool.take_changes()
-        replicas = changes.replicas | self._news | self._due_now(moment.now)
+        replicas = changes.replicas | self._news | self._due.take(moment.now)
         sets = changes.sets
         self._news = set()
         intents = self._look_at_machines(own, changes.machines)
         sets |= {r.set_name for r in replicas} | self._scheduler.waiting_sets()
-        allowed = self._look_at_sets(own, moment, sets, intents)
+        allowed = self._sets.look(own, moment, sets, intents)
         to_clear: list[tuple[Replica, bool]] = []
         # what one replica of a set has come to may let another one be stopped
         for replica_id in sorted(replicas | allowed):
@@ -217,22 +215,6 @@
             reported = (ReplicaId.parse(name) for name in view.members)
             self._news |= {r for r in reported if r is not None and r in self._pool.replicas}
 
-    def _due_now(self, now: float) -> set[ReplicaId]:
-        due: set[ReplicaId] = set()
-        while self._due and self._due[0][0] <= now:
-            at, _, replica_id = heapq.heappop(self._due)
-            if self._due_at.get(replica_id) == at:
-                del self._due_at[replica_id]
-                due.add(replica_id)
-        return due
-
-    def _look_again(self, replica_id: ReplicaId, at: float) -> None:
-        known = self._due_at.get(replica_id)
-        if known is not None and known <= at:
-            return
-        self._due_at[replica_id] = at
-        heapq.heappush(self._due, (at, next(self._numbers), replica_id))
-
     def _look_at_machines(self, own: Owned, changed: Iterable[str]) -> list[Intent]:
         """Machines that were returned are taken out of the pool, empty ones that are to leave it
         become ordinary again."""
@@ -258,60 +240,6 @@
         view = self._agents.get(machine.id)
         return view is not None and view.is_empty
 
-    # -- sets ------------------------------------------------------------------------
-
-    def _look_at_sets(
-        self, own: Owned, moment: Moment, names: Iterable[str], intents: list[Intent]
-    ) -> set[ReplicaId]:
-        """Creates and marks replicas; returns those that the disruption budget lets stop."""
-        allowed: set[ReplicaId] = set()
-        for name in sorted(names):
-            stored = self._pool.sets.get(name)
-            if stored is None:
-                continue
-            replicas = self._pool.replicas_of.get(name, {})
-            plan = plan_set(
-                stored,
-                replicas,
-                self._evacuated(replicas.values()),
-                self._scheduler.waits_in_vain(name, moment.now),
-            )
-            allowed |= plan.may_stop
-            for replica_id, reason in plan.leaving.items():
-                self._mark_leaving(own, replica_id, reason, intents)
-            if plan.create:
-                intents.append(self._writes.creation(own, stored, plan.create, self._clock.wall()))
-            if plan.is_over:
-                intents.append(self._writes.deletion_of_set(own, stored))
-        return allowed
-
-    def _evacuated(self, replicas: Iterable[Replica]) -> dict[ReplicaId, str]:
-        """Replicas with a member on a machine that is to be emptied or will be taken away."""
-        evacuated: dict[ReplicaId, str] = {}
-        for replica in replicas:
-            for member in replica.all_members():
-                reason = self._leaving_reason(member.machine)
-                if reason:
-                    evacuated[replica.id] = reason
-        return evacuated
-
-    def _leaving_reason(self, machine_id: str) -> str:
-        machine = self._pool.machines.get(machine_id)
-        view = self._agents.get(machine_id)
-        if machine is not None and machine.draining:
-            return f"machine {machine_id} is drained: {machine.draining}"
-        if view is not None and view.notice_at is not None:
-            return f"machine {machine_id} is taken away soon"
-        return ""
-
-    def _mark_leaving(
-        self, own: Owned, replica_id: ReplicaId, reason: str, intents: list[Intent]
-    ) -> None:
-        replica = self._pool.replicas[replica_id]
-        after = replace(replica, leaving=reason)
-        log.info("replica leaves replica=%s reason=%s", replica_id, reason)
-        intents.append(self._writes.transition(own, replica, after))
-
     # -- replicas --------------------------------------------------------------------
 
     def _step(
@@ -331,10 +259,10 @@
         situation = self._situations.of(replica, stored, moment, may_stop)
         decision = decide(replica, stored.spec, situation, moment, self._settings)
         if decision.look_at is not None:
-            self._look_again(replica.id, decision.look_at)
+            self._due.add(replica.id, decision.look_at)
         if MemberStatus.UNHEARD in situation.statuses.values():
             first_contact = moment.owned_since + first_contact_s(self._settings)
-            self._look_again(replica.id, first_contact + self._settings.heartbeat_s / 20)
+            self._due.add(replica.id, first_contact + self._settings.heartbeat_s / 20)
         if decision.action is Action.PLACE:
             self._scheduler.add(replica.id, moment.now)
             return
@@ -407,5 +335,5 @@
     ) -> None:
         intents: list[Intent] = []
         for victim in victims:
-            self._mark_leaving(own, victim, f"{PREEMPTED} {waiting}", intents)
+            self._sets.mark_leaving(own, victim, f"{PREEMPTED} {waiting}", intents)
         await self._writes.submit(intents)
