Ranks and results of writes are enums; client verbs, TOML files and stories share their frames

Names that stood in the way: LATER, PLACE and the strings ok, conflict, expired are WriteRank and WriteResult. What the multihost package had written a second time (the frame of a client verb, reading a TOML file, playing a story under virtual time) is written once.

--- a/crossmill/client_command.py
+++ b/crossmill/client_command.py
@@ -1,6 +1,8 @@
 """What the client verbs of the command line share: input, request, answer."""
 
+import argparse
 import sys
+from collections.abc import Callable
 from typing import NamedTuple
 
 import curio
@@ -44,6 +46,19 @@
     return Endpoint(host, int(port))
 
 
+def run_verb(
+    args: argparse.Namespace, request_of: Callable[[argparse.Namespace], ClientRequest]
+) -> int:
+    """Makes the request of a verb and sends it; the exit code."""
+    try:
+        server = parse_server(args.server)
+        request = request_of(args)
+    except BadUsage as exc:
+        print(exc, file=sys.stderr)
+        return BAD_USAGE
+    return send(server, args.timeout, request)
+
+
 def send(server: Endpoint, timeout_s: float, request: ClientRequest) -> int:
     """Sends the request and prints the answer; the exit code."""
     client = Client(server)
--- a/crossmill/cluster/feature_level.py
+++ b/crossmill/cluster/feature_level.py
@@ -13,7 +13,7 @@
 from ..net.clock import Clock
 from ..settings import Settings
 from ..state.follower import Follower
-from ..state.writer import OK, OWNERSHIP, Intent, Writer
+from ..state.writer import Intent, Writer, WriteRank, WriteResult
 from ..wire.state import Put, Txn
 from . import keys
 
@@ -101,6 +101,6 @@
 
     async def _commit(self, txn: Txn) -> None:
         until = self._clock.now() + self._settings.hold_ttl_s
-        intent = Intent(txn, OWNERSHIP, until=until)
-        if await self._writer.commit(intent) != OK:
+        intent = Intent(txn, WriteRank.OWNERSHIP, until=until)
+        if await self._writer.commit(intent) != WriteResult.OK:
             await self._follower.sync(self._settings.renew_s)
--- a/crossmill/cluster/membership.py
+++ b/crossmill/cluster/membership.py
@@ -9,7 +9,7 @@
 from ..net.clock import Clock
 from ..settings import Settings
 from ..state.follower import Follower
-from ..state.writer import OK, OWNERSHIP, Intent, Writer
+from ..state.writer import Intent, Writer, WriteRank, WriteResult
 from ..wire.state import Put, Txn
 from . import keys
 from .cluster_state import ClusterState
@@ -236,8 +236,8 @@
 
     async def _commit(self, txn: Txn) -> bool:
         epoch = self._keeper.epoch
-        intent = Intent(txn, OWNERSHIP, holds=lambda: self._keeper.holds(epoch))
-        return await self._writer.commit(intent) == OK
+        intent = Intent(txn, WriteRank.OWNERSHIP, holds=lambda: self._keeper.holds(epoch))
+        return await self._writer.commit(intent) == WriteResult.OK
 
     def _rank(self) -> int:
         """How many live controllers have fewer shards than this one."""
--- a/crossmill/fleet/leader.py
+++ b/crossmill/fleet/leader.py
@@ -12,7 +12,7 @@
 from ..net.clock import Clock
 from ..planning.demand import Need
 from ..settings import Settings
-from ..state.writer import LATER, OK, PLACE, Intent, Writer
+from ..state.writer import Intent, Writer, WriteRank, WriteResult
 from ..wire.cloud import MAX_RELEASE, Listed
 from ..wire.state import Put, Txn
 from .cloud import Cloud, CloudTrouble, NoCapacity, stored_catalog
@@ -110,7 +110,7 @@
         if version is None or stored_catalog(catalog) == self._cluster.mirror.value(keys.CATALOG):
             return
         txn = Txn({keys.LEADER: version}, [Put(keys.CATALOG, stored_catalog(catalog))])
-        await self._commit([Intent(txn, LATER, holds=self._leads)])
+        await self._commit([Intent(txn, WriteRank.BACKGROUND, holds=self._leads)])
 
     def _leads(self) -> bool | None:
         return self._membership.leading() is not None
@@ -118,7 +118,7 @@
     async def _commit(self, intents: list[Intent]) -> int:
         for intent in intents:
             await self._writer.submit(intent)
-        return sum([await i.future.wait() == OK for i in intents])
+        return sum([await i.future.wait() == WriteResult.OK for i in intents])
 
     # -- renting ---------------------------------------------------------------------
 
@@ -180,7 +180,7 @@
                 "up": False,
             }
             txn = Txn({keys.LEADER: version, key: 0}, [Put(key, value)])
-            intents.append(Intent(txn, PLACE, holds=self._leads))
+            intents.append(Intent(txn, WriteRank.PLACEMENT, holds=self._leads))
         await self._commit(intents)
 
     # -- the list --------------------------------------------------------------------
@@ -229,7 +229,7 @@
             {keys.LEADER: version, key: machine.version},
             [Put(key, machine.encode(retiring=why))],
         )
-        await self._commit([Intent(txn, LATER, holds=self._leads)])
+        await self._commit([Intent(txn, WriteRank.BACKGROUND, holds=self._leads)])
 
     # -- releasing -------------------------------------------------------------------
 
@@ -254,7 +254,7 @@
                 Txn(
                     {keys.LEADER: version, keys.machine(m.id): m.version}, [], [keys.machine(m.id)]
                 ),
-                LATER,
+                WriteRank.BACKGROUND,
                 holds=self._leads,
             )
             for m in going
--- a/crossmill/jobs/cleanup.py
+++ b/crossmill/jobs/cleanup.py
@@ -10,7 +10,7 @@
 from ..cluster.records import encode_archived, encode_end
 from ..net.clock import Clock
 from ..settings import Settings
-from ..state.writer import LATER, Intent
+from ..state.writer import Intent, WriteRank
 from ..wire.state import Put, Txn
 from .shard_writes import shard_intent
 
@@ -35,7 +35,9 @@
             *self._forget_notes(shard)[:most],
             *self._archive(shard),
         ]
-        return [shard_intent(self._membership, shard, own, LATER, txn) for txn in txns]
+        return [
+            shard_intent(self._membership, shard, own, WriteRank.BACKGROUND, txn) for txn in txns
+        ]
 
     def _record_cancelled(self, shard: int) -> list[Txn]:
         """Jobs cancelled with one that they need: their records follow within the write rate."""
--- a/crossmill/jobs/durable.py
+++ b/crossmill/jobs/durable.py
@@ -11,7 +11,7 @@
 from ..cluster.records import encode_chunk, encode_end
 from ..net.clock import Clock
 from ..settings.limits import OTHER_CONDITIONS
-from ..state.writer import OUTCOME, PLACE, Intent
+from ..state.writer import Intent, WriteRank
 from ..wire.state import Put, Txn
 from ..wire.users import JobSpec
 from ..workers.findings import Finding
@@ -96,7 +96,7 @@
         if spec is not None and finished:
             txn.conditions[keys.job(job.id)] = edit.job_version
             txn.puts.append(Put(keys.job(job.id), self._done(spec)))
-        rank = PLACE if edit.starts or finished else OUTCOME
+        rank = WriteRank.PLACEMENT if edit.starts or finished else WriteRank.OUTCOME
         return shard_intent(self._membership, shard, own, rank, txn)
 
     def _apply_findings(
@@ -129,7 +129,7 @@
                 key = keys.job(job.id)
                 put = Put(key, self._done(job.spec))
                 txn = Txn({key: job.version}, [put])
-                intents.append(shard_intent(self._membership, shard, own, PLACE, txn))
+                intents.append(shard_intent(self._membership, shard, own, WriteRank.PLACEMENT, txn))
         return intents
 
     def _layout_conditions(self, job: Job, where: ChunkRange) -> dict[str, int]:
--- a/crossmill/jobs/machine_maintenance.py
+++ b/crossmill/jobs/machine_maintenance.py
@@ -13,7 +13,7 @@
 from ..fleet.forecast import DemandForecast
 from ..net.clock import Clock
 from ..settings import Settings
-from ..state.writer import LATER, Intent
+from ..state.writer import Intent, WriteRank
 from ..wire.state import Put, Txn
 from ..workers.reports import Reports
 from .failures import TaskFailures
@@ -115,7 +115,7 @@
     def _intent(self, shard: int, own: Owned, machine: Machine, value: dict[str, Any]) -> Intent:
         key = keys.machine(machine.id)
         txn = Txn({key: machine.version}, [Put(key, value)])
-        return shard_intent(self._membership, shard, own, LATER, txn)
+        return shard_intent(self._membership, shard, own, WriteRank.BACKGROUND, txn)
 
     def _spare(self, shard: int, machines: list[Machine], now: float) -> set[str]:
         """Machines that neither waiting nor expected tasks would use; looked for only when
--- a/crossmill/jobs/plan_migration.py
+++ b/crossmill/jobs/plan_migration.py
@@ -14,7 +14,7 @@
 from ..cluster.membership import Membership, Owned
 from ..cluster.model import ACTIVE, Chunk, Job
 from ..cluster.records import encode_chunk
-from ..state.writer import PLACE, Intent
+from ..state.writer import Intent, WriteRank
 from ..wire.state import Put, Txn
 from .shard_writes import shard_intent
 
@@ -73,7 +73,7 @@
         if is_last:
             txn.deletes.append(legacy_key)
             log.info("plan moved into segments job=%s chunk=%s", job.id, name)
-        return shard_intent(self._membership, shard, own, PLACE, txn)
+        return shard_intent(self._membership, shard, own, WriteRank.PLACEMENT, txn)
 
     def _changes(self, job: Job, where: ChunkRange, legacy: Chunk) -> list[_Change]:
         """Where the copies differ from what they have to be."""
--- a/crossmill/jobs/record_repair.py
+++ b/crossmill/jobs/record_repair.py
@@ -19,7 +19,7 @@
 from ..net.clock import Clock
 from ..settings import Settings
 from ..state.client import OutcomeUnknown, Refused, StateClient
-from ..state.writer import LATER, Writer
+from ..state.writer import Writer, WriteRank
 from ..wire.state import Put, Txn
 from ..wire.users import JobSpec
 from .shard_writes import shard_intent
@@ -117,7 +117,9 @@
         log.warning("dependency was archived job=%s needs=%s end=%s", job.id, need, end)
         key = keys.job(job.id)
         txn = Txn({key: version, keys.job(need): 0}, [Put(key, record)])
-        await self._writer.commit(shard_intent(self._membership, shard, own, LATER, txn))
+        await self._writer.commit(
+            shard_intent(self._membership, shard, own, WriteRank.BACKGROUND, txn)
+        )
 
     def _record(self, job: Job, spec: JobSpec, need: str, end: str) -> dict[str, object] | None:
         """The waiting job's record once it is known how the missing one ended."""
--- a/crossmill/jobs/rounds.py
+++ b/crossmill/jobs/rounds.py
@@ -15,7 +15,7 @@
 from ..fleet.forecast import DemandForecast
 from ..net.clock import Clock
 from ..settings import Settings
-from ..state.writer import OK, Intent, Writer
+from ..state.writer import Intent, Writer, WriteResult
 from ..workers.direct import Direct
 from ..workers.findings import Finding
 from ..workers.reports import Reports
@@ -137,14 +137,14 @@
             for intent in intents:
                 await self._writer.submit(intent)
             for machine_id, intent in moves.items():
-                if await intent.future.wait() == OK:
+                if await intent.future.wait() == WriteResult.OK:
                     self._reports.moved(machine_id)
                     self._reassignment.going.pop(machine_id, None)
                     log.info("machine given machine=%s", machine_id)
         finally:
             self._reports.leaving.difference_update(moves)
         for intent in intents:
-            if await intent.future.wait() == OK:
+            if await intent.future.wait() == WriteResult.OK:
                 await self._direct.send(starts.get(id(intent), []), [])
                 for put in intent.txn.puts:
                     if put.key.startswith(keys.JOB):
--- a/crossmill/jobs/submission.py
+++ b/crossmill/jobs/submission.py
@@ -12,7 +12,7 @@
 from ..net.server import Request, Response
 from ..planning.demand import slots_on
 from ..settings import Settings
-from ..state.writer import OK, URGENT, Intent, Writer
+from ..state.writer import Intent, Writer, WriteRank, WriteResult
 from ..wire import users as wire
 from ..wire.checks import Malformed, load_object
 from ..wire.state import Put, Txn
@@ -151,10 +151,10 @@
             return await self._refuse(spec.id, NEVER, "too long to be stored")
         txn = Txn({key: 0, keys.archived(spec.id): 0}, [Put(key, orjson.loads(encoded))])
         self._rest_on(dependencies, archivings, txn)
-        intent = Intent(txn, URGENT, until=now + self._settings.accept_s)
+        intent = Intent(txn, WriteRank.URGENT, until=now + self._settings.accept_s)
         await self._writer.submit(intent)
         outcome = await intent.future.wait(self._settings.accept_s)
-        if outcome == OK:
+        if outcome == WriteResult.OK:
             log.info(
                 "job accepted job=%s class=%s team=%s tasks=%d needs=%d",
                 spec.id,
--- a/crossmill/multihost/api.py
+++ b/crossmill/multihost/api.py
@@ -15,7 +15,7 @@
 from ..net.server import Request, Response
 from ..settings import Settings
 from ..state.follower import Follower
-from ..state.writer import OK, URGENT, Intent, Writer
+from ..state.writer import Intent, Writer, WriteRank, WriteResult
 from ..wire import checks
 from ..wire.multihost import (
     BASE_PATH,
@@ -230,7 +230,9 @@
 
     async def _write(self, txn: Txn) -> bool:
         until = self._clock.now() + self._settings.accept_s
-        return await self._writer.commit(Intent(txn, URGENT, until=until)) == OK
+        return (
+            await self._writer.commit(Intent(txn, WriteRank.URGENT, until=until)) == WriteResult.OK
+        )
 
     # -- by hand ---------------------------------------------------------------------
 
--- a/crossmill/multihost/registration.py
+++ b/crossmill/multihost/registration.py
@@ -7,7 +7,7 @@
 from ..cluster.membership import Membership, Owned
 from ..jobs.shard_writes import shard_intent
 from ..net.clock import Clock
-from ..state.writer import PLACE, Intent, Writer
+from ..state.writer import Intent, Writer, WriteRank
 from ..wire.multihost import Heartbeat
 from ..wire.state import Put, Txn
 from . import keys
@@ -71,7 +71,7 @@
             record = reservation_record(offer.type, offer.zone, offer.spot, self._shard, rented)
             txn.puts.append(Put(ordinary, record))
         log.info("machine joins the pool machine=%s zone=%s", beat.machine, offer.zone)
-        return shard_intent(self._membership, self._shard, own, PLACE, txn)
+        return shard_intent(self._membership, self._shard, own, WriteRank.PLACEMENT, txn)
 
     def _may_join(self, beat: Heartbeat) -> bool:
         known = self._cluster.machines.get(beat.machine)
--- a/crossmill/multihost/settings.py
+++ b/crossmill/multihost/settings.py
@@ -1,10 +1,10 @@
 """The multihost file (see deploy/multihost.toml), checked, and what is derived from it."""
 
-import tomllib
 from dataclasses import dataclass
 from typing import Any
 
 from ..settings import BadSettings, Endpoint, Settings
+from ..settings.loader import read_toml
 from ..settings.table import Table
 
 # the protocol's drift between two steady clocks, doubled for safety
@@ -112,11 +112,4 @@
 
 def load(path: str, settings: Settings) -> MultihostSettings:
     """Reads and checks the file; raises BadSettings."""
-    try:
-        with open(path, "rb") as file:
-            data = tomllib.load(file)
-    except OSError as exc:
-        raise BadSettings(f"{path}: {exc.strerror}") from exc
-    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as exc:
-        raise BadSettings(f"{path}: not TOML: {exc}") from exc
-    return parse(data, settings)
+    return parse(read_toml(path), settings)
--- a/crossmill/multihost/verbs.py
+++ b/crossmill/multihost/verbs.py
@@ -1,10 +1,9 @@
 """The client verbs about multi-machine replicas."""
 
 import argparse
-import sys
 from collections.abc import Callable
 
-from ..client_command import BAD_USAGE, BadUsage, ClientRequest, parse_server, read_input, send
+from ..client_command import BadUsage, ClientRequest, read_input, run_verb
 from ..wire.multihost import MACHINES_PATH, REPLICAS_PATH, SETS_PATH
 from .model import ReplicaId
 
@@ -74,10 +73,4 @@
 
 def run(args: argparse.Namespace) -> int:
     """Sends the request of a verb and prints the answer; the exit code."""
-    try:
-        server = parse_server(args.server)
-        request = request_of(args)
-    except BadUsage as exc:
-        print(exc, file=sys.stderr)
-        return BAD_USAGE
-    return send(server, args.timeout, request)
+    return run_verb(args, request_of)
--- a/crossmill/multihost/writes.py
+++ b/crossmill/multihost/writes.py
@@ -10,7 +10,7 @@
 from ..cluster import keys as cluster_keys
 from ..cluster.membership import Membership, Owned
 from ..jobs.shard_writes import shard_intent
-from ..state.writer import OK, PLACE, URGENT, Intent, Writer
+from ..state.writer import Intent, Writer, WriteRank, WriteResult
 from ..wire.state import Put, Txn
 from . import keys
 from .model import Member, PhaseChange, PoolMachine, Replica, ReplicaId, ReplicaSet
@@ -57,25 +57,29 @@
         self._shard = pool_shard
         self.transactions = 0
 
-    def _intent(self, own: Owned, rank: int, txn: Txn) -> Intent:
+    def _intent(self, own: Owned, rank: WriteRank, txn: Txn) -> Intent:
         self.transactions += 1
         return shard_intent(self._membership, self._shard, own, rank, txn)
 
-    async def _commit(self, own: Owned, rank: int, txn: Txn) -> bool:
-        return await self._writer.commit(self._intent(own, rank, txn)) == OK
+    async def _commit(self, own: Owned, rank: WriteRank, txn: Txn) -> bool:
+        return await self._writer.commit(self._intent(own, rank, txn)) == WriteResult.OK
 
     async def submit(self, intents: Sequence[Intent]) -> list[bool]:
         """Sends all, then waits for all."""
         for intent in intents:
             await self._writer.submit(intent)
-        return [await intent.future.wait() == OK for intent in intents]
+        return [await intent.future.wait() == WriteResult.OK for intent in intents]
 
     # -- single records --------------------------------------------------------------
 
     def transition(self, own: Owned, replica: Replica, after: Replica) -> Intent:
         """A replica's record, changed. What ends service is urgent."""
         key = keys.replica(replica.id)
-        rank = PLACE if after.phase in (Phase.PENDING, Phase.STOPPED) else URGENT
+        rank = (
+            WriteRank.PLACEMENT
+            if after.phase in (Phase.PENDING, Phase.STOPPED)
+            else WriteRank.URGENT
+        )
         return self._intent(
             own, rank, Txn({key: replica.version}, [Put(key, encode_replica(after))])
         )
@@ -94,19 +98,19 @@
             key = keys.replica(replica_id)
             txn.conditions[key] = 0
             txn.puts.append(Put(key, encode_replica(replica)))
-        return self._intent(own, PLACE, txn)
+        return self._intent(own, WriteRank.PLACEMENT, txn)
 
     def deletion_of_set(self, own: Owned, stored: ReplicaSet) -> Intent:
         """The record of a removed set without replicas."""
         key = keys.replica_set(stored.spec.name)
-        return self._intent(own, PLACE, Txn({key: stored.version}, [], [key]))
+        return self._intent(own, WriteRank.PLACEMENT, Txn({key: stored.version}, [], [key]))
 
     def deletion_of_machine(self, own: Owned, machine_id: str) -> Intent:
         """The pool's record of a machine that was returned: its ordinary record is gone."""
         key = keys.machine(machine_id)
         version = self._pool.machines[machine_id].version
         conditions = {key: version, cluster_keys.machine(machine_id): 0}
-        return self._intent(own, PLACE, Txn(conditions, [], [key]))
+        return self._intent(own, WriteRank.PLACEMENT, Txn(conditions, [], [key]))
 
     def departure_of_machine(self, own: Owned, machine: PoolMachine) -> Intent:
         """An empty machine leaves the pool: its ordinary record names its own type again. The
@@ -116,7 +120,7 @@
         record = returned_record(self._pool.mirror.value(ordinary))
         txn = Txn({key: machine.version, ordinary: self._pool.record_version(machine.id)})
         txn.puts += [Put(key, value), Put(ordinary, record)]
-        return self._intent(own, PLACE, txn)
+        return self._intent(own, WriteRank.PLACEMENT, txn)
 
     async def clear(self, own: Owned, replica: Replica, record_too: bool) -> bool:
         """Deletes the members' records, and at last the replica's own if it is to go."""
@@ -130,11 +134,13 @@
                 txn.deletes.append(key)
             if record_too and first + most >= len(chunks):
                 txn.deletes.append(keys.replica(replica.id))
-            if not await self._commit(own, PLACE, txn):
+            if not await self._commit(own, WriteRank.PLACEMENT, txn):
                 return False
         if record_too and not chunks:
             key = keys.replica(replica.id)
-            return await self._commit(own, PLACE, Txn({key: replica.version}, [], [key]))
+            return await self._commit(
+                own, WriteRank.PLACEMENT, Txn({key: replica.version}, [], [key])
+            )
         return True
 
     # -- reservations ----------------------------------------------------------------
@@ -199,7 +205,7 @@
         after.chunk_count = 1
         txn = self._reservation(replica, 0, after.generation, members)
         txn.puts.append(Put(keys.replica(replica.id), encode_replica(after)))
-        return await self._commit(own, PLACE, txn)
+        return await self._commit(own, WriteRank.PLACEMENT, txn)
 
     async def _reserve_in_steps(
         self,
@@ -221,7 +227,7 @@
             if done and known is not None and known.members == members:
                 continue
             txn = self._reservation(replica, number, replica.generation, members)
-            if not await self._commit(own, PLACE, txn):
+            if not await self._commit(own, WriteRank.PLACEMENT, txn):
                 return False
         replica = self._pool.replicas[replica.id]
         after = advanced(replica, Phase.STARTING, wall, reason)
@@ -230,4 +236,4 @@
         txn = Txn({key: replica.version}, [Put(key, encode_replica(after))])
         for number in [n for n in replica.chunks if n >= len(chunks)]:
             txn.deletes.append(keys.members(replica.id, number))
-        return await self._commit(own, PLACE, txn)
+        return await self._commit(own, WriteRank.PLACEMENT, txn)
--- a/crossmill/settings/loader.py
+++ b/crossmill/settings/loader.py
@@ -78,11 +78,16 @@
 
 
 def load(path: str) -> Settings:
+    """Reads and checks the settings file; raises BadSettings."""
+    return parse(read_toml(path))
+
+
+def read_toml(path: str) -> dict[str, Any]:
+    """The file's table; raises BadSettings with the reason if it can't be read."""
     try:
         with open(path, "rb") as file:
-            data = tomllib.load(file)
+            return tomllib.load(file)
     except OSError as exc:
         raise BadSettings(f"{path}: {exc.strerror}") from exc
     except (tomllib.TOMLDecodeError, UnicodeDecodeError) as exc:
         raise BadSettings(f"{path}: not TOML: {exc}") from exc
-    return parse(data)
--- a/crossmill/state/writer.py
+++ b/crossmill/state/writer.py
@@ -3,6 +3,7 @@
 import logging
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from enum import Enum, IntEnum
 
 import curio
 import orjson
@@ -17,12 +18,28 @@
 
 log = logging.getLogger(__name__)
 
-OK, CONFLICT, EXPIRED = "ok", "conflict", "expired"
 MAX_TXN_BYTES = 56 * 1024
 IN_FLIGHT = 3
 
-# lower goes first; who acts for a shard is settled before anything else
-OWNERSHIP, URGENT, PLACE, OUTCOME, LATER = -1, 0, 1, 2, 3
+
+class WriteResult(Enum):
+    """What became of an intent."""
+
+    OK = "ok"
+    # a condition failed, or it may never be sent any more
+    CONFLICT = "conflict"
+    # its time was over before it could be sent
+    EXPIRED = "expired"
+
+
+class WriteRank(IntEnum):
+    """What goes first; lower ranks do. Who acts for a shard is settled before anything else."""
+
+    OWNERSHIP = -1
+    URGENT = 0
+    PLACEMENT = 1
+    OUTCOME = 2
+    BACKGROUND = 3
 
 
 @dataclass(slots=True, eq=False)
@@ -31,7 +48,7 @@
     means not now, False never again."""
 
     txn: Txn
-    rank: int = LATER
+    rank: WriteRank = WriteRank.BACKGROUND
     until: float | None = None
     holds: Callable[[], bool | None] | None = None
     outcome_unknown: bool = False
@@ -103,9 +120,10 @@
         self._queue.sort(key=lambda i: i.rank)
         await self._wake.set()
 
-    async def commit(self, intent: Intent) -> str:
+    async def commit(self, intent: Intent) -> WriteResult:
+        """Submits the intent and waits for what becomes of it."""
         await self.submit(intent)
-        return str(await intent.future.wait())
+        return WriteResult(await intent.future.wait())
 
     async def run(self) -> None:
         while True:
@@ -136,7 +154,9 @@
             holds = True if intent.holds is None else intent.holds()
             if holds is False or (intent.until is not None and now > intent.until):
                 self._queue.remove(intent)
-                await intent.future.settle(CONFLICT if holds is False else EXPIRED)
+                await intent.future.settle(
+                    WriteResult.CONFLICT if holds is False else WriteResult.EXPIRED
+                )
                 continue
             mine = intent.keys()
             if holds is None or mine & self._busy:
@@ -157,7 +177,7 @@
                 continue
             if batch and (intent.alone or batch[0].alone):
                 continue
-            overdraft = self._overdraft if intent.rank <= URGENT else 0.0
+            overdraft = self._overdraft if intent.rank <= WriteRank.URGENT else 0.0
             wait_s = self._pacer.wait_s(ops + more, overdraft)
             if wait_s > 0:
                 nap_s = wait_s
@@ -207,7 +227,7 @@
             await self._split(batch, exc)
         except NoLease:
             for intent in batch:
-                await intent.future.settle(CONFLICT)
+                await intent.future.settle(WriteResult.CONFLICT)
         else:
             await self._settle(batch, outcome)
 
@@ -222,7 +242,7 @@
             self._queue[:0] = batch
             return
         log.error("write too large keys=%s error=%s", sorted(batch[0].keys())[:3], exc)
-        await batch[0].future.settle(CONFLICT)
+        await batch[0].future.settle(WriteResult.CONFLICT)
 
     async def _settle(self, batch: list[Intent], outcome: Outcome) -> None:
         if not outcome.failed:
@@ -238,7 +258,7 @@
             elif intent.outcome_unknown and await self._was_applied(intent):
                 log.info("lost answer settled keys=%s", sorted(intent.keys())[:3])
             else:
-                await intent.future.settle(CONFLICT)
+                await intent.future.settle(WriteResult.CONFLICT)
         self._queue[:0] = again
 
     async def _applied(self, intent: Intent, revision: int) -> None:
@@ -246,7 +266,7 @@
             self._mirror.written(put.key, put.value, revision)
         for key in intent.txn.deletes:
             self._mirror.deleted(key, revision)
-        await intent.future.settle(OK)
+        await intent.future.settle(WriteResult.OK)
 
     async def _was_applied(self, intent: Intent) -> bool:
         """After a lost answer the repeat's conditions fail when the first was executed: what
@@ -268,5 +288,5 @@
             # the store may write numbers its own way, so values are compared, not bytes
             if row is None or row.value != orjson.loads(orjson.dumps(put.value)):
                 return False
-        await intent.future.settle(OK)
+        await intent.future.settle(WriteResult.OK)
         return True
--- a/crossmill/verbs.py
+++ b/crossmill/verbs.py
@@ -1,12 +1,11 @@
 """The client verbs about jobs."""
 
 import argparse
-import sys
 from collections.abc import Sequence
 
 import orjson
 
-from .client_command import BAD_USAGE, BadUsage, ClientRequest, parse_server, read_input, send
+from .client_command import BadUsage, ClientRequest, read_input, run_verb
 from .wire.checks import Malformed, load_object
 from .wire.users import JOBS_PATH, NEEDS, WITHDRAW
 
@@ -35,10 +34,4 @@
 
 def run(args: argparse.Namespace) -> int:
     """Sends the request of a client verb and prints the answer; the exit code."""
-    try:
-        server = parse_server(args.server)
-        request = _request(args)
-    except BadUsage as exc:
-        print(exc, file=sys.stderr)
-        return BAD_USAGE
-    return send(server, args.timeout, request)
+    return run_verb(args, _request)
--- a/tests/multihost_region.py
+++ b/tests/multihost_region.py
@@ -1,12 +1,10 @@
 """A small region with multi-machine replicas under virtual time, and a judge of what must hold."""
 
-import logging
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from typing import Any
 
 import curio
-import curio.kernel
 import orjson
 
 from crossmill.multihost import keys
@@ -20,7 +18,7 @@
 
 from .harness import Node
 from .multihost_agents import Agent, heartbeat_request
-from .simulation import HOP_S, Crashes, Region, VirtualTime
+from .simulation import HOP_S, Region, run_under_virtual_time
 from .standins import FakeClock, StateService
 
 LOOK_S = 0.05
@@ -333,7 +331,6 @@
 ) -> MultihostRegion:
     """Plays a story; nothing may be broken in it, unless that is what it is about."""
     clock = FakeClock()
-    virtual = VirtualTime(clock)
     regions: list[MultihostRegion] = []
 
     async def play() -> None:
@@ -343,15 +340,7 @@
         await story(region)
         region.judge.look()
 
-    kernel_time, crashes = curio.kernel.time, Crashes()
-    logging.getLogger("curio").addHandler(crashes)
-    curio.kernel.time = virtual
-    try:
-        curio.run(play, selector=virtual)
-    finally:
-        curio.kernel.time = kernel_time
-        logging.getLogger("curio").removeHandler(crashes)
-    assert not crashes.seen, crashes.seen[0]
+    run_under_virtual_time(clock, play)
     if judged:
         assert not regions[0].judge.broken, regions[0].judge.broken[:5]
     return regions[0]
--- a/tests/simulation.py
+++ b/tests/simulation.py
@@ -726,12 +726,27 @@
         ]
 
 
+def run_under_virtual_time(
+    clock: FakeClock, story: Callable[[], Coroutine[Any, Any, None]]
+) -> None:
+    """Plays a story whose waits cost no time; parts that fail fail it."""
+    virtual = VirtualTime(clock)
+    kernel_time, crashes = curio.kernel.time, Crashes()
+    logging.getLogger("curio").addHandler(crashes)
+    curio.kernel.time = virtual
+    try:
+        curio.run(story, selector=virtual)
+    finally:
+        curio.kernel.time = kernel_time
+        logging.getLogger("curio").removeHandler(crashes)
+    assert not crashes.seen, crashes.seen[0]
+
+
 def simulate(
     story: Callable[[Region], Awaitable[None]], state: StateService | None = None
 ) -> Region:
     """Play a story; parts that fail and rules that break fail it."""
     clock = FakeClock()
-    virtual = VirtualTime(clock)
     regions: list[Region] = []
 
     async def begin() -> None:
@@ -740,14 +755,6 @@
         await story(region)
         region.judge.look()
 
-    kernel_time, crashes = curio.kernel.time, Crashes()
-    logging.getLogger("curio").addHandler(crashes)
-    curio.kernel.time = virtual
-    try:
-        curio.run(begin, selector=virtual)
-    finally:
-        curio.kernel.time = kernel_time
-        logging.getLogger("curio").removeHandler(crashes)
-    assert not crashes.seen, crashes.seen[0]
+    run_under_virtual_time(clock, begin)
     assert not regions[0].judge.broken, regions[0].judge.broken[:5]
     return regions[0]
--- a/tests/test_deputies.py
+++ b/tests/test_deputies.py
@@ -5,7 +5,7 @@
 from crossmill.cluster.records import encode_end
 from crossmill.net.client import Unreached
 from crossmill.net.server import Request, Response
-from crossmill.state.writer import CONFLICT, Intent
+from crossmill.state.writer import Intent, WriteResult
 from crossmill.wire import peers
 from crossmill.wire.state import Put, Txn
 from crossmill.wire.workers import Command
@@ -309,7 +309,7 @@
         assert job.spec is not None
         put = Put("cm/j/wk-000001", encode_end(CANCELLED, job.spec, 0.0, RECORD_BYTES))
         late = Intent(Txn({"cm/j/wk-000001": job.version, **rests}, [put]))
-        assert await it.owner.writer.commit(late) == CONFLICT
+        assert await it.owner.writer.commit(late) == WriteResult.CONFLICT
 
     play(story)
 
--- a/tests/test_safety.py
+++ b/tests/test_safety.py
@@ -6,7 +6,7 @@
 from crossmill.cluster import keys
 from crossmill.cluster.model import Row
 from crossmill.net.client import Unanswered
-from crossmill.state.writer import CONFLICT, OK, Intent
+from crossmill.state.writer import Intent, WriteResult
 from crossmill.wire.state import Put, Txn
 from crossmill.wire.workers import Command
 
@@ -314,12 +314,12 @@
         await node.boot()
         state.script["/txn"] = ["lose"]
         mine = Intent(Txn({"cm/x": 0}, [Put("cm/x", {"a": 1.0})]))
-        assert await node.writer.commit(mine) == OK
+        assert await node.writer.commit(mine) == WriteResult.OK
         assert state.calls.count(("GET", "/keys/cm/x")) == 1
         state.script["/txn"] = ["drop"]
         other = Intent(Txn({"cm/y": 0}, [Put("cm/y", {"a": 1})]))
         state.put("cm/y", {"a": 2})
-        assert await node.writer.commit(other) == CONFLICT
+        assert await node.writer.commit(other) == WriteResult.CONFLICT
 
     play(story)
 
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -11,7 +11,7 @@
 from crossmill.cluster.layout import PlanLayout
 from crossmill.cluster.records import decode_job, encode_chunk, encode_end, encode_job
 from crossmill.settings import BadSettings, StateLimits, parse
-from crossmill.state.writer import CONFLICT, OK, Intent
+from crossmill.state.writer import Intent, WriteResult
 from crossmill.wire.state import Put, Txn
 
 from .harness import RECORD_BYTES, Node, add_job, add_machine, play, seed
@@ -382,8 +382,8 @@
         large = Intent(Txn({}, [Put("cm/x/large", "y" * 3000)]))
         for intent in (*intents, large):
             await node.writer.submit(intent)
-        assert [await i.future.wait() for i in intents] == [OK] * 5
-        assert await large.future.wait() == CONFLICT
+        assert [await i.future.wait() for i in intents] == [WriteResult.OK] * 5
+        assert await large.future.wait() == WriteResult.CONFLICT
         assert state.too_large <= 3
         assert node.membership.acting(0) is not None
 
