Multihost: one record of what has changed in place of callbacks set from outside

Heartbeats and records note their news in the pool's changes, which the coordinator takes; no part sets another's attribute after construction any more. 70 stories pass.

--- a/crossmill/multihost/coordinator.py
+++ b/crossmill/multihost/coordinator.py
@@ -77,36 +77,23 @@
         self._situations = Situations(settings, pool, agents, leases)
         self._scheduler = Scheduler(settings, pool, agents, self._failures)
         self._sets = SetRounds(pool, agents, self._scheduler, writes)
-        self.wake = curio.Event()
-        self._pending_wake = False
+        self._wake = curio.Event()
         # the token under which the present ownership began
         self._term: int | None = None
         self._due = DueTimes()
         self._silent: set[str] = set()
-        # replicas whose members' state has changed since they were last looked at
-        self._news: set[ReplicaId] = set()
         # ranks whose machines are left out when their replica is repaired
         self._suspects: dict[ReplicaId, frozenset[int]] = {}
         # how often a replica was looked at, since the start
         self.looks = 0
-        pool.on_change = self._note_change
         membership.on_lost.append(self._lost)
 
     # -- what wakes a round ----------------------------------------------------------
 
-    def _note_change(self) -> None:
-        self._pending_wake = True
-
-    def note_heartbeat(self, machine: str, replicas: set[ReplicaId]) -> None:
-        """A heartbeat brought news of replicas, or of a machine."""
-        self._news |= replicas
-        self._pool.changes.machines.add(machine)
-        self._pending_wake = True
-
     async def wake_if_news(self) -> None:
         """Ends the nap between two rounds if there is something to look at."""
-        if self._pending_wake:
-            await self.wake.set()
+        if self._pool.changes:
+            await self._wake.set()
 
     async def run(self) -> None:
         """Rounds, as soon as something has changed and whenever something is due."""
@@ -115,10 +102,9 @@
             if own is not None:
                 await self.round(own)
             await curio.sleep(self._settings.heartbeat_s / 20)
-            if not self._pending_wake:
-                await curio.ignore_after(self._nap_s(), self.wake.wait)
-            self.wake.clear()
-            self._pending_wake = False
+            if own is None or not self._pool.changes:
+                await curio.ignore_after(self._nap_s(), self._wake.wait)
+            self._wake.clear()
 
     def _nap_s(self) -> float:
         """Until something is due; a silent machine is noticed by looking each half heartbeat."""
@@ -171,9 +157,8 @@
         self._notice_silence(moment)
         self._notice_machines()
         changes = self._pool.take_changes()
-        replicas = changes.replicas | self._news | self._due.take(moment.now)
+        replicas = changes.replicas | self._due.take(moment.now)
         sets = changes.sets
-        self._news = set()
         intents = self._look_at_machines(own, changes.machines)
         sets |= {r.set_name for r in replicas} | self._scheduler.waiting_sets()
         allowed = self._sets.look(own, moment, sets, intents)
@@ -209,11 +194,13 @@
     def _touch_machine(self, machine_id: str) -> None:
         machine = self._pool.machines.get(machine_id)
         if machine is not None:
-            self._news |= machine.planned.keys()
+            self._pool.changes.replicas |= machine.planned.keys()
         view = self._agents.get(machine_id)
         if view is not None:
             reported = (ReplicaId.parse(name) for name in view.members)
-            self._news |= {r for r in reported if r is not None and r in self._pool.replicas}
+            self._pool.changes.replicas |= {
+                r for r in reported if r is not None and r in self._pool.replicas
+            }
 
     def _look_at_machines(self, own: Owned, changed: Iterable[str]) -> list[Intent]:
         """Machines that were returned are taken out of the pool, empty ones that are to leave it
--- a/crossmill/multihost/heartbeats.py
+++ b/crossmill/multihost/heartbeats.py
@@ -61,8 +61,6 @@
         self._owner_of = owner_of
         # machines whose agents ask to join the pool
         self.joining: dict[str, Heartbeat] = {}
-        # replicas of which a heartbeat brought news, and machines that came back or have new room
-        self.on_news: Callable[[str, set[ReplicaId]], None] = lambda machine, replicas: None
         # reports that contradict the plan, since the start
         self.rejected = 0
 
@@ -80,7 +78,7 @@
         now = self._clock.now()
         if beat.machine not in self._pool.machines:
             self.joining[beat.machine] = beat
-            self.on_news(beat.machine, set())
+            self._pool.note_news(beat.machine, ())
             return Reply(503)
         known = self._agents.get(beat.machine)
         had_notice = known is not None and known.notice_at is not None
@@ -93,7 +91,7 @@
             assert view is not None
             self._compare(beat, view)
             if (view.notice_at is not None) != had_notice:
-                self.on_news(beat.machine, set(self._pool.machines[beat.machine].planned))
+                self._pool.note_news(beat.machine, self._pool.machines[beat.machine].planned)
             if may_order:
                 orders += self._orders(beat, view)
             orders += self._grants(view, now)
@@ -134,7 +132,7 @@
         }
         view.members = members
         if news:
-            self.on_news(beat.machine, news)
+            self._pool.note_news(beat.machine, news)
 
     def _problem(self, machine_id: str, report: MemberReport, seen: dict[str, MemberReport]) -> str:
         if report.replica in seen:
--- a/crossmill/multihost/pool.py
+++ b/crossmill/multihost/pool.py
@@ -1,6 +1,6 @@
 """What the state service holds about multi-machine replicas, kept up with the mirror."""
 
-from collections.abc import Callable
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -27,12 +27,16 @@
 
 @dataclass(slots=True, eq=False)
 class Changes:
-    """What has changed since the pool's owner last looked; only it takes them away."""
+    """What has changed in the records, or by heartbeats, since the pool's owner last looked; only
+    it takes them away."""
 
     sets: set[str] = field(default_factory=set)
     replicas: set[ReplicaId] = field(default_factory=set)
     machines: set[str] = field(default_factory=set)
 
+    def __bool__(self) -> bool:
+        return bool(self.sets or self.replicas or self.machines)
+
 
 class PoolState:
     """Replica sets, replicas with their members, and machines; only durable facts stand here."""
@@ -46,7 +50,6 @@
         # members planned on machines that have no record, by machine
         self._homeless: dict[str, dict[ReplicaId, Any]] = {}
         self.changes = Changes()
-        self.on_change: Callable[[], None] = lambda: None
         mirror.listen(self._on_key)
 
     # -- reading ---------------------------------------------------------------------
@@ -76,6 +79,11 @@
         """The version of the machine's ordinary record: a reservation rests on it."""
         return self.mirror.version(cluster_keys.machine(machine_id))
 
+    def note_news(self, machine: str, replicas: Iterable[ReplicaId]) -> None:
+        """An agent's heartbeat brought something new about its machine and these replicas."""
+        self.changes.machines.add(machine)
+        self.changes.replicas.update(replicas)
+
     def take_changes(self) -> Changes:
         """What has changed since this was last called."""
         changes, self.changes = self.changes, Changes()
@@ -88,7 +96,6 @@
             machine_id = key[len(cluster_keys.MACHINE) :]
             if machine_id in self.machines:
                 self.changes.machines.add(machine_id)
-                self.on_change()
             return
         if not key.startswith(keys.PREFIX):
             return
@@ -101,7 +108,6 @@
             self._on_set(key[len(keys.SET) :], value, version)
         elif key.startswith(keys.MACHINE):
             self._on_machine(key[len(keys.MACHINE) :], value, version)
-        self.on_change()
 
     def _on_set(self, name: str, value: Any, version: int) -> None:
         self.changes.sets.add(name)
--- a/crossmill/multihost/service.py
+++ b/crossmill/multihost/service.py
@@ -69,7 +69,6 @@
             self.writes,
             registration,
         )
-        self.heartbeats.on_news = self.coordinator.note_heartbeat
         self.api = OperatorApi(
             settings,
             multihost,
