--- a/crossmill/__main__.py
+++ b/crossmill/__main__.py
@@ -1,3 +1,5 @@
+"""Runs the command line: `python3 -m crossmill`."""
+
 import sys
 
 from .cli import main
--- a/crossmill/app.py
+++ b/crossmill/app.py
@@ -176,6 +176,7 @@
         return Response(answer.status, workers.redirect_body(answer.redirect))
 
     async def run(self) -> None:
+        """Runs all loops of the controller until it is killed."""
         s = self.settings
         log.info("starting controller=%s zone=%s bind=%s:%d", s.label, s.zone, *_pair(s))
         for run in self._loops:
--- a/crossmill/cluster/cluster_state.py
+++ b/crossmill/cluster/cluster_state.py
@@ -15,6 +15,8 @@
 
 
 class ClusterState:
+    """Jobs, plans, machines, shards and controllers as the mirror's keys describe them."""
+
     def __init__(self, mirror: Mirror, settings: Settings) -> None:
         self._settings = settings
         self.mirror = mirror
--- a/crossmill/cluster/deputies.py
+++ b/crossmill/cluster/deputies.py
@@ -37,6 +37,9 @@
 
 
 class Deputies:
+    """Keeps the workers of a zone that is cut off alive, and tells owners for how long it has
+    not."""
+
     def __init__(
         self,
         settings: Settings,
@@ -286,6 +289,8 @@
             self._quiet[label, machine] = Word(bound, until, version)
 
     async def step(self) -> None:
+        """Notes which controllers are absent, and asks those of a silent machine's zone about
+        it."""
         now = self._clock.now()
         for label in self._http:
             if self._gone_since(label) is None:
@@ -308,6 +313,7 @@
             await self._note_durable(self.sync)
 
     async def run(self) -> None:
+        """Steps until the controller ends."""
         while True:
             await self.step()
             await curio.sleep(self._settings.renew_s)
--- a/crossmill/cluster/feature_level.py
+++ b/crossmill/cluster/feature_level.py
@@ -36,6 +36,7 @@
 
 
 def encode_level(level: Level) -> dict[str, Any]:
+    """The level's stored record."""
     return {
         "level": level.number,
         "legacy_tasks": level.legacy_tasks,
@@ -44,6 +45,7 @@
 
 
 def decode_level(value: dict[str, Any]) -> Level:
+    """The level from its stored record."""
     return Level(value["level"], value["legacy_tasks"], value["segment_tasks"])
 
 
--- a/crossmill/cluster/keeper.py
+++ b/crossmill/cluster/keeper.py
@@ -29,6 +29,7 @@
         self.failing = False
 
     def authority(self) -> bool:
+        """Whether the lease certainly stands at this moment."""
         return self.lease is not None and self._clock.now() < self._until
 
     def holds(self, epoch: int) -> bool | None:
@@ -69,5 +70,6 @@
         return max(0.0, self._renew_s - (self._clock.now() - sent))
 
     async def run(self) -> None:
+        """Renews the lease until the controller ends."""
         while True:
             await curio.sleep(await self.step())
--- a/crossmill/cluster/keys.py
+++ b/crossmill/cluster/keys.py
@@ -21,32 +21,40 @@
 
 
 def job(job_id: str) -> str:
+    """A job's record."""
     return JOB + job_id
 
 
 def ending(job_id: str) -> str:
+    """The note that a job is to be cancelled."""
     return ENDING + job_id
 
 
 def archived(job_id: str) -> str:
+    """What is kept of a job that was over long ago."""
     return ARCHIVE + job_id
 
 
 def plan(job_id: str, chunk: str) -> str:
+    """A stretch of a job's plan."""
     return f"{PLAN}{job_id}/{chunk}"
 
 
 def machine(machine_id: str) -> str:
+    """A machine's record."""
     return MACHINE + machine_id
 
 
 def shard(index: int) -> str:
+    """Who owns a shard."""
     return f"{SHARD}{index}"
 
 
 def node(label: str) -> str:
+    """A controller that lives."""
     return NODE + label
 
 
 def feature(label: str) -> str:
+    """The note that a controller runs a version of the next feature level."""
     return FEATURE + label
--- a/crossmill/cluster/layout.py
+++ b/crossmill/cluster/layout.py
@@ -19,6 +19,7 @@
 
     @property
     def is_segment(self) -> bool:
+        """Whether the name is a segment's, which says what it holds."""
         return "-" in self.name
 
 
--- a/crossmill/cluster/membership.py
+++ b/crossmill/cluster/membership.py
@@ -35,6 +35,8 @@
 
 
 class Membership:
+    """Which shards this controller owns, under which tokens, and whether it leads."""
+
     def __init__(
         self,
         settings: Settings,
@@ -96,6 +98,7 @@
         return (own, False) if self._promises.extended() else None
 
     def holds(self, shard: int, token: int) -> bool | None:
+        """For a write decided under this token of the shard: yes, not now, never again."""
         own = self.owned.get(shard)
         if own is None or own.token != token:
             return False
@@ -112,11 +115,13 @@
         self._raise.add(shard)
 
     def home(self, shard: int) -> str:
+        """The controller that owns the shard when all are well."""
         return self._labels[shard % len(self._labels)]
 
     # -- the loop --------------------------------------------------------------------
 
     async def run(self) -> None:
+        """Takes, keeps and hands back shards until the controller ends."""
         await self._follower.ready.wait()
         while True:
             if self._keeper.failing:
@@ -148,6 +153,7 @@
         return True
 
     async def step(self) -> None:
+        """One look at the shards: those lost are dropped, those without an owner taken."""
         for shard, own in list(self.owned.items()):
             self._drop_if_lost(shard, own)
         if self.reachability.look({k: own.acquired_at for k, own in self.owned.items()}):
--- a/crossmill/cluster/model.py
+++ b/crossmill/cluster/model.py
@@ -80,14 +80,17 @@
         return bool(self.unmet)
 
     def done_count(self) -> int:
+        """How many tasks are done."""
         if self.end == DONE:
             return self.spec.tasks if self.spec else 0
         return self.finished
 
     def row_count(self) -> int:
+        """How many tasks are planned onto machines."""
         return self.planned
 
     def rows(self) -> Iterator[Row]:
+        """All planned tasks."""
         for chunk in self.chunks.values():
             yield from chunk.rows.values()
 
--- a/crossmill/cluster/promises.py
+++ b/crossmill/cluster/promises.py
@@ -22,6 +22,9 @@
 
 
 class Promises:
+    """Grants and asks for extensions of a controller's right to answer while the state service
+    is out."""
+
     def __init__(
         self,
         settings: Settings,
@@ -48,6 +51,8 @@
     # -- promises given --------------------------------------------------------------
 
     def handle(self, request: Request) -> Response:
+        """Answers a peer's request for a promise, or for the shards that this controller acts
+        for."""
         mine = {*self.owned(), *self.taking}
         if request.path == wire.ACTING_PATH and request.method == "GET":
             return Response(200, wire.acting_body(sorted(mine)))
@@ -112,6 +117,7 @@
         return all(now < self._got.get(label, 0.0) for label in self._http)
 
     async def ask(self, shards: list[int]) -> None:
+        """Asks all peers not to take these shards for a while."""
         if self._failing_since is None:
             self._failing_since = self._clock.now()
         # once workers are no longer answered, a promise would only keep peers from taking over
--- a/crossmill/cluster/reachability.py
+++ b/crossmill/cluster/reachability.py
@@ -13,6 +13,8 @@
 
 
 class WorkerReachability:
+    """Whether workers reach this controller, judged by the reports that come."""
+
     def __init__(self, settings: Settings, clock: Clock, cluster: ClusterState) -> None:
         self._settings = settings
         self._clock = clock
@@ -29,6 +31,7 @@
 
     @property
     def deaf(self) -> bool:
+        """Whether no report has come for so long that the shards were given up."""
         return self._deaf_since is not None
 
     def look(self, shards: dict[int, float]) -> bool:
--- a/crossmill/fleet/cloud.py
+++ b/crossmill/fleet/cloud.py
@@ -20,6 +20,8 @@
 
 
 class Cloud:
+    """Typed calls to the cloud, paced below its limit."""
+
     def __init__(self, settings: Settings, clock: Clock, http: Http | None = None) -> None:
         self._http = http or Client(settings.cloud, max_sockets=4)
         self._pacer = Pacer(clock, settings.cloud_pace, settings.cloud_pace)
@@ -39,12 +41,14 @@
         return status, data
 
     async def catalog(self) -> dict[str, wire.MachineType]:
+        """The machine types, with the current prices."""
         _, data = await self._call("GET", wire.CATALOG_PATH)
         return wire.parse_catalog(load_object(data))
 
     async def rent(
         self, request: str, type_name: str, zone: str, spot: bool, number: int
     ) -> list[str]:
+        """Rents up to so many machines under a request name; raises NoCapacity or CloudTrouble."""
         body = wire.rent_body(request, type_name, zone, spot, min(number, wire.MAX_RENT))
         status, data = await self._call("POST", wire.MACHINES_PATH, body)
         if status == 503:
@@ -52,9 +56,11 @@
         return wire.parse_rented(load_object(data))
 
     async def release(self, machines: list[str]) -> None:
+        """Returns machines; after it they are gone."""
         await self._call("POST", wire.RELEASE_PATH, wire.release_body(machines))
 
     async def machines(self) -> list[wire.Listed]:
+        """All machines that the cloud lists."""
         rows: list[wire.Listed] = []
         after = ""
         while True:
@@ -67,4 +73,5 @@
 
 
 def stored_catalog(catalog: dict[str, wire.MachineType]) -> list[dict[str, object]]:
+    """The catalog as it is stored."""
     return [orjson.loads(orjson.dumps(t._asdict())) for t in catalog.values()]
--- a/crossmill/fleet/forecast.py
+++ b/crossmill/fleet/forecast.py
@@ -28,6 +28,8 @@
 
 
 class DemandForecast:
+    """What the shards need of the fleet now and soon."""
+
     def __init__(self, settings: Settings, clock: Clock, cluster: ClusterState) -> None:
         self._settings = settings
         self._clock = clock
@@ -266,6 +268,7 @@
         )
 
     def sources(self) -> list[Source]:
+        """All types, zones and kinds of machines that can be rented."""
         self._note_catalog()
         return self._sources
 
@@ -282,6 +285,7 @@
         return self.cached_rooms(self._room_cache, machines)
 
     def look(self, shard: int) -> Outcome:
+        """What a shard needs, and which of its machines it can spare."""
         wall = self._clock.wall()
         self._note_arrivals(wall)
         wants = self._wants(shard, wall) + self._expected(shard, wall)
--- a/crossmill/fleet/leader.py
+++ b/crossmill/fleet/leader.py
@@ -22,6 +22,8 @@
 
 
 class Leader:
+    """Rents, adopts and returns machines while this controller leads."""
+
     def __init__(
         self,
         settings: Settings,
@@ -49,6 +51,7 @@
         self._gone: dict[str, float] = {}
 
     async def run(self) -> None:
+        """Steps until the controller ends; trouble with the cloud only pauses it."""
         while True:
             if self._membership.leading() is not None or not self._cluster.catalog:
                 try:
--- a/crossmill/jobs/durable.py
+++ b/crossmill/jobs/durable.py
@@ -67,6 +67,7 @@
         self._membership = membership
 
     def intent(self, edit: Edit, shard: int, own: Owned) -> Intent | None:
+        """The write of an edited plan; None if nothing is to be written."""
         job, spec = edit.job, edit.job.spec
         if not (edit.over or edit.starts) or not (job.is_known or job.is_over):
             return None
--- a/crossmill/jobs/guarantees.py
+++ b/crossmill/jobs/guarantees.py
@@ -12,6 +12,8 @@
 
 
 class Guarantees:
+    """Which jobs are within their team's guarantee, and what others use beyond theirs."""
+
     def __init__(self, settings: Settings, cluster: ClusterState) -> None:
         self._settings = settings
         self._cluster = cluster
--- a/crossmill/jobs/machine_maintenance.py
+++ b/crossmill/jobs/machine_maintenance.py
@@ -25,6 +25,8 @@
 
 
 class MachineMaintenance:
+    """Finds machines that have come up, are to be given up, or to be given to another shard."""
+
     def __init__(
         self,
         settings: Settings,
--- a/crossmill/jobs/preemption.py
+++ b/crossmill/jobs/preemption.py
@@ -22,6 +22,8 @@
 
 
 class Preemption:
+    """Stops lesser work for jobs that find no room, and empties machines that can be spared."""
+
     def __init__(
         self,
         settings: Settings,
@@ -70,10 +72,12 @@
                 del self._reserved[machine]
 
     def open_to(self, room: Room, job: Job) -> bool:
+        """Whether the room is not reserved for another job."""
         holder = self._reserved.get(room.machine)
         return holder is None or holder[0] == job.id
 
     def made_for(self, room: Room, job: Job) -> bool:
+        """Whether the room was made for this job."""
         holder = self._reserved.get(room.machine)
         return holder is not None and holder[0] == job.id
 
--- a/crossmill/jobs/reassignment.py
+++ b/crossmill/jobs/reassignment.py
@@ -19,6 +19,8 @@
 
 
 class Reassignment:
+    """Chooses machines that are given to a shard whose jobs find no room."""
+
     def __init__(
         self,
         settings: Settings,
--- a/crossmill/jobs/rounds.py
+++ b/crossmill/jobs/rounds.py
@@ -92,6 +92,7 @@
         self.wake = curio.Event()
 
     async def run(self) -> None:
+        """Rounds for all shards that this controller acts for, when something has changed."""
         while True:
             if not self._placement.is_unfinished:
                 await curio.ignore_after(self._settings.report_s / 2, self.wake.wait)
@@ -106,6 +107,7 @@
     # -- one round -------------------------------------------------------------------
 
     async def round(self, shard: int, own: Owned) -> None:
+        """One round for a shard: findings, placing, upkeep, and the writes that follow."""
         edits: Edits = {}
         machines = list(self._cluster.machines_of[shard].values())
         for machine in machines:
--- a/crossmill/net/client.py
+++ b/crossmill/net/client.py
@@ -25,7 +25,9 @@
 
     async def request(
         self, method: str, path: str, body: bytes = b"", timeout_s: float = 2.0
-    ) -> tuple[int, bytes]: ...
+    ) -> tuple[int, bytes]:
+        """The status and body of the answer; raises Unreached or Unanswered."""
+        ...
 
 
 class _Connection:
@@ -35,6 +37,8 @@
 
 
 class Client:
+    """Keeps a bounded number of connections to one endpoint."""
+
     def __init__(self, endpoint: Endpoint, max_sockets: int = 8) -> None:
         self._endpoint = endpoint
         self._host = f"{endpoint.host}:{endpoint.port}"
@@ -44,6 +48,7 @@
     async def request(
         self, method: str, path: str, body: bytes = b"", timeout_s: float = 2.0
     ) -> tuple[int, bytes]:
+        """The status and body of the answer; raises Unreached or Unanswered."""
         sent = [False]
         try:
             async with curio.timeout_after(timeout_s):
@@ -113,6 +118,7 @@
                 raise OSError("connection closed before the answer")
 
     async def close(self) -> None:
+        """Closes the idle connections."""
         idle, self._idle = self._idle, []
         for conn in idle:
             await conn.sock.close()
--- a/crossmill/net/clock.py
+++ b/crossmill/net/clock.py
@@ -7,7 +7,9 @@
     """Steady and wall time of this host."""
 
     def now(self) -> float:
+        """Steady time in seconds, from an arbitrary moment."""
         return time.monotonic()
 
     def wall(self) -> float:
+        """The time of day in seconds since the epoch."""
         return time.time()
--- a/crossmill/net/future.py
+++ b/crossmill/net/future.py
@@ -16,9 +16,11 @@
 
     @property
     def settled(self) -> bool:
+        """Whether the reply has come."""
         return bool(self._event.is_set())
 
     async def settle(self, value: Any) -> None:
+        """Gives the reply; only the first counts."""
         if not self.settled:
             self.value = value
             await self._event.set()
--- a/crossmill/net/pacer.py
+++ b/crossmill/net/pacer.py
@@ -25,10 +25,12 @@
         self._tokens = min(self._tokens, burst)
 
     def available(self) -> float:
+        """How many tokens there are; negative while a debt is paid off."""
         self._refill()
         return self._tokens
 
     def take(self, amount: float = 1.0) -> bool:
+        """Takes the amount if it is there; whether it was."""
         self._refill()
         # an amount over the whole burst passes once the bucket is full, and leaves a debt
         if self._tokens < min(amount, self._burst):
--- a/crossmill/net/server.py
+++ b/crossmill/net/server.py
@@ -74,6 +74,7 @@
         self.open = 0
 
     async def run(self) -> None:
+        """Accepts and serves connections until the controller ends."""
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, True)
         sock.bind((self._endpoint.host, self._endpoint.port))
--- a/crossmill/planning/estimates.py
+++ b/crossmill/planning/estimates.py
@@ -21,6 +21,7 @@
         self._classes: dict[str, _Class] = {}
 
     def saw(self, job_class: str, estimate_s: float, took_s: float) -> None:
+        """A task of the class took this long where its owner had estimated that."""
         if estimate_s <= 0 or took_s <= 0:
             return
         entry = self._classes.setdefault(job_class, _Class())
@@ -36,6 +37,7 @@
         return entry.sorted[min(len(entry.sorted) - 1, int(share * len(entry.sorted)))]
 
     def task_s(self, job_class: str, estimate_s: float) -> float:
+        """How long a task is expected to run, by what its class has shown."""
         return estimate_s * self._quantile(job_class, 0.5, 1.0)
 
     def margin_s(self, job_class: str, estimate_s: float) -> float:
--- a/crossmill/planning/fill.py
+++ b/crossmill/planning/fill.py
@@ -17,11 +17,13 @@
     limit: int
 
     def rounds(self, budget_s: float) -> int:
+        """How many tasks one slot runs one after the other within the budget."""
         if self.task_s <= 0 or math.isinf(budget_s):
             return 1
         return int((budget_s - self.setup_s) / self.task_s)
 
     def value(self) -> float:
+        """Throughput per price."""
         return self.slots / (self.price * max(self.task_s, 1e-9))
 
 
--- a/crossmill/planning/rooms.py
+++ b/crossmill/planning/rooms.py
@@ -77,6 +77,7 @@
         return tasks_fitting(spec, cpus, 0.0, memory_gb)
 
     def fits(self, spec: JobSpec) -> int:
+        """How many tasks like this fit into what is free."""
         return tasks_fitting(spec, self.cpus, self.gpus, self.memory_gb)
 
     def delay_s(self, spec: JobSpec) -> float:
@@ -88,6 +89,7 @@
         return self.price / max(1, self.slots(spec))
 
     def take(self, spec: JobSpec, tasks: int = 1) -> None:
+        """Takes the room of so many tasks."""
         self.cpus -= tasks * spec.cpus
         self.gpus -= tasks * spec.gpus
         self.memory_gb -= tasks * spec.memory_gb
@@ -96,6 +98,7 @@
 
 
 def allowed(spec: JobSpec, type_name: str, zone: str, spot: bool) -> bool:
+    """Whether the job may run on this type, in this zone, on this kind of machine."""
     if spot and not spec.spot:
         return False
     if spec.types is not None and type_name not in spec.types:
@@ -112,6 +115,7 @@
         self._most = (spec.tasks + 1) // 2
 
     def open(self, zone: str) -> int:
+        """How many more tasks may go to the zone."""
         if self._spec.one_zone and any(n for z, n in self._placed.items() if z != zone):
             return 0
         if self._spec.spread:
@@ -119,6 +123,7 @@
         return self._spec.tasks
 
     def take(self, zone: str, tasks: int) -> None:
+        """So many tasks go to the zone."""
         self._placed[zone] = self._placed.get(zone, 0) + tasks
 
 
--- a/crossmill/planning/split.py
+++ b/crossmill/planning/split.py
@@ -19,9 +19,11 @@
     finish_s: float
 
     def cost(self, tasks: float) -> float:
+        """What so many tasks cost on this option."""
         return self.price * tasks / self.throughput
 
     def value(self) -> float:
+        """Throughput per price."""
         return self.throughput / self.price
 
 
--- a/crossmill/settings/loader.py
+++ b/crossmill/settings/loader.py
@@ -11,6 +11,7 @@
 
 
 def parse(data: dict[str, Any]) -> Settings:
+    """The settings from the file's table; raises BadSettings with the field's name."""
     top = Table(data, "")
     params = top.table("settings")
     external = top.table("external")
--- a/crossmill/settings/model.py
+++ b/crossmill/settings/model.py
@@ -90,10 +90,12 @@
 
     @property
     def nodes(self) -> int:
+        """How many controllers there are; there are as many shards."""
         return 1 + len(self.peers)
 
     @property
     def labels(self) -> tuple[str, ...]:
+        """The labels of all controllers, in order."""
         return tuple(sorted([self.label, *(p.label for p in self.peers)]))
 
     # -- figures derived from the settings; ratios live here only --------------------
@@ -105,6 +107,7 @@
 
     @property
     def renew_s(self) -> float:
+        """How often a controller renews its lease."""
         return self.hold_ttl_s / 4
 
     @property
@@ -197,10 +200,12 @@
 
     @property
     def cloud_pace(self) -> float:
+        """Requests a second that the cloud is sent at most."""
         return 0.8 * self.cloud_rps
 
     @property
     def list_every_s(self) -> float:
+        """How often the leader reads the cloud's list."""
         return max(self.list_lag_s / 2, 4 / self.cloud_rps)
 
     @property
@@ -302,6 +307,7 @@
 
     @property
     def peer_sockets(self) -> int:
+        """Connections that peers may hold."""
         return max(8, int(self.fd_limit * 0.04))
 
     @property
@@ -348,9 +354,11 @@
 
     @property
     def server_sockets(self) -> int:
+        """Connections that workers and users may hold."""
         return int(self.fd_limit * 0.8)
 
     def team(self, name: str) -> Team | None:
+        """The team of this name."""
         return next((t for t in self.teams if t.name == name), None)
 
     def shard_of_team(self, name: str) -> int:
--- a/crossmill/settings/table.py
+++ b/crossmill/settings/table.py
@@ -23,21 +23,25 @@
         return f"{self.where}.{field}" if self.where else field
 
     def table(self, field: str) -> "Table":
+        """A table in a field."""
         return Table(self.data.get(field), self._name(field))
 
     def tables(self, field: str) -> list["Table"]:
+        """A list of tables; none if the field is absent."""
         rows = self.data.get(field, [])
         if not isinstance(rows, list):
             raise BadSettings(f"{self._name(field)}: a list of tables is needed")
         return [Table(r, f"{self._name(field)}[{i}]") for i, r in enumerate(rows)]
 
     def text(self, field: str) -> str:
+        """A non-empty string."""
         value = self.data.get(field)
         if not isinstance(value, str) or not value:
             raise BadSettings(f"{self._name(field)}: a non-empty string is needed")
         return value
 
     def number(self, field: str, low: float, default: float | None = None) -> float:
+        """A finite number of at least `low`."""
         value = self.data.get(field, default)
         ok = isinstance(value, int | float) and not isinstance(value, bool)
         if not ok or not math.isfinite(value) or value < low:
@@ -45,12 +49,14 @@
         return float(value)
 
     def endpoint(self, field: str) -> Endpoint:
+        """An address in the form HOST:PORT."""
         host, _, port = self.text(field).rpartition(":")
         if not host or not port.isdigit() or not 0 < int(port) < 65536:
             raise BadSettings(f"{self._name(field)}: HOST:PORT is needed")
         return Endpoint(host, int(port))
 
     def texts(self, field: str) -> tuple[str, ...]:
+        """A list of non-empty strings."""
         value = self.data.get(field)
         if not isinstance(value, list) or not all(isinstance(v, str) and v for v in value):
             raise BadSettings(f"{self._name(field)}: a list of strings is needed")
--- a/crossmill/state/client.py
+++ b/crossmill/state/client.py
@@ -39,6 +39,9 @@
 
 
 class StateClient:
+    """Calls one state service; raises Refused or OutcomeUnknown where no answer can be relied
+    on."""
+
     def __init__(self, settings: Settings, clock: Clock, http: Http | None = None) -> None:
         self._http = http or Client(settings.state, max_sockets=12)
         # watches stay open; they must not take the sockets of short calls
@@ -91,6 +94,7 @@
         return status, data
 
     async def get(self, key: str) -> wire.Row | None:
+        """A key with its value and version; None if it does not exist."""
         status, data = await self._call("GET", wire.key_path(key))
         return wire.parse_row(orjson.loads(data)) if status == 200 else None
 
@@ -112,6 +116,7 @@
             after = page[-1].key
 
     async def txn(self, txn: wire.Txn) -> Outcome:
+        """Sends a transaction; raises NoLease or TooLarge as well."""
         status, data = await self._call("POST", wire.TXN_PATH, wire.txn_body(txn))
         if status in (200, 409):
             return Outcome(*wire.parse_txn(status, orjson.loads(data)))
@@ -122,6 +127,7 @@
         raise Refused(f"txn: {status} {data[:200]!r}")
 
     async def changes(self, prefix: str, after: int, wait_s: float) -> tuple[int, list[wire.Event]]:
+        """The changes after a revision, waited for; raises Compacted if they are no longer kept."""
         path = wire.changes_path(prefix, after, int(wait_s * 1000))
         timeout_s = wait_s + self._timeout_s if wait_s else None
         status, data = await self._call("GET", path, timeout_s=timeout_s)
@@ -132,12 +138,14 @@
         return wire.parse_changes(orjson.loads(data))
 
     async def hold(self, ttl_s: float) -> int:
+        """A new lease."""
         status, data = await self._call("POST", wire.HOLDS_PATH, wire.hold_body(ttl_s))
         if status != 200:
             raise Refused(f"hold: {status}")
         return wire.parse_hold(orjson.loads(data))
 
     async def renew(self, lease: int) -> None:
+        """Renews a lease; raises NoLease if it has ended."""
         status, _ = await self._call("POST", wire.renew_path(lease))
         if status == 404:
             raise NoLease
--- a/crossmill/state/follower.py
+++ b/crossmill/state/follower.py
@@ -115,6 +115,7 @@
             await self.on_change()
 
     async def run(self) -> None:
+        """Watches for changes until the controller ends."""
         while True:
             try:
                 await self._step(self._watch_s)
@@ -124,6 +125,7 @@
                 await curio.sleep(2 * self._pause_s)
 
     async def run_syncs(self) -> None:
+        """Serves those who wait for a sync until the controller ends."""
         await self.ready.wait()
         while True:
             await self._asked.wait()
--- a/crossmill/state/mirror.py
+++ b/crossmill/state/mirror.py
@@ -36,10 +36,12 @@
         self._listeners.append(listener)
 
     def version(self, key: str) -> int:
+        """The newest known version of a key; 0 if it does not exist."""
         entry = self._entries.get(key)
         return entry.version if entry else 0
 
     def value(self, key: str) -> Any:
+        """The newest known value of a key; None if it does not exist."""
         entry = self._entries.get(key)
         return entry.value if entry else None
 
@@ -48,6 +50,7 @@
             listener(key, value, version)
 
     def written(self, key: str, value: Any, version: int) -> None:
+        """A key was written with this version, if that is news."""
         if version <= self.version(key) or version <= self._gone.get(key, 0):
             return
         self._gone.pop(key, None)
@@ -61,6 +64,7 @@
             self.written(row.key, row.value, row.version)
 
     def deleted(self, key: str, version: int) -> None:
+        """A key was deleted at this revision, if that is news."""
         if version > self.revision:
             self._gone[key] = max(version, self._gone.get(key, 0))
         if key in self._entries and self._entries[key].version < version:
--- a/crossmill/state/writer.py
+++ b/crossmill/state/writer.py
@@ -59,12 +59,15 @@
 
     @property
     def ops(self) -> int:
+        """How many puts and deletes it takes."""
         return len(self.txn.puts) + len(self.txn.deletes)
 
     def keys(self) -> set[str]:
+        """The keys that it changes."""
         return {*(p.key for p in self.txn.puts), *self.txn.deletes}
 
     def size(self) -> int:
+        """About how many bytes it takes in a request."""
         puts = sum(len(orjson.dumps(p.value)) + len(p.key) + 60 for p in self.txn.puts)
         names = sum(len(k) + 40 for k in (*self.txn.conditions, *self.txn.deletes))
         return puts + names
@@ -113,9 +116,11 @@
 
     @property
     def backlog(self) -> int:
+        """How many intents wait."""
         return len(self._queue)
 
     async def submit(self, intent: Intent) -> None:
+        """Queues the intent; what becomes of it is told by its future."""
         self._queue.append(intent)
         self._queue.sort(key=lambda i: i.rank)
         await self._wake.set()
@@ -126,6 +131,7 @@
         return WriteResult(await intent.future.wait())
 
     async def run(self) -> None:
+        """Sends batches as the rate allows until the controller ends."""
         while True:
             batch, nap_s = await self._pick()
             if batch:
--- a/crossmill/wire/checks.py
+++ b/crossmill/wire/checks.py
@@ -13,6 +13,7 @@
 
 
 def load_object(body: bytes) -> dict[str, Any]:
+    """A JSON object; raises Malformed."""
     try:
         value = orjson.loads(body)
     except orjson.JSONDecodeError as exc:
@@ -23,6 +24,7 @@
 
 
 def text(data: dict[str, Any], name: str) -> str:
+    """A field with a non-empty string; raises Malformed."""
     value = data.get(name)
     if type(value) is not str or not value:
         raise Malformed(f"{name}: a non-empty string is needed")
@@ -30,10 +32,12 @@
 
 
 def optional_text(data: dict[str, Any], name: str) -> str | None:
+    """The same, or None if it is null or missing."""
     return None if data.get(name) is None else text(data, name)
 
 
 def amount(data: dict[str, Any], name: str) -> float:
+    """A field with a finite number of at least 0; raises Malformed."""
     value: Any = data.get(name)
     # bool is an int in Python, and would pass as an amount of one
     if type(value) not in (int, float) or not math.isfinite(value) or value < 0:
@@ -42,10 +46,12 @@
 
 
 def optional_amount(data: dict[str, Any], name: str) -> float | None:
+    """The same, or None if it is null or missing."""
     return None if data.get(name) is None else amount(data, name)
 
 
 def count(data: dict[str, Any], name: str, low: int = 0, high: int = U64 - 1) -> int:
+    """A field with a whole number within bounds; raises Malformed."""
     value = data.get(name)
     if type(value) is not int or not low <= value <= high:
         raise Malformed(f"{name}: a whole number from {low} to {high} is needed")
@@ -53,6 +59,7 @@
 
 
 def flag(data: dict[str, Any], name: str) -> bool:
+    """A field with true or false; raises Malformed."""
     value = data.get(name)
     if type(value) is not bool:
         raise Malformed(f"{name}: true or false is needed")
@@ -60,6 +67,7 @@
 
 
 def one_of(data: dict[str, Any], name: str, known: dict[str, str]) -> str:
+    """What a field's known spelling stands for; raises Malformed."""
     value = data.get(name)
     if type(value) is not str or value not in known:
         raise Malformed(f"{name}: one of {', '.join(known)} is needed")
--- a/crossmill/wire/cloud.py
+++ b/crossmill/wire/cloud.py
@@ -43,6 +43,7 @@
 
 
 def parse_catalog(data: dict[str, Any]) -> dict[str, MachineType]:
+    """The machine types by name."""
     types = data.get("frames")
     if type(types) is not list:
         raise checks.Malformed("frames: a list is needed")
@@ -65,25 +66,30 @@
 
 
 def rent_body(request: str, type_name: str, zone: str, spot: bool, number: int) -> bytes:
+    """A rental request."""
     return orjson.dumps(
         {"hireSlip": request, "frame": type_name, "yard": zone, "loaners": spot, "number": number}
     )
 
 
 def parse_rented(data: dict[str, Any]) -> list[str]:
+    """The machines that were rented."""
     return [m for m in data.get("stones") or () if type(m) is str]
 
 
 def release_body(machines: list[str]) -> bytes:
+    """A request to return machines."""
     return orjson.dumps({"stones": machines})
 
 
 def list_path(after: str) -> str:
+    """The path of a page of the machine list."""
     cursor = f"after={after}&" if after else ""
     return f"{MACHINES_PATH}?{cursor}limit={MAX_LIST}"
 
 
 def parse_list(data: dict[str, Any]) -> tuple[list[Listed], bool]:
+    """A page of the machine list, and whether there is another."""
     rows = [
         Listed(
             id=checks.text(m, "nameId"),
--- a/crossmill/wire/peers.py
+++ b/crossmill/wire/peers.py
@@ -27,10 +27,12 @@
 
 
 def claim_body(claim: Claim) -> bytes:
+    """A request for promises."""
     return orjson.dumps(claim._asdict())
 
 
 def parse_claim(body: bytes) -> Claim:
+    """A request for promises, checked."""
     data = checks.load_object(body)
     return Claim(checks.text(data, "label"), _shards(data))
 
@@ -41,14 +43,17 @@
 
 
 def parse_promise(body: bytes) -> float | None:
+    """How long ago the state service last served whoever promises."""
     return checks.optional_amount(checks.load_object(body), "servedAgoS")
 
 
 def acting_body(shards: list[int]) -> bytes:
+    """The shards that a controller acts for or takes."""
     return orjson.dumps({"shards": shards})
 
 
 def parse_acting(body: bytes) -> tuple[int, ...]:
+    """The shards that a controller acts for or takes, checked."""
     return _shards(checks.load_object(body))
 
 
@@ -65,6 +70,7 @@
 
 
 def parse_machines(body: bytes) -> tuple[str, ...]:
+    """The machines that are asked about."""
     return _names(body, "machines")
 
 
@@ -74,6 +80,7 @@
 
 
 def parse_quiet(body: bytes) -> list[float]:
+    """For how long each machine has certainly not been answered."""
     spans = checks.load_object(body).get("quietS")
     if type(spans) is not list or not all(type(s) in (int, float) and s >= 0 for s in spans):
         raise checks.Malformed("quietS: a list of times is needed")
@@ -86,4 +93,5 @@
 
 
 def parse_ending(body: bytes) -> tuple[str, ...]:
+    """The jobs that are about to be cancelled."""
     return _names(body, "jobs")
--- a/crossmill/wire/state.py
+++ b/crossmill/wire/state.py
@@ -44,6 +44,7 @@
 
 
 def txn_body(txn: Txn) -> bytes:
+    """A transaction as it is sent."""
     apply: list[dict[str, Any]] = []
     for put in txn.puts:
         entry: dict[str, Any] = {"write": put.key, "data": put.value}
@@ -61,28 +62,34 @@
 
 
 def list_path(prefix: str, after: str) -> str:
+    """The path of a page of keys."""
     cursor = f"&after={after}" if after else ""
     return f"/keys?prefix={prefix}{cursor}&limit={MAX_ROWS}"
 
 
 def parse_list(data: dict[str, Any]) -> tuple[list[Row], bool, int]:
+    """A page of keys, whether there is another, and the revision."""
     rows = [Row(r["k"], r["data"], r["stamp"]) for r in data["rows"]]
     return rows, data["hasNext"] is True, int(data["ledgerRev"])
 
 
 def key_path(key: str) -> str:
+    """The path of one key."""
     return f"/keys/{key}"
 
 
 def parse_row(data: dict[str, Any]) -> Row:
+    """One key with its value and version."""
     return Row(data["k"], data["data"], data["stamp"])
 
 
 def changes_path(prefix: str, after: int, wait_ms: int) -> str:
+    """The path of the changes after a revision."""
     return f"/changes?prefix={prefix}&after={after}&holdMs={wait_ms}"
 
 
 def parse_changes(data: dict[str, Any]) -> tuple[int, list[Event]]:
+    """The revision reached, and the changes up to it."""
     events = [
         Event(e["delete"], None, e["stamp"], True)
         if "delete" in e
@@ -93,10 +100,12 @@
 
 
 def hold_body(ttl_s: float) -> bytes:
+    """A request for a lease."""
     return orjson.dumps({"ttlMs": int(ttl_s * 1000)})
 
 
 def parse_hold(data: dict[str, Any]) -> int:
+    """The new lease."""
     return int(data["tenure"])
 
 
@@ -105,4 +114,5 @@
 
 
 def renew_path(lease: int) -> str:
+    """The path that renews a lease."""
     return f"/holds/{lease}/renew"
--- a/crossmill/wire/users.py
+++ b/crossmill/wire/users.py
@@ -53,10 +53,12 @@
 
 
 def is_job_id(value: str) -> bool:
+    """Whether the value is in the form of a job's id."""
     return JOB_ID.match(value) is not None
 
 
 def parse_submission(data: dict[str, Any]) -> Submission:
+    """A submission, checked; raises Malformed."""
     return Submission(parse_spec(data), _parse_needs(data))
 
 
@@ -70,6 +72,7 @@
 
 
 def parse_spec(data: dict[str, Any]) -> JobSpec:
+    """A job's fields, checked; raises Malformed."""
     job_id = parse_id(data)
     types = data.get("frames")
     if types is not None and (
@@ -101,6 +104,7 @@
 
 
 def parse_id(data: dict[str, Any]) -> str:
+    """The job's id; raises Malformed."""
     job_id = checks.text(data, "nameId")
     if not is_job_id(job_id):
         raise Malformed("nameId: not in the form of a job id")
@@ -108,6 +112,7 @@
 
 
 def status_body(job_id: str, state: str, done: int | None = None, running: int = 0) -> bytes:
+    """A job's state, with its task counts if they are given."""
     body: dict[str, Any] = {
         "nameId": job_id,
         "stage": "withdrawn" if state == "cancelled" else state,
@@ -119,4 +124,5 @@
 
 
 def error_body(why: str) -> bytes:
+    """An error and its reason."""
     return orjson.dumps({"error": why})
--- a/crossmill/wire/workers.py
+++ b/crossmill/wire/workers.py
@@ -136,14 +136,17 @@
 
 
 def answer_body(token: int, commands: list[Command]) -> bytes:
+    """The answer to a report."""
     return orjson.dumps({"warrant": token, "orders": [_order(c) for c in commands]})
 
 
 def direct_body(token: int, session: int, commands: list[Command]) -> bytes:
+    """Commands sent straight to a worker."""
     return orjson.dumps(
         {"warrant": token, "shift": session, "orders": [_order(c) for c in commands]}
     )
 
 
 def redirect_body(label: str | None) -> bytes:
+    """Names the controller that a worker should report to, if it is known."""
     return orjson.dumps({} if label is None else {"foreman": label})
--- a/crossmill/workers/direct.py
+++ b/crossmill/workers/direct.py
@@ -21,6 +21,8 @@
 
 
 class Direct:
+    """Sends commands to workers' own addresses."""
+
     def __init__(
         self, settings: Settings, cluster: ClusterState, membership: Membership, reports: Reports
     ) -> None:
--- a/crossmill/workers/reports.py
+++ b/crossmill/workers/reports.py
@@ -84,9 +84,11 @@
         return view
 
     def peek(self, machine_id: str) -> View | None:
+        """What is known of the machine, if anything."""
         return self._views.get(machine_id)
 
     def handle(self, report: Report) -> Answer:
+        """How a report is answered."""
         self._membership.reachability.note()
         machine = self._cluster.machines.get(report.machine)
         if machine is None:
@@ -276,6 +278,7 @@
                 orders.append(self.stop(row))
 
     def stop(self, row: Row) -> Command:
+        """The command that stops a planned attempt, with time to save if it can."""
         job = self._cluster.jobs.get(row.job)
         saves = job is not None and job.spec is not None and job.spec.checkpoint_s > 0
         grace = job.spec.save_s * 2 if job is not None and job.spec is not None and saves else 0.0
--- a/crossmill/workers/views.py
+++ b/crossmill/workers/views.py
@@ -10,6 +10,8 @@
 
 
 class Verdict(Enum):
+    """What a report is worth."""
+
     STALE = "stale"
     OLDER = "older"
     GREETED = "greeted"
@@ -87,4 +89,5 @@
         return max(self.answered_at, self.session_at)
 
     def fresh(self, now: float, within_s: float) -> bool:
+        """Whether a believed report came within this time."""
         return self.trusted and self.heard_at is not None and now - self.heard_at <= within_s
