Multihost: a pass over the queue ends with the ownership; one open reservation in steps at a time

Reading on: a second reservation in steps could be begun while one stayed open, against what docs/multihost.md says. Each has a test seen to fail before.

--- a/crossmill/multihost/coordinator.py
+++ b/crossmill/multihost/coordinator.py
@@ -295,6 +295,8 @@
     async def _place(self, own: Owned, moment: Moment) -> None:
         """Reserves machines for those that wait, one replica after another in the total order."""
         for choice in self._scheduler.choose(moment, self._suspects):
+            if self._term != own.term:
+                return
             if choice.victims:
                 await self._preempt(own, choice.victims, choice.replica_id)
             if choice.placement is None:
@@ -302,6 +304,8 @@
             replica = self._pool.replicas.get(choice.replica_id)
             if replica is None:
                 continue
+            if self._must_wait_for_another(replica):
+                continue
             placed = await self._writes.reserve(
                 own, replica, choice.placement, moment.wall, choice.reason
             )
@@ -317,6 +321,14 @@
                     choice.placement.ready_s,
                 )
 
+    def _must_wait_for_another(self, replica: Replica) -> bool:
+        """Whether the reservation would be begun in steps while another one is open."""
+        if replica.phase is not Phase.PENDING:
+            return False
+        members = self._pool.sets[replica.id.set_name].spec.members
+        takes_steps = members > self._writes.members_per_chunk()
+        return takes_steps and self._scheduler.has_open_reservation()
+
     async def _preempt(
         self, own: Owned, victims: tuple[ReplicaId, ...], waiting: ReplicaId
     ) -> None:
--- a/crossmill/multihost/scheduling.py
+++ b/crossmill/multihost/scheduling.py
@@ -79,6 +79,11 @@
         """The sets of the replicas that wait."""
         return {replica_id.set_name for replica_id in self._queue}
 
+    def has_open_reservation(self) -> bool:
+        """Whether a reservation in steps was begun and is neither finished nor undone."""
+        known = (self._pool.replicas.get(replica_id) for replica_id in self._queue)
+        return any(r is not None and r.phase is Phase.RESERVING for r in known)
+
     def waits_in_vain(self, set_name: str, now: float) -> bool:
         """Whether a replica of the set has found no room for a while."""
         return any(
@@ -99,6 +104,9 @@
             return
         state = _Pass({c.machine: c for c in self._candidates(moment)})
         for replica_id in self._order():
+            # choices are carried out one by one, and the ownership may end meanwhile
+            if not self._is_waiting(replica_id):
+                continue
             choice = self._choose_one(replica_id, moment, suspects.get(replica_id), state)
             if choice is not None:
                 yield choice
@@ -115,10 +123,12 @@
             rank = {Phase.RESERVING: 0, Phase.REPAIRING: 1}.get(replica.phase, 2)
             return rank, waiting.order
 
-        known = [
-            r for r in self._queue if r in self._pool.replicas and r.set_name in self._pool.sets
-        ]
-        return sorted(known, key=key)
+        return sorted(filter(self._is_waiting, self._queue), key=key)
+
+    def _is_waiting(self, replica_id: ReplicaId) -> bool:
+        """Whether the replica is in the queue, and known with its set."""
+        has_records = replica_id in self._pool.replicas and replica_id.set_name in self._pool.sets
+        return replica_id in self._queue and has_records
 
     def _choose_one(
         self,
--- a/tests/test_multihost_failures.py
+++ b/tests/test_multihost_failures.py
@@ -3,6 +3,7 @@
 incomplete beyond the bound, nothing promised twice."""
 
 from collections.abc import Awaitable, Callable
+from typing import Any
 
 import curio
 import pytest
@@ -205,6 +206,28 @@
     simulate_multihost(story)
 
 
+def test_the_pool_is_lost_while_several_replicas_are_being_placed() -> None:
+    # guards against a pass over the queue that goes on after the ownership has ended
+    async def story(region: MultihostRegion) -> None:
+        await region.begin_pool(8)
+        owner = region.owner()
+        other = next(label for label in region.services if label != owner)
+        region.answer_s[owner] = 0.4
+        for number in range(3):
+            body: dict[str, Any] = {"members": 2, "replicas": 1, "image": "weights"}
+            body |= {"image_gb": 1, "cpus": 16, "gpus": 4, "memory_gb": 64}
+            await region.operate("PUT", f"replica-sets/pair-{number}", body, label=other)
+        await region.until(lambda: any(region.agents_of(f"pair-{n}/0") for n in range(3)))
+        lease = region.state.keys[cluster_keys.shard(0)][2]
+        assert lease is not None
+        region.state.end_lease(lease)
+        region.answer_s.clear()
+        for number in range(3):
+            await region.until_serving(f"pair-{number}/0")
+
+    simulate_multihost(story)
+
+
 def test_a_takeover_of_a_healthy_replica_changes_nothing() -> None:
     async def story(region: MultihostRegion) -> None:
         await region.begin_pool(6)
@@ -491,6 +514,28 @@
     simulate_multihost(story)
 
 
+def test_no_second_reservation_in_steps_is_begun_while_one_is_open() -> None:
+    async def story(region: MultihostRegion) -> None:
+        await region.begin_pool(60)
+        region.answer_s[region.owner()] = 0.3
+        await region.declare("first", members=40, image_gb=LOAD_S, hold_s=25.0)
+        await region.until(lambda: len(region.agents_of("first/0")) > 0)
+        # its room goes, so that the next owner can only wait until the bound on holding a part
+        await region.kill(region.owner())
+        for agent in list(region.agents.values())[:25]:
+            agent.dead = True
+        body: dict[str, Any] = {"members": 22, "replicas": 1, "image": "weights", "image_gb": 1}
+        body |= {"cpus": 1, "gpus": 0, "memory_gb": 1, "priority": 9}
+        assert (await region.operate("PUT", "replica-sets/second", body))[0] == 201
+        while region.phase("first/0") == "reserving":
+            assert region.phase("second/0") in ("", "pending")
+            await curio.sleep(0.02)
+        assert region.phase("first/0") == "pending"
+        await region.until_serving("second/0", 90.0)
+
+    simulate_multihost(story)
+
+
 def test_a_reservation_that_can_not_be_finished_is_undone() -> None:
     async def story(region: MultihostRegion) -> None:
         await region.begin_pool(42)
