--- a/crossmill/multihost/api.py
+++ b/crossmill/multihost/api.py
@@ -198,7 +198,7 @@
         if stored.removed:
             return Response(409, error_body("a set of this name is being removed"), RETRY_AFTER_S)
         changes = {field: getattr(spec, field) for field in CHANGEABLE}
-        if replace(stored.spec, **changes) != spec:
+        if stored.spec._replace(**changes) != spec:
             allowed = ", ".join(CHANGEABLE)
             return Response(409, error_body(f"of a declared set only these change: {allowed}"))
         return ReplicaSet(spec, False, stored.next_index)
--- a/crossmill/multihost/lifecycle.py
+++ b/crossmill/multihost/lifecycle.py
@@ -1,8 +1,8 @@
 """What happens next to a replica: pure decisions from its records and its members' state."""
 
 from collections.abc import Mapping
-from dataclasses import dataclass
 from enum import Enum
+from typing import NamedTuple
 
 from ..wire.multihost import MemberState
 from .agents import AgentView
@@ -53,8 +53,7 @@
     DELETE = "delete"
 
 
-@dataclass(frozen=True, slots=True)
-class Decision:
+class Decision(NamedTuple):
     """What is to be done, why, and when to look again if nothing changes."""
 
     action: Action
@@ -65,8 +64,7 @@
     suspects: frozenset[int] = frozenset()
 
 
-@dataclass(frozen=True, slots=True)
-class Moment:
+class Moment(NamedTuple):
     """When a decision is made, and since when this controller owns the pool."""
 
     now: float
@@ -138,8 +136,7 @@
     return FETCH_PATIENCE * spec.image_gb / max(slowest_fetch, 1e-3) + settings.start_slack_s
 
 
-@dataclass(frozen=True, slots=True)
-class Situation:
+class Situation(NamedTuple):
     """What a decision about one replica rests on."""
 
     statuses: Mapping[int, MemberStatus]
--- a/crossmill/multihost/model.py
+++ b/crossmill/multihost/model.py
@@ -55,8 +55,7 @@
         return cls(set_name, int(number))
 
 
-@dataclass(frozen=True, slots=True)
-class ReplicaSetSpec:
+class ReplicaSetSpec(NamedTuple):
     """What an operator declares: how many replicas, of how many members each, and where."""
 
     name: str
--- a/crossmill/multihost/placement.py
+++ b/crossmill/multihost/placement.py
@@ -4,14 +4,12 @@
 generation stay where they are, unless the whole replica is back sooner elsewhere."""
 
 from collections.abc import Collection, Iterable, Mapping
-from dataclasses import dataclass, replace
 from typing import NamedTuple
 
 from .model import ReplicaSetSpec, Resources
 
 
-@dataclass(frozen=True, slots=True)
-class Candidate:
+class Candidate(NamedTuple):
     """A machine that can be counted on now, and what is free on it."""
 
     machine: str
@@ -38,8 +36,7 @@
     session: int
 
 
-@dataclass(frozen=True, slots=True)
-class Placement:
+class Placement(NamedTuple):
     """Machines for all members of a replica."""
 
     places: tuple[Place, ...]
@@ -115,19 +112,18 @@
     return Placement(places, ready_s, len(staying))
 
 
-@dataclass(frozen=True, slots=True)
-class Waiting:
+class Waiting(NamedTuple):
     """A replica that waits for room, in the total order in which all are served."""
 
     priority: int
     since: float
     set_name: str
-    index: int
+    number: int
 
     @property
     def order(self) -> tuple[int, float, str, int]:
         """Higher priority first, then the one that has waited longer, then its name."""
-        return (-self.priority, self.since, self.set_name, self.index)
+        return (-self.priority, self.since, self.set_name, self.number)
 
 
 def earmark(
@@ -154,8 +150,7 @@
     return frozenset(c.machine for c in largest[: min(most, spec.members)])
 
 
-@dataclass(frozen=True, slots=True)
-class Victim:
+class Victim(NamedTuple):
     """A whole replica that may be stopped for one of higher priority."""
 
     name: str
@@ -201,5 +196,5 @@
             known = freed.get(machine)
             freed[machine] = victim.resources if known is None else known.plus(victim.resources)
     return [
-        replace(c, free=c.free.plus(freed[c.machine])) if c.machine in freed else c for c in pool
+        c._replace(free=c.free.plus(freed[c.machine])) if c.machine in freed else c for c in pool
     ]
--- a/crossmill/multihost/scheduling.py
+++ b/crossmill/multihost/scheduling.py
@@ -4,7 +4,7 @@
 few keeps free machines from those behind it, up to a stated part of the pool."""
 
 from collections.abc import Iterator, Mapping
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, field
 
 from .agents import Agents
 from .declaration import Unplaceable, check_placeable
@@ -145,7 +145,7 @@
         in_zone = self._in_zone(replica)
         own = {m.machine for m in replica.all_members()}
         candidates = [
-            replace(c, free=c.free.plus(spec.resources)) if c.machine in own else c
+            c._replace(free=c.free.plus(spec.resources)) if c.machine in own else c
             for c in state.candidates.values()
         ]
         placement = choose(spec, kept, candidates, in_zone, excluded)
@@ -236,7 +236,7 @@
             if machine not in own:
                 candidate = state.candidates[machine]
                 room = candidate.free.minus(spec.resources)
-                state.candidates[machine] = replace(candidate, free=room)
+                state.candidates[machine] = candidate._replace(free=room)
 
     def _earmark(self, spec: ReplicaSetSpec, in_zone: Mapping[str, int], state: _Pass) -> None:
         """Keeps free machines for the first that waits in vain, and for it alone; none if the pool
--- a/crossmill/multihost/sets.py
+++ b/crossmill/multihost/sets.py
@@ -3,7 +3,7 @@
 Pure functions over the set's replicas; the disruption budget is kept here."""
 
 from collections.abc import Mapping
-from dataclasses import dataclass
+from typing import NamedTuple
 
 from .model import Replica, ReplicaId, ReplicaSet
 from .phases import ENDED_PHASES, Phase
@@ -14,8 +14,7 @@
 PREEMPTED = "preempted for"
 
 
-@dataclass(frozen=True, slots=True)
-class SetPlan:
+class SetPlan(NamedTuple):
     """Changes of a set's replicas."""
 
     create: int
--- a/tests/test_multihost_decisions.py
+++ b/tests/test_multihost_decisions.py
@@ -3,7 +3,6 @@
 import itertools
 import subprocess
 import sys
-from dataclasses import replace
 from pathlib import Path
 from typing import Any
 
@@ -78,7 +77,7 @@
 
 def _candidates(zone: str, number: int, **changes: Any) -> list[Candidate]:
     free = Resources(16.0, 4.0, 64.0)
-    return [replace(Candidate(f"{zone}-{n}", zone, 1, free, 1.0), **changes) for n in range(number)]
+    return [Candidate(f"{zone}-{n}", zone, 1, free, 1.0)._replace(**changes) for n in range(number)]
 
 
 # -- phases --------------------------------------------------------------------------
@@ -147,13 +146,13 @@
         PoolMachine(f"m-{n}", zone, Resources(16.0, 4.0, 64.0), 1.0)
         for n, zone in enumerate(("north", "north", "south", "south"))
     ]
-    check_placeable(replace(SPEC, members=2), machines)
-    check_placeable(replace(SPEC, members=4, one_zone=False), machines)
+    check_placeable(SPEC._replace(members=2), machines)
+    check_placeable(SPEC._replace(members=4, one_zone=False), machines)
     for spec in (
         SPEC,
-        replace(SPEC, members=5, one_zone=False),
-        replace(SPEC, members=1, resources=Resources(17.0, 0.0, 0.0)),
-        replace(SPEC, members=2, zones=("west",)),
+        SPEC._replace(members=5, one_zone=False),
+        SPEC._replace(members=1, resources=Resources(17.0, 0.0, 0.0)),
+        SPEC._replace(members=2, zones=("west",)),
     ):
         with pytest.raises(Unplaceable):
             check_placeable(spec, machines)
@@ -167,15 +166,15 @@
     placement = choose(SPEC, {}, _candidates("north", 3), {})
     assert placement is not None
     assert len(placement.machines) == 3 and [p.rank for p in placement.places] == [0, 1, 2]
-    assert choose(replace(SPEC, one_zone=False), {}, _candidates("a", 2) + _candidates("b", 1), {})
+    assert choose(SPEC._replace(one_zone=False), {}, _candidates("a", 2) + _candidates("b", 1), {})
 
 
 def test_survivors_stay_and_the_whole_moves_only_where_it_is_back_sooner() -> None:
     warm = frozenset({"weights"})
     north = _candidates("north", 3)
     kept = {0: "north-0", 2: "north-2"}
-    survivors = [replace(c, images=warm) for c in north if c.machine != "north-1"]
-    cold_spare, warm_spare = north[1], replace(north[1], images=warm)
+    survivors = [c._replace(images=warm) for c in north if c.machine != "north-1"]
+    cold_spare, warm_spare = north[1], north[1]._replace(images=warm)
     elsewhere = _candidates("south", 3, images=warm)
     stays = choose(SPEC, kept, [*survivors, warm_spare, *elsewhere], {})
     assert stays is not None and stays.kept == 2 and stays.ready_s == 0
@@ -187,7 +186,7 @@
 
 def test_weights_at_hand_come_first_and_machines_that_failed_last() -> None:
     plain, warm = _candidates("north", 4), frozenset({"weights"})
-    candidates = [replace(plain[0], avoided=True, images=warm), *plain[1:]]
+    candidates = [plain[0]._replace(avoided=True, images=warm), *plain[1:]]
     placement = choose(SPEC, {}, candidates, {})
     assert placement is not None and "north-0" not in placement.machines
     assert choose(SPEC, {}, candidates[:3], {}) is not None
@@ -195,7 +194,7 @@
 
 
 def test_replicas_of_a_spread_set_stand_in_different_zones() -> None:
-    spec = replace(SPEC, spread=True)
+    spec = SPEC._replace(spread=True)
     candidates = _candidates("north", 3, images=frozenset({"weights"})) + _candidates("south", 3)
     assert choose(spec, {}, candidates, {}).machines >= {"north-0"}  # type: ignore[union-attr]
     second = choose(spec, {}, candidates, {"north": 1})
@@ -207,7 +206,7 @@
     candidates = _candidates("north", 2) + _candidates("south", 1)
     assert earmark(SPEC, candidates, {}, most=5) == {"north-0", "north-1"}
     assert len(earmark(SPEC, candidates, {}, most=1)) == 1
-    assert earmark(replace(SPEC, zones=("west",)), candidates, {}, most=5) == frozenset()
+    assert earmark(SPEC._replace(zones=("west",)), candidates, {}, most=5) == frozenset()
 
 
 def test_victims_are_whole_replicas_the_least_lost_and_none_in_vain() -> None:
@@ -219,11 +218,11 @@
         return Victim(name, priority, 0.0, names, EACH)
 
     lesser = [victim("a/0", 0, 0, 1), victim("b/0", 0, 2, 3, 4), victim("c/0", 1, 5)]
-    chosen = choose_victims(replace(SPEC, priority=2), candidates, lesser, {})
+    chosen = choose_victims(SPEC._replace(priority=2), candidates, lesser, {})
     # the pair alone frees too little; with the three it is not needed any more
     assert [v.name for v in chosen] == ["b/0"]
-    assert choose_victims(replace(SPEC, priority=0), candidates, lesser, {}) == ()
-    assert choose_victims(replace(SPEC, priority=2, members=7), candidates, lesser, {}) == ()
+    assert choose_victims(SPEC._replace(priority=0), candidates, lesser, {}) == ()
+    assert choose_victims(SPEC._replace(priority=2, members=7), candidates, lesser, {}) == ()
 
 
 def test_a_machines_failures_are_forgotten_with_time() -> None:
@@ -249,7 +248,7 @@
 
 
 def _plan(min_ready: int, *replicas: Replica, removed: bool = False, no_room: bool = False) -> Any:
-    stored = ReplicaSet(replace(SPEC, min_ready=min_ready), removed)
+    stored = ReplicaSet(SPEC._replace(min_ready=min_ready), removed)
     return plan_set(stored, {r.id.number: r for r in replicas}, {}, no_room)
 
 
@@ -401,7 +400,7 @@
 
 
 def test_records_come_back_as_they_were_stored() -> None:
-    stored = ReplicaSet(replace(SPEC, zones=("north",), spread=True), True, 4, 9)
+    stored = ReplicaSet(SPEC._replace(zones=("north",), spread=True), True, 4, 9)
     value = orjson.loads(orjson.dumps(encode_set(stored) | {"later": 1}))
     again = decode_set(value, 9)
     assert (again.spec, again.removed, again.next_index) == (stored.spec, True, 4)
