--- a/crossmill/multihost/coordinator.py
+++ b/crossmill/multihost/coordinator.py
@@ -176,7 +176,8 @@
     def _notice_silence(self, moment: Moment) -> None:
         """Machines that have just been silent for too long: their replicas are looked at."""
         for view in self._agents.silent_since(moment.now - self._settings.detection_s):
-            if view.machine not in self._silent:
+            is_new = view.machine not in self._silent
+            if is_new and is_silent(view, moment, self._settings):
                 self._silent.add(view.machine)
                 log.info("machine silent machine=%s", view.machine)
                 self._touch_machine(view.machine)
