Multihost is loaded once the controller serves, and naps where no agent is heard

Change: the package is loaded a controller's lease after the state was read, and learns from the mirror what came before; the coordinator naps for four heartbeats where no agent is heard.

--- a/crossmill/app.py
+++ b/crossmill/app.py
@@ -4,6 +4,7 @@
 import logging
 import os
 from collections.abc import Awaitable, Callable
+from functools import partial
 from typing import TYPE_CHECKING
 
 import curio
@@ -126,9 +127,13 @@
             self.leader.run,
         ]
         if multihost is not None:
-            self._add_multihost(multihost, clock)
+            self._loops.append(partial(self._run_multihost, multihost, clock))
 
-    def _add_multihost(self, multihost: "MultihostSettings", clock: Clock) -> None:
+    async def _run_multihost(self, multihost: "MultihostSettings", clock: Clock) -> None:
+        """Loaded only once the controller has had time to take its shards: after an end of all
+        controllers the workers' leases hang on how soon it serves."""
+        await self.follower.ready.wait()
+        await curio.sleep(self.settings.hold_ttl_s)
         from .multihost.service import MultihostService
 
         service = MultihostService(
@@ -141,7 +146,9 @@
             self.writer,
             os.urandom(8).hex(),
         )
-        self._loops += service.loops
+        for run in service.loops:
+            await curio.spawn(_guard, run, daemon=True)
+        await curio.Event().wait()
 
     async def _handle_peer(self, request: Request) -> Response:
         if request.path in (peers.QUIET_PATH, peers.ENDING_PATH):
--- a/crossmill/multihost/coordinator.py
+++ b/crossmill/multihost/coordinator.py
@@ -107,8 +107,11 @@
             self._wake.clear()
 
     def _nap_s(self) -> float:
-        """Until something is due; a silent machine is noticed by looking each half heartbeat."""
+        """Until something is due. A silent machine is noticed by looking each half heartbeat; where
+        no agent is heard, none can fall silent, and the first heartbeat ends the nap."""
         longest = self._settings.heartbeat_s / 2
+        if len(self._agents) == 0:
+            longest = self._settings.idle_nap_s
         due_at = self._due.next_at()
         if due_at is None:
             return longest
--- a/crossmill/multihost/settings.py
+++ b/crossmill/multihost/settings.py
@@ -42,6 +42,11 @@
         """An agent that no controller has answered for this long stops all its members."""
         return 10 * self.heartbeat_s
 
+    @property
+    def idle_nap_s(self) -> float:
+        """How often a controller that hears no agent looks whether it owns the pool."""
+        return 4 * self.heartbeat_s
+
     @property
     def answer_timeout_s(self) -> float:
         """An agent drops answers that come later than this."""
--- a/crossmill/state/mirror.py
+++ b/crossmill/state/mirror.py
@@ -32,7 +32,10 @@
         self._listeners: list[Listener] = []
 
     def listen(self, listener: Listener) -> None:
-        """Called with (key, value, version); a value of None means deleted."""
+        """Called with (key, value, version), at first for all that is known; a value of None means
+        deleted."""
+        for key, entry in self._entries.items():
+            listener(key, entry.value, entry.version)
         self._listeners.append(listener)
 
     def version(self, key: str) -> int:
--- a/tests/test_multihost_service.py
+++ b/tests/test_multihost_service.py
@@ -16,6 +16,7 @@
 from crossmill.multihost.model import Member, Replica, ReplicaId
 from crossmill.multihost.phases import Phase
 from crossmill.multihost.records import encode_chunk, encode_replica, reservation_record
+from crossmill.multihost.service import MultihostService
 from crossmill.net.server import Server
 from crossmill.settings import Endpoint
 from crossmill.wire.multihost import MemberReport, MemberState
@@ -195,6 +196,30 @@
     play(story)
 
 
+def test_a_service_begun_late_knows_what_was_there_before() -> None:
+    async def story(state: StateService, clock: FakeClock, nodes: Nodes) -> None:
+        add_ready_pairs(state, clock, 3)
+        node, early = await booted_pool(state, clock, nodes, machines=6)
+        late = MultihostService(
+            node.settings,
+            SETTINGS,
+            clock,
+            node.cluster,
+            node.membership,
+            node.follower,
+            node.writer,
+            "late",
+        )
+        assert (
+            len(late.pool.replicas) == 3 and late.pool.replicas.keys() == early.pool.replicas.keys()
+        )
+        assert {m: set(x.planned) for m, x in late.pool.machines.items()} == {
+            m: set(x.planned) for m, x in early.pool.machines.items()
+        }
+
+    play(story)
+
+
 # -- other versions ------------------------------------------------------------------
 
 
