The build writes the bytecode of every module that a start loads

Cause: run.py sets sys.pycache_prefix, the build compiled only the program and its libraries into it, and under a prefix Python does not look at the standard library's own bytecode. A controller can't write there, so each start compiled 76 standard modules from source.

Change: 'crossmill compile' imports all that a controller or client verb loads, under the interpreter and flags of 'run', and fails if a file is missing afterwards. The cache is named after the release of Python; within it Python compares size and time of each source as ever.

Ruled out: compiling the whole standard library (thousands of modules that nothing loads); leaving out the prefix (the program's folder is not to be written to).

Recorded by an audit hook: 76 modules compiled before, none now. tests/test_start_compiles_nothing.py fails on the build before.

--- a/crossmill/cli.py
+++ b/crossmill/cli.py
@@ -13,6 +13,7 @@
 if TYPE_CHECKING:
     from .multihost.settings import MultihostSettings
 
+FAILED = 1
 BAD_USAGE = 2
 LEVELS = {"error": logging.ERROR, "info": logging.INFO, "debug": logging.DEBUG}
 
@@ -69,6 +70,7 @@
         _add_client_options(
             verb, "CROSSMILL_SERVER", "127.0.0.1:8080", "a controller or the load balancer"
         )
+    verbs.add_parser("compile", help="write the bytecode that a start loads (a step of the build)")
     replicas = verbs.add_parser("replicas", help="multi-machine replicas: list, declare, drain")
     if argv[:1] == ["replicas"]:
         # a start of a controller does not pay for verbs that it has no use for
@@ -144,6 +146,17 @@
     return 0
 
 
+def _compile() -> int:
+    from .bytecode import CacheNotWritten, fill
+
+    try:
+        print(f"bytecode of {fill()} modules in {sys.pycache_prefix or 'their own folders'}")
+    except CacheNotWritten as exc:
+        print(f"crossmill: bytecode was not written: {exc}", file=sys.stderr)
+        return FAILED
+    return 0
+
+
 def main(argv: list[str] | None = None) -> int:
     """Runs the command; returns its exit code."""
     argv = sys.argv[1:] if argv is None else argv
@@ -156,6 +169,8 @@
         return _serve(args.config, args.multihost)
     if args.verb == "check":
         return _check(args.config, args.multihost)
+    if args.verb == "compile":
+        return _compile()
     if args.verb == "replicas":
         from .multihost.verbs import run as run_replicas
 
--- a/run.py
+++ b/run.py
@@ -6,8 +6,9 @@
 ROOT = os.path.dirname(os.path.abspath(__file__))
 # behind the standard library, of which most modules are loaded
 sys.path += [ROOT, os.path.join(ROOT, "target", "deps")]
-# what the build compiled: a controller's start must not pay for compiling its sources
-sys.pycache_prefix = os.path.join(ROOT, "target", "pyc")
+# what `crossmill compile` wrote at build time: a controller's start must not pay for compiling.
+# Python itself compares each file with its source; another release of Python has a cache of its own
+sys.pycache_prefix = os.path.join(ROOT, "target", "pyc", f"{sys.hexversion:x}")
 
 from crossmill.cli import main  # noqa: E402
 
--- /dev/null
+++ b/tests/loopback.py
@@ -0,0 +1,78 @@
+"""Stand-ins on loopback, for tests over real sockets."""
+
+import socket
+import threading
+import time
+from collections.abc import Iterator
+from contextlib import contextmanager
+from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
+from typing import Protocol
+
+# a state service's watch is answered so much later: the stand-in itself never waits
+WATCH_S = 0.1
+
+
+class StandIn(Protocol):
+    """A stand-in that answers without ever waiting."""
+
+    async def request(self, method: str, path: str, body: bytes = b"") -> tuple[int, bytes]: ...
+
+
+def free_ports(number: int) -> list[int]:
+    """Ports that nobody listens on."""
+    held = [socket.socket() for _ in range(number)]
+    for sock in held:
+        sock.bind(("127.0.0.1", 0))
+    ports = [sock.getsockname()[1] for sock in held]
+    for sock in held:
+        sock.close()
+    return ports
+
+
+def _answer_now(stand_in: StandIn, method: str, path: str, body: bytes) -> tuple[int, bytes]:
+    """The answer of a coroutine that ends without waiting."""
+    try:
+        stand_in.request(method, path, body).send(None)
+    except StopIteration as ended:
+        status, data = ended.value
+        return status, data
+    raise AssertionError(f"the stand-in waits: {method} {path}")
+
+
+def _handler(stand_in: StandIn) -> type[BaseHTTPRequestHandler]:
+    lock = threading.Lock()
+
+    class Handler(BaseHTTPRequestHandler):
+        protocol_version = "HTTP/1.1"
+
+        def _answer(self) -> None:
+            body = self.rfile.read(int(self.headers.get("content-length", 0)))
+            if self.path.startswith("/changes"):
+                time.sleep(WATCH_S)
+            with lock:
+                status, data = _answer_now(stand_in, self.command, self.path, body)
+            self.send_response(status)
+            self.send_header("content-length", str(len(data)))
+            self.end_headers()
+            self.wfile.write(data)
+
+        do_GET = do_POST = do_DELETE = _answer
+
+        def log_message(self, format: str, *args: object) -> None:
+            """Nothing is logged."""
+
+    return Handler
+
+
+@contextmanager
+def serving(stand_in: StandIn, port: int) -> Iterator[None]:
+    """Serves the stand-in on a port of loopback meanwhile."""
+    server = ThreadingHTTPServer(("127.0.0.1", port), _handler(stand_in))
+    server.daemon_threads = True
+    thread = threading.Thread(target=server.serve_forever, daemon=True)
+    thread.start()
+    try:
+        yield
+    finally:
+        server.shutdown()
+        server.server_close()
--- a/tests/test_multihost_loopback.py
+++ b/tests/test_multihost_loopback.py
@@ -1,6 +1,5 @@
 """The same agents over real sockets on loopback and in real time, beside three controllers."""
 
-import socket
 import time
 from collections.abc import Awaitable, Callable
 from dataclasses import replace
@@ -14,6 +13,7 @@
 from crossmill.wire.multihost import HEARTBEAT_PATH, PING_PATH
 
 from .harness import Node
+from .loopback import free_ports
 from .multihost_agents import Agent
 from .multihost_region import SETTINGS, MultihostRegion
 from .standins import FakeClock
@@ -24,17 +24,6 @@
 SLACK_S = 10.0
 
 
-def _free_ports(number: int) -> list[int]:
-    """Ports that nobody listens on."""
-    held = [socket.socket() for _ in range(number)]
-    for sock in held:
-        sock.bind(("127.0.0.1", 0))
-    ports = [sock.getsockname()[1] for sock in held]
-    for sock in held:
-        sock.close()
-    return ports
-
-
 class RealTime(FakeClock):
     """The clock of this machine, where stories otherwise have a held one."""
 
@@ -51,7 +40,7 @@
     def __init__(self) -> None:
         super().__init__(RealTime(), multihost=FAST)
         self.tolerance_s = 0.5
-        self._ports = iter(_free_ports(40))
+        self._ports = iter(free_ports(40))
         self._clients: dict[Endpoint, Client] = {}
 
     def more_parts(self, node: Node) -> list[Callable[[], Awaitable[None]]]:
--- /dev/null
+++ b/tests/test_start_compiles_nothing.py
@@ -0,0 +1,197 @@
+"""A controller that is started as deploy/service.toml says compiles nothing from source: on a
+small share of a processor that takes longer than all else of a start."""
+
+import os
+import shlex
+import shutil
+import subprocess
+import sys
+import time
+import tomllib
+from importlib.util import find_spec
+from pathlib import Path
+
+import curio
+import orjson
+import pytest
+import tomli_w
+
+from crossmill.net.client import Client, Unanswered, Unreached
+from crossmill.settings import Endpoint
+from crossmill.wire.users import JOBS_PATH
+from crossmill.wire.workers import REPORT_PATH
+
+from .harness import seed
+from .loopback import free_ports, serving
+from .standins import CloudService, FakeClock, StateService, beat, settings_table, submission
+
+ROOT = Path(__file__).resolve().parent.parent
+LIBRARIES = ("curio", "h11", "orjson")
+# how long a start and its first answers may take beside other load
+PATIENCE_S = 60.0
+RETRY_S = 0.1
+
+# runs the program with all that is compiled from a file written down, in a cache that is not
+# written to; the program itself is a script, which Python always compiles
+RECORDER = """
+import sys
+sys.dont_write_bytecode = True
+record = open({record!r}, "a", buffering=1)
+def hook(event, args):
+    if event == "compile" and str(args[1]).endswith(".py") and args[1] != "run.py":
+        record.write(args[1] + chr(10))
+sys.addaudithook(hook)
+sys.argv = ["run.py", *sys.argv[1:]]
+__file__ = {program!r}
+exec(compile(open(__file__).read(), "run.py", "exec"))
+"""
+
+
+@pytest.fixture(scope="module")
+def checkout(tmp_path_factory: pytest.TempPathFactory) -> Path:
+    """A clean checkout with its libraries, built as the deploy file says."""
+    root = tmp_path_factory.mktemp("checkout")
+    for folder in ("crossmill", "deploy"):
+        shutil.copytree(ROOT / folder, root / folder, ignore=shutil.ignore_patterns("__pycache__"))
+    for file in ("run.py", "requirements.txt"):
+        shutil.copy2(ROOT / file, root / file)
+    for name in LIBRARIES:
+        spec = find_spec(name)
+        assert spec is not None and spec.origin is not None
+        shutil.copytree(
+            Path(spec.origin).parent,
+            root / "target" / "deps" / name,
+            ignore=shutil.ignore_patterns("__pycache__"),
+        )
+    # newer than the requirements: there is nothing to install
+    os.utime(root / "target" / "deps")
+    _build(root)
+    return root
+
+
+def _environment() -> dict[str, str]:
+    """The interpreter of the tests is the one that the deploy file's commands find."""
+    return {**os.environ, "PATH": f"{Path(sys.executable).parent}:{os.environ['PATH']}"}
+
+
+def _deploy(root: Path) -> dict[str, str]:
+    return tomllib.loads((root / "deploy" / "service.toml").read_text())
+
+
+def _build(root: Path) -> None:
+    subprocess.run(_deploy(root)["build"], shell=True, check=True, cwd=root, env=_environment())
+
+
+def _start_recorded(root: Path, record: Path, *arguments: str) -> subprocess.Popen[bytes]:
+    """Starts the program by the deploy file's command, with what it compiles recorded."""
+    command = shlex.split(_deploy(root)["run"])
+    program = command.index("run.py")
+    script = RECORDER.format(record=str(record), program=str(root / "run.py"))
+    command[program : program + 1] = ["-c", script]
+    return subprocess.Popen([*command, *arguments], cwd=root, env=_environment())
+
+
+class Neighbours:
+    """What one real controller on loopback needs around it."""
+
+    def __init__(self) -> None:
+        self.state, self.cloud = StateService(), CloudService()
+        seed(self.state, FakeClock())
+        self.user_port, self.peer_port, self.state_port, self.cloud_port = free_ports(4)
+        self.settings = settings_table(
+            bind=f"127.0.0.1:{self.user_port}",
+            peer_listen=f"127.0.0.1:{self.peer_port}",
+            members=[],
+            external={
+                "cloud": f"127.0.0.1:{self.cloud_port}",
+                "state": f"127.0.0.1:{self.state_port}",
+            },
+        )
+
+    async def use_controller(self) -> None:
+        """A worker and a user are answered by the controller."""
+        client = Client(Endpoint("127.0.0.1", self.user_port), max_sockets=4)
+        job = submission()
+        for method, path, body, wanted in (
+            ("GET", "/healthz", b"", 200),
+            ("POST", REPORT_PATH, beat("n-0", 1, 1, 0), 200),
+            ("POST", JOBS_PATH, orjson.dumps(job), 201),
+            ("GET", f"{JOBS_PATH}/{job['nameId']}", b"", 200),
+        ):
+            await _until_answered(client, method, path, body, wanted)
+
+
+async def _until_answered(client: Client, method: str, path: str, body: bytes, wanted: int) -> None:
+    deadline = time.monotonic() + PATIENCE_S
+    status: int | str = ""
+    while status != wanted:
+        assert time.monotonic() < deadline, f"{path}: {status}"
+        try:
+            status, _ = await client.request(method, path, body, 2.0)
+        except (Unreached, Unanswered) as exc:
+            status = repr(exc)
+        await curio.sleep(RETRY_S)
+
+
+def _serve_once(root: Path, folder: Path, *arguments: str) -> list[str]:
+    """What a controller compiles from its start to its first answers."""
+    neighbours = Neighbours()
+    config, record = folder / "settings.toml", folder / "compiled"
+    config.write_text(tomli_w.dumps(neighbours.settings))
+    with (
+        serving(neighbours.state, neighbours.state_port),
+        serving(neighbours.cloud, neighbours.cloud_port),
+    ):
+        process = _start_recorded(root, record, str(config), *arguments)
+        try:
+            curio.run(neighbours.use_controller)
+        finally:
+            process.kill()
+            process.wait()
+    return record.read_text().split()
+
+
+def test_a_built_controller_compiles_nothing(checkout: Path, tmp_path: Path) -> None:
+    assert _serve_once(checkout, tmp_path) == []
+
+
+def _run_recorded(root: Path, record: Path, before: str, *arguments: str) -> str:
+    """What the program prints that is run with the recorder, and `before` that."""
+    script = before + RECORDER.format(record=str(record), program=str(root / "run.py"))
+    command = [sys.executable, "-S", "-E", "-c", script, *arguments]
+    result = subprocess.run(command, cwd=root, capture_output=True, text=True, timeout=PATIENCE_S)
+    assert result.returncode == 0, result.stderr
+    return result.stdout
+
+
+def test_a_changed_module_is_loaded_from_its_source(checkout: Path, tmp_path: Path) -> None:
+    root = tmp_path / "checkout"
+    shutil.copytree(checkout, root)
+    _build(root)
+    assert _run_recorded(root, tmp_path / "built", "", "--version") != "crossmill changed\n"
+    assert (tmp_path / "built").read_text() == ""
+    changed = root / "crossmill" / "__init__.py"
+    changed.write_text(
+        '"""A module that was upgraded after the build."""\n__version__ = "changed"\n'
+    )
+    assert _run_recorded(root, tmp_path / "changed", "", "--version") == "crossmill changed\n"
+    assert (tmp_path / "changed").read_text().split() == [str(changed)]
+
+
+def test_another_release_of_python_is_served_nothing_of_the_cache(
+    checkout: Path, tmp_path: Path
+) -> None:
+    _run_recorded(checkout, tmp_path / "same", "", "--version")
+    assert (tmp_path / "same").read_text() == ""
+    upgraded = "import sys; sys.hexversion += 1 << 16\n"
+    _run_recorded(checkout, tmp_path / "upgraded", upgraded, "--version")
+    assert str(checkout / "crossmill" / "cli.py") in (tmp_path / "upgraded").read_text().split()
+
+
+def test_a_cache_that_can_not_be_written_fails_the_build(checkout: Path, tmp_path: Path) -> None:
+    root = tmp_path / "checkout"
+    shutil.copytree(checkout, root)
+    shutil.rmtree(root / "target" / "pyc")
+    (root / "target" / "pyc").write_text("not a folder")
+    with pytest.raises(subprocess.CalledProcessError):
+        _build(root)
