Shards are owned where the workers' next controller is there

With millhand-2 without power for 90 s millhand-1 stood still; its workers waited 4 s and 1 s for it, then as long for millhand-2, and their lease of 10 s ended on the way to millhand-0. The shard had been taken over 2.7 s after the freeze, so detection, taking and reading were not what was missing.

Ruled out: the poll storm (reports were answered throughout), start-up (0 of these tasks were lost to it).

Change: a controller whose next one has been missing for a worker's lease hands its shards to one whose next is there (cluster/owner_choice.py).

--- a/crossmill/cluster/membership.py
+++ b/crossmill/cluster/membership.py
@@ -14,6 +14,7 @@
 from . import keys
 from .cluster_state import ClusterState
 from .keeper import Keeper
+from .owner_choice import OwnerChoice
 from .promises import Promises
 from .reachability import WorkerReachability
 
@@ -56,11 +57,11 @@
         self._promises = promises
         promises.owned = lambda: self.owned
         self.reachability = WorkerReachability(settings, clock, cluster)
+        self.choice = OwnerChoice(settings, clock, cluster)
         self._labels = settings.labels
         self._seen = 0
         self._started = clock.now()
         self._missing: dict[str, float] = {}
-        self._home_since: dict[str, float] = {}
         self.owned: dict[int, Owned] = {}
         self._leads: tuple[int, int] | None = None
         self._raise: set[int] = set()
@@ -114,10 +115,6 @@
         """A worker has seen a higher token than ours: only a fresh one will be obeyed."""
         self._raise.add(shard)
 
-    def home(self, shard: int) -> str:
-        """The controller that owns the shard when all are well."""
-        return self._labels[shard % len(self._labels)]
-
     # -- the loop --------------------------------------------------------------------
 
     async def run(self) -> None:
@@ -159,6 +156,7 @@
         if self.reachability.look({k: own.acquired_at for k, own in self.owned.items()}):
             await self._give_away()
         await self._announce()
+        self.choice.look()
         self._allot()
         missing = [k for k in range(self._settings.nodes) if k not in self._cluster.shards]
         if any(not self._promises.may_start(k) for k in missing):
@@ -177,7 +175,7 @@
             if not own.ready and await self._follower.sync(self._settings.renew_s):
                 own.ready = True
                 log.info("shard ready shard=%d epoch=%d", shard, own.token)
-        await self._hand_back()
+        await self._hand_over()
 
     async def _announce(self) -> None:
         key = keys.node(self._settings.label)
@@ -195,15 +193,6 @@
         txn = Txn({}, [Put(key, value, lease)])
         await self._commit(txn)
 
-    def _deaf(self, label: str) -> bool:
-        """Whether the controller says that no worker reaches it; said by all, it says nothing."""
-        nodes = self._cluster.nodes
-        return bool(
-            label in nodes
-            and nodes[label].get("deaf")
-            and not all(n.get("deaf") for n in nodes.values())
-        )
-
     async def _give_away(self) -> None:
         """Workers that can't reach us are sent to us by all others until somebody else acts
         for them; once nobody answers them their leases end."""
@@ -245,21 +234,11 @@
         intent = Intent(txn, WriteRank.OWNERSHIP, holds=lambda: self._keeper.holds(epoch))
         return await self._writer.commit(intent) == WriteResult.OK
 
-    def _rank(self) -> int:
-        """How many live controllers have fewer shards than this one."""
-        load = {label: 0 for label in self._cluster.nodes if not self._deaf(label)}
-        load.setdefault(self._settings.label, 0)
-        for shard in self._cluster.shards.values():
-            if shard.owner in load:
-                load[shard.owner] += 1
-        order = sorted(load, key=lambda label: (load[label], label))
-        return order.index(self._settings.label)
-
     def _patient(self, key: str) -> bool:
         """Others' keys are taken in turn: the least loaded controller first."""
         now = self._clock.now()
         since = self._missing.setdefault(key, now)
-        wait = self._rank() * self._settings.hold_ttl_s / 4
+        wait = self.choice.rank() * self._settings.hold_ttl_s / 4
         if not self._cluster.shards:
             # nobody has started yet: leave each its own
             wait += self._settings.hold_ttl_s
@@ -274,12 +253,13 @@
             return known.owner == self._settings.label and not self._promises.bound(shard)
         if self._promises.bound(shard) or not self._promises.may_start(shard):
             return False
-        home = self.home(shard)
-        if self._deaf(self._settings.label):
+        home = self.choice.home(shard)
+        if self.choice.is_deaf(self._settings.label):
             return False
-        if home == self._settings.label:
+        gives_way = self.choice.gives_way(home)
+        if home == self._settings.label and not gives_way:
             return True
-        if home in self._cluster.nodes and self._cluster.shards and not self._deaf(home):
+        if self.choice.is_reachable(home) and self._cluster.shards and not gives_way:
             self._missing.setdefault(key, self._clock.now())
             return self._clock.now() - self._missing[key] > self._settings.hold_ttl_s
         return self._patient(key)
@@ -350,20 +330,13 @@
         else:
             await self._follower.sync(self._settings.renew_s)
 
-    async def _hand_back(self) -> None:
-        """A controller that came back gets its own teams again, once it has stood a while."""
-        now = self._clock.now()
-        for label in self._labels:
-            if label not in self._cluster.nodes or self._deaf(label):
-                self._home_since.pop(label, None)
-            else:
-                self._home_since.setdefault(label, now)
+    async def _hand_over(self) -> None:
+        """A shard that another controller should own is let go of, one at a look: whoever comes
+        first in rank takes it at once."""
         for shard, own in list(self.owned.items()):
-            home = self.home(shard)
-            since = self._home_since.get(home)
-            if home == self._settings.label or since is None:
+            stood_s = self._clock.now() - own.acquired_at
+            if stood_s <= self._settings.lease_s or not self.choice.is_better_elsewhere(shard):
                 continue
-            if now - since > self._settings.lease_s:
-                self._drop(shard, f"handed back to {home}")
-                await self._commit(Txn({keys.shard(shard): own.version}, [], [keys.shard(shard)]))
-                return
+            self._drop(shard, "handed over")
+            await self._commit(Txn({keys.shard(shard): own.version}, [], [keys.shard(shard)]))
+            return
--- a/crossmill/settings/model.py
+++ b/crossmill/settings/model.py
@@ -98,6 +98,12 @@
         """The labels of all controllers, in order."""
         return tuple(sorted([self.label, *(p.label for p in self.peers)]))
 
+    def next_controller(self, label: str) -> str:
+        """Where a worker turns whose controller does not answer (PROTOCOL: "tries the next node"):
+        the next label, counted as numbers are."""
+        order = sorted(self.labels, key=lambda other: (len(other), other))
+        return order[(order.index(label) + 1) % len(order)]
+
     # -- figures derived from the settings; ratios live here only --------------------
 
     @property
--- a/tests/simulation.py
+++ b/tests/simulation.py
@@ -268,11 +268,11 @@
         body, sent, session = self._report(), self.region.clock.now(), self.session
         self.copies = [*self.copies[-40:], body]
         await curio.sleep(HOP_S)
-        if self.mute or not self.region.reaches(self, label):
-            return None
-        if self.region.stands_still(label):
+        if self.region.stands_still(label) or label in self.region.dark:
             await curio.sleep(4.0)
             return None
+        if self.mute or not self.region.reaches(self, label):
+            return None
         status, data = self.region.deliver(body, label)
         await curio.sleep(HOP_S)
         if self.deaf or self.hung or not self.region.reaches(self, label):
@@ -477,6 +477,8 @@
         # by label: until when its process stands still
         self.still_until: dict[str, float] = {}
         self.apart: set[str] = set()
+        # controllers whose machine has no power: connections to it hang
+        self.dark: set[str] = set()
         # what becomes of a transaction: (seconds late, carried out at once), or nothing odd
         self.fate: Callable[[str, str, str], tuple[float, bool] | None] = lambda *_: None
         self._ends: dict[int, tuple[float, float]] = {}
@@ -631,6 +633,15 @@
         for task in self._tasks.pop(label):
             await task.cancel(blocking=False)
 
+    async def darken(self, label: str) -> None:
+        """Its machine is without power until it is lit again."""
+        self.dark.add(label)
+        await self.kill(label)
+
+    async def light(self, label: str) -> None:
+        self.dark.discard(label)
+        await self.start(label)
+
     async def restart(self, label: str, after_s: float) -> None:
         await self.kill(label)
         await curio.sleep(after_s)
