--- a/crossmill/app.py
+++ b/crossmill/app.py
@@ -23,7 +23,7 @@
 from .jobs.record_repair import RecordRepair
 from .jobs.rounds import Rounds
 from .net.clock import Clock
-from .net.server import Request, Response, Server
+from .net.server import Handler, Request, Response, Server
 from .settings import Settings
 from .state.client import StateClient
 from .state.follower import Follower
@@ -36,16 +36,24 @@
 
 if TYPE_CHECKING:
     from .multihost.settings import MultihostSettings
+    from .recovery.settings import RecoverySettings
 
 log = logging.getLogger(__name__)
 
+# operators' requests about recoveries; its wire module is loaded only with them
+RECOVERY_PATH = "/recovery"
+
 
 class App:
-    """All parts of one controller. Those of multi-machine replicas are there only with their own
-    settings; without them nothing of `multihost` is loaded."""
+    """All parts of one controller. Those of multi-machine replicas, and of recovery, are there only
+    with their own settings; without them nothing of `multihost` or `recovery` is loaded."""
 
     def __init__(
-        self, settings: Settings, clock: Clock, multihost: "MultihostSettings | None" = None
+        self,
+        settings: Settings,
+        clock: Clock,
+        multihost: "MultihostSettings | None" = None,
+        recovery: "RecoverySettings | None" = None,
     ) -> None:
         self.settings = settings
         client = StateClient(settings, clock)
@@ -128,6 +136,31 @@
         ]
         if multihost is not None:
             self._loops.append(partial(self._run_multihost, multihost, clock))
+        self._recovery_handler: Handler | None = None
+        if recovery is not None:
+            self._add_recovery(recovery, clock)
+
+    def _add_recovery(self, recovery: "RecoverySettings", clock: Clock) -> None:
+        """Holds back what differs when a shard is taken: there before the first report comes."""
+        from .recovery.api import RecoveryApi
+        from .recovery.service import RecoveryService
+
+        service = RecoveryService(
+            self.settings,
+            recovery,
+            clock,
+            self.cluster,
+            self.membership,
+            self.follower,
+            self.writer,
+            self.forecast.priority_of,
+        )
+        api = RecoveryApi(
+            self.settings, recovery, clock, self.cluster, self.follower, self.writer, service
+        )
+        self.reports.gate = service
+        self._recovery_handler = api.handle
+        self._loops.append(service.run)
 
     async def _run_multihost(self, multihost: "MultihostSettings", clock: Clock) -> None:
         """Loaded only once the controller has had time to take its shards: after an end of all
@@ -153,6 +186,8 @@
     async def _handle_peer(self, request: Request) -> Response:
         if request.path in (peers.QUIET_PATH, peers.ENDING_PATH):
             return self.deputies.handle(request)
+        if self._recovery_handler is not None and request.path.startswith(RECOVERY_PATH):
+            return await self._recovery_handler(request)
         return self.promises.handle(request)
 
     async def _handle(self, request: Request) -> Response:
@@ -207,9 +242,13 @@
             await curio.sleep(1.0)
 
 
-def serve(settings: Settings, multihost: "MultihostSettings | None" = None) -> None:
+def serve(
+    settings: Settings,
+    multihost: "MultihostSettings | None" = None,
+    recovery: "RecoverySettings | None" = None,
+) -> None:
     """Runs a controller until it is killed."""
-    app = App(settings, Clock(), multihost)
+    app = App(settings, Clock(), multihost, recovery)
     # what was loaded lives as long as the process: the collector need not go over it again
     gc.freeze()
     curio.run(app.run)
--- a/crossmill/cli.py
+++ b/crossmill/cli.py
@@ -4,7 +4,7 @@
 import logging
 import os
 import sys
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, NamedTuple
 
 from . import __version__
 from .lazy_imports import defer_unused
@@ -12,6 +12,7 @@
 
 if TYPE_CHECKING:
     from .multihost.settings import MultihostSettings
+    from .recovery.settings import RecoverySettings
 
 FAILED = 1
 BAD_USAGE = 2
@@ -53,6 +54,9 @@
         verb.add_argument(
             "--multihost", metavar="FILE", help="also schedule multi-machine replicas (TOML)"
         )
+        verb.add_argument(
+            "--recovery", metavar="FILE", help="settle calmly what differs after a takeover (TOML)"
+        )
     submit = verbs.add_parser("submit", help="submit a job read as JSON")
     submit.add_argument("file", help="the job's JSON, or - for standard input")
     submit.add_argument(
@@ -77,6 +81,11 @@
         from .multihost.verbs import add_replica_verbs
 
         add_replica_verbs(replicas, _add_client_options)
+    recovery = verbs.add_parser("recovery", help="recoveries after takeovers: show, approve")
+    if argv[:1] == ["recovery"]:
+        from .recovery.verbs import add_recovery_verbs
+
+        add_recovery_verbs(recovery, _add_client_options)
     return parser
 
 
@@ -92,57 +101,66 @@
     verb.add_argument("--timeout", type=float, default=5.0, metavar="S", help="default %(default)s")
 
 
-def _load(path: str) -> Settings | None:
-    """The settings; None, with a line that says why, if they are bad."""
-    try:
-        return load(path)
-    except BadSettings as exc:
-        print(f"crossmill: {exc}", file=sys.stderr)
-        return None
+class _LoadedSettings(NamedTuple):
+    """The settings of a controller and of the subsystems that are on."""
 
+    settings: Settings
+    multihost: "MultihostSettings | None"
+    recovery: "RecoverySettings | None"
 
-def _load_multihost(path: str | None, settings: Settings) -> "MultihostSettings | None":
-    """The settings of multi-machine replicas, if a file is given; raises BadSettings."""
-    if path is None:
-        return None
-    from .multihost.settings import load as load_multihost
 
-    return load_multihost(path, settings)
+def _load(args: argparse.Namespace) -> _LoadedSettings:
+    """All files that are named; raises BadSettings. A subsystem's modules are loaded only if its
+    file is."""
+    settings = load(args.config)
+    multihost, recovery = None, None
+    if args.multihost is not None:
+        from .multihost.settings import load as load_multihost
 
+        multihost = load_multihost(args.multihost, settings)
+    if args.recovery is not None:
+        from .recovery.settings import load as load_recovery
 
-def _check(path: str, multihost_path: str | None) -> int:
-    settings = _load(path)
-    if settings is None:
-        return BAD_USAGE
-    try:
-        multihost = _load_multihost(multihost_path, settings)
-    except BadSettings as exc:
-        print(f"crossmill: {exc}", file=sys.stderr)
-        return BAD_USAGE
+        recovery = load_recovery(args.recovery, settings)
+    return _LoadedSettings(settings, multihost, recovery)
+
+
+def _check(loaded: _LoadedSettings) -> None:
+    settings, multihost, recovery = loaded
     print(f"{settings.label}: {settings.nodes} controllers, {len(settings.teams)} teams")
-    for name in ("hold_ttl_s", "renew_s", "worker_end_s", "writes_share", "cloud_pace"):
-        print(f"  {name} = {getattr(settings, name):.3f}")
+    _print_derived(settings, "hold_ttl_s", "renew_s", "worker_end_s", "writes_share", "cloud_pace")
     if multihost is not None:
         print(f"multi-machine replicas on {multihost.listen.host}:{multihost.listen.port}")
-        for name in ("heartbeat_s", "detection_s", "serving_lease_s", "agent_lease_s"):
-            print(f"  {name} = {getattr(multihost, name):.3f}")
-    return 0
+        _print_derived(multihost, "heartbeat_s", "detection_s", "serving_lease_s", "agent_lease_s")
+    if recovery is not None:
+        print(f"recovery, brake at {recovery.brake_share:g} of the tasks or machines known")
+        _print_derived(recovery, "observe_s", "shard_orders_per_s", "worker_orders_per_s")
 
 
-def _serve(path: str, multihost_path: str | None) -> int:
-    settings = _load(path)
-    if settings is None:
-        return BAD_USAGE
+def _print_derived(settings: object, *names: str) -> None:
+    for name in names:
+        print(f"  {name} = {getattr(settings, name):.3f}")
+
+
+def _serve(loaded: _LoadedSettings) -> None:
+    _name_lines(loaded.settings.label)
+    defer_unused()
+    from .app import serve
+
+    serve(*loaded)
+
+
+def _run_with_settings(args: argparse.Namespace) -> int:
+    """`serve` and `check`; with bad settings one line says why."""
     try:
-        multihost = _load_multihost(multihost_path, settings)
+        loaded = _load(args)
     except BadSettings as exc:
         print(f"crossmill: {exc}", file=sys.stderr)
         return BAD_USAGE
-    _name_lines(settings.label)
-    defer_unused()
-    from .app import serve
-
-    serve(settings, multihost)
+    if args.verb == "serve":
+        _serve(loaded)
+    else:
+        _check(loaded)
     return 0
 
 
@@ -165,16 +183,18 @@
     if bad_level is not None:
         print(f"LOG_LEVEL: {bad_level!r} is none of {', '.join(LEVELS)}", file=sys.stderr)
         return BAD_USAGE
-    if args.verb == "serve":
-        return _serve(args.config, args.multihost)
-    if args.verb == "check":
-        return _check(args.config, args.multihost)
+    if args.verb in ("serve", "check"):
+        return _run_with_settings(args)
     if args.verb == "compile":
         return _compile()
     if args.verb == "replicas":
         from .multihost.verbs import run as run_replicas
 
         return run_replicas(args)
+    if args.verb == "recovery":
+        from .recovery.verbs import run as run_recovery
+
+        return run_recovery(args)
     from .verbs import run
 
     return run(args)
--- a/crossmill/cluster/membership.py
+++ b/crossmill/cluster/membership.py
@@ -64,7 +64,8 @@
         self._missing: dict[str, float] = {}
         self.owned: dict[int, Owned] = {}
         self._leads: tuple[int, int] | None = None
-        self._raise: set[int] = set()
+        # by shard: a token that a worker has seen and that the next has to be above
+        self._raise: dict[int, int] = {}
         self.on_lost: list[Callable[[int], None]] = []
 
     # -- what others ask -------------------------------------------------------------
@@ -111,9 +112,11 @@
             return None
         return self._leads[1] if self._keeper.authority() else None
 
-    def raise_token(self, shard: int) -> None:
-        """A worker has seen a higher token than ours: only a fresh one will be obeyed."""
-        self._raise.add(shard)
+    def raise_token(self, shard: int, above: int = 0) -> None:
+        """A worker has seen a higher token than ours, or may still get a start under ours: only a
+        fresh one will be obeyed. Where the state service came back older, the counter may stand far
+        below `above`."""
+        self._raise[shard] = max(above, self._raise.get(shard, 0))
 
     # -- the loop --------------------------------------------------------------------
 
@@ -165,12 +168,12 @@
             if shard not in self.owned and self._may_take(shard):
                 await self._take(shard)
         await self._lead()
-        for shard in list(self._raise):
-            self._raise.discard(shard)
+        for shard, above in list(self._raise.items()):
+            self._raise.pop(shard, None)
             raised = self.owned.get(shard)
             # others may have taken it since the look above: then this would be a new ownership
             if raised is not None and not self._drop_if_lost(shard, raised):
-                await self._take(shard)
+                await self._take(shard, above)
         for shard, own in list(self.owned.items()):
             if not own.ready and await self._follower.sync(self._settings.renew_s):
                 own.ready = True
@@ -264,21 +267,21 @@
             return self._clock.now() - self._missing[key] > self._settings.hold_ttl_s
         return self._patient(key)
 
-    async def _take(self, shard: int) -> None:
+    async def _take(self, shard: int, above: int = 0) -> None:
         self._promises.taking.add(shard)
         try:
-            await self._take_one(shard)
+            await self._take_one(shard, above)
         finally:
             self._promises.taking.discard(shard)
 
-    def next_token(self) -> tuple[int, int]:
-        """The next token, and the counter's version that a write of it rests on."""
+    def next_token(self, above: int = 0) -> tuple[int, int]:
+        """The next token, above this one, and the counter's version that a write of it rests on."""
         counter = self._cluster.mirror.value(keys.TOKEN) or {"n": 0}
-        return int(counter["n"]) + 1, self._cluster.mirror.version(keys.TOKEN)
+        return max(int(counter["n"]), above) + 1, self._cluster.mirror.version(keys.TOKEN)
 
-    async def _take_one(self, shard: int) -> None:
+    async def _take_one(self, shard: int, above: int) -> None:
         known = self._cluster.shards.get(shard)
-        token, counted = self.next_token()
+        token, counted = self.next_token(above)
         lease, epoch = self._keeper.lease, self._keeper.epoch
         key = keys.shard(shard)
         txn = Txn(
--- a/crossmill/fleet/forecast.py
+++ b/crossmill/fleet/forecast.py
@@ -10,6 +10,7 @@
 from ..net.clock import Clock
 from ..planning.demand import Outcome, Source, Want, demand, room_of, slots_on
 from ..planning.estimates import Estimates
+from ..planning.queue import PRIORITY
 from ..planning.rooms import Room, Share, Zones, allowed, assign
 from ..settings import Settings
 from ..wire.cloud import MachineType
@@ -209,6 +210,11 @@
         """The job's priority, or a higher one of a job that needs it; 0 is the highest."""
         return self._pipelines.priority(job)
 
+    def priority_of(self, job_id: str) -> int:
+        """The priority of a job by its id; one that is not known comes after all others."""
+        job = self._cluster.jobs.get(job_id)
+        return len(PRIORITY) if job is None or not job.is_known else self.priority(job)
+
     def waiting(self, shard: int) -> list[Job]:
         """Jobs with tasks to be placed, in the queue's order."""
         jobs = [
--- a/crossmill/jobs/machine_maintenance.py
+++ b/crossmill/jobs/machine_maintenance.py
@@ -77,7 +77,7 @@
             if machine.retiring or now - own.acquired_at < patience:
                 continue
             why = self._fault(machine, now, patience, spare)
-            if why:
+            if why and (self._reports.gate is None or self._reports.gate.may_give_up(machine, why)):
                 log.info("machine given up machine=%s why=%s", machine.id, why)
                 intents.append(self._intent(shard, own, machine, machine.encode(why, True)))
         return intents
--- a/crossmill/jobs/placement.py
+++ b/crossmill/jobs/placement.py
@@ -153,7 +153,7 @@
         if not taken:
             return
         slots = [room.machine for room, number in taken for _ in range(number)]
-        for index, machine_id in zip(self._waiting(job), slots, strict=False):
+        for index, machine_id in zip(self._unclaimed(job), slots, strict=False):
             self._start(job, index, machine_id, edits)
         used[spec.team][0] += len(slots) * spec.cpus
         used[spec.team][1] += len(slots) * spec.gpus
@@ -238,6 +238,12 @@
                 break
         return result
 
+    def _unclaimed(self, job: Job) -> list[int]:
+        """Those of the waiting tasks that no worker runs without a plan."""
+        gate = self._reports.gate
+        waiting = self._waiting(job)
+        return waiting if gate is None else [i for i in waiting if not gate.is_claimed(job.id, i)]
+
     def _start(self, job: Job, index: int, machine_id: str, edits: Edits) -> None:
         view = self._reports.peek(machine_id)
         name = self._cluster.layout.chunk_of(index, job.chunks).name
--- a/crossmill/jobs/rounds.py
+++ b/crossmill/jobs/rounds.py
@@ -117,7 +117,8 @@
         # machines to be given are chosen before tasks are placed: a start planned in the same
         # round would follow its machine to a shard that knows nothing of the job
         stops = list(self._reassignment.look(shard, machines))
-        stops += self._placement.place(shard, own, machines, edits)
+        if self._reports.gate is None or self._reports.gate.may_place(shard):
+            stops += self._placement.place(shard, own, machines, edits)
         if stops:
             await self._direct.send([], stops)
         starts: dict[int, list[Row]] = {}
--- /dev/null
+++ b/crossmill/recovery/keys.py
@@ -0,0 +1,29 @@
+"""Names of recovery's keys in the state service. Versions that do not know them ignore them."""
+
+from ..cluster import keys as cluster_keys
+
+PREFIX = cluster_keys.ROOT + "r/"
+BRAKED = PREFIX + "b/"
+APPROVAL = PREFIX + "a/"
+RECORD = PREFIX + "h/"
+
+
+def braked(shard: int) -> str:
+    """What a shard's brake holds back."""
+    return f"{BRAKED}{shard}"
+
+
+def approval(shard: int) -> str:
+    """The operator's approval for a shard."""
+    return f"{APPROVAL}{shard}"
+
+
+def record(shard: int, token: int) -> str:
+    """The record of the recovery that began under the token."""
+    return f"{RECORD}{shard}/{token}"
+
+
+def parse_record(key: str) -> tuple[int, int]:
+    """The shard and the token of a record's key."""
+    shard, _, token = key[len(RECORD) :].partition("/")
+    return int(shard), int(token)
--- /dev/null
+++ b/crossmill/recovery/service.py
@@ -0,0 +1,209 @@
+"""Recovery on one controller: a `ShardRecovery` for each shard that it has taken, their reads and
+their records."""
+
+import logging
+from collections.abc import Callable
+
+import curio
+
+from ..cluster.cluster_state import ClusterState
+from ..cluster.membership import Membership, Owned
+from ..cluster.model import Machine
+from ..jobs.shard_writes import shard_intent
+from ..net.clock import Clock
+from ..settings import Settings
+from ..state.follower import Follower
+from ..state.writer import Writer, WriteRank, WriteResult
+from ..wire.recovery import PhaseReport
+from ..wire.state import Put, Txn
+from ..wire.workers import Command
+from ..workers.views import View
+from . import keys
+from .records import RecordIndex, decode_approval, encode_braked, encode_record
+from .settings import RecoverySettings
+from .shard_recovery import ShardRecovery
+
+log = logging.getLogger(__name__)
+
+
+class RecoveryService:
+    """The gate that reports, rounds and upkeep ask, and the loop that moves recoveries on."""
+
+    def __init__(
+        self,
+        settings: Settings,
+        recovery: RecoverySettings,
+        clock: Clock,
+        cluster: ClusterState,
+        membership: Membership,
+        follower: Follower,
+        writer: Writer,
+        priority: Callable[[str], int],
+    ) -> None:
+        self._settings = settings
+        self._recovery = recovery
+        self._clock = clock
+        self._cluster = cluster
+        self._membership = membership
+        self._follower = follower
+        self._writer = writer
+        self._priority = priority
+        self._shards: dict[int, ShardRecovery] = {}
+        # the ownership whose recovery is over, by shard
+        self._finished: dict[int, int] = {}
+        self._recorded: set[int] = set()
+        self.records = RecordIndex(cluster.mirror)
+        membership.on_lost.append(self._forget)
+
+    def _forget(self, shard: int) -> None:
+        """The next owner begins anew, from durable facts and reports."""
+        if self._shards.pop(shard, None) is not None:
+            self._recorded.discard(shard)
+
+    # -- the gate --------------------------------------------------------------------
+
+    def screen(
+        self, machine: Machine, view: View, own: Owned, orders: list[Command]
+    ) -> list[Command]:
+        """Which of the orders that answer a report may be sent now."""
+        recovery = self._recovery_of(machine.shard, own)
+        if recovery is None:
+            return orders
+        recovery.note(machine, view)
+        return [order for order in orders if recovery.admits(machine, order)]
+
+    def may_place(self, shard: int) -> bool:
+        """Whether waiting tasks of the shard may be placed."""
+        recovery = self._shards.get(shard)
+        return recovery is None or recovery.may_place
+
+    def is_claimed(self, job: str, index: int) -> bool:
+        """Whether a worker runs the task though no plan holds it."""
+        return any(recovery.is_claimed((job, index)) for recovery in self._shards.values())
+
+    def may_give_up(self, machine: Machine, why: str) -> bool:
+        """Whether the machine may be marked to be returned."""
+        recovery = self._shards.get(machine.shard)
+        return recovery is None or recovery.may_give_up(machine)
+
+    def _recovery_of(self, shard: int, own: Owned) -> ShardRecovery | None:
+        if self._finished.get(shard) == own.term:
+            return None
+        recovery = self._shards.get(shard)
+        if recovery is None or recovery.term != own.term:
+            recovery = ShardRecovery(
+                shard, own, self._recovery, self._clock, self._cluster, self._priority
+            )
+            self._shards[shard] = recovery
+            self._recorded.discard(shard)
+            recovery.advance(own)
+        return recovery
+
+    # -- the loop --------------------------------------------------------------------
+
+    async def run(self) -> None:
+        """Moves the recoveries on until the controller ends. Between them it looks once in a
+        lease for shards of which no machine has reported yet."""
+        while True:
+            await self.step()
+            pause_s = self._recovery.read_s if self._shards else self._settings.lease_s / 4
+            await curio.sleep(pause_s)
+
+    async def step(self) -> None:
+        """One look at all shards that this controller owns."""
+        for shard, own in list(self._membership.owned.items()):
+            recovery = self._recovery_of(shard, own)
+            if recovery is None or self._membership.acting(shard) is None:
+                continue
+            recovery.advance(own)
+            await self._look(recovery, shard, own)
+            if recovery.is_over and self._shards.get(shard) is recovery:
+                del self._shards[shard]
+                self._finished[shard] = own.term
+
+    async def _look(self, recovery: ShardRecovery, shard: int, own: Owned) -> None:
+        if recovery.needs_read:
+            sent = self._clock.now()
+            if await self._follower.sync(self._settings.renew_s):
+                recovery.read_at = sent
+        self._take_approval(recovery)
+        await self._note_brake(recovery, shard, own)
+        if recovery.is_settled and shard not in self._recorded:
+            self._recorded.add(shard)
+            await self._write_record(recovery, shard, own)
+
+    def _take_approval(self, recovery: ShardRecovery) -> None:
+        if not recovery.is_braked:
+            return
+        approval = decode_approval(self._cluster.mirror.value(keys.approval(recovery.shard)))
+        if (
+            approval is not None
+            and approval.token == recovery.term
+            and approval.digest == recovery.digest()
+            and self._clock.wall() < approval.until
+        ):
+            recovery.approve()
+
+    async def _note_brake(self, recovery: ShardRecovery, shard: int, own: Owned) -> None:
+        """What the brake holds back is durable, so that an operator can ask any controller."""
+        key = keys.braked(shard)
+        stored = self._cluster.mirror.value(key)
+        wanted = encode_braked(recovery) if recovery.is_braked else None
+        if stored == wanted:
+            return
+        version = self._cluster.mirror.version(key)
+        if wanted is None:
+            log.info("recovery brake off shard=%d epoch=%d", shard, own.term)
+            txn = Txn({key: version}, [], [key, *self._stale_approval(shard)])
+        else:
+            log.warning(
+                "recovery braked shard=%d epoch=%d digest=%s stops=%d restarts=%d releases=%d "
+                "tasks=%d machines=%d",
+                shard,
+                own.term,
+                wanted["digest"],
+                *recovery.impact(),
+            )
+            txn = Txn({key: version}, [Put(key, wanted)])
+        await self._commit(shard, own, txn)
+
+    def _stale_approval(self, shard: int) -> list[str]:
+        key = keys.approval(shard)
+        return [key] if self._cluster.mirror.value(key) is not None else []
+
+    async def _write_record(self, recovery: ShardRecovery, shard: int, own: Owned) -> None:
+        record = encode_record(recovery, self._settings.label, self._clock.wall())
+        log.info(
+            "recovery over shard=%d epoch=%d after_s=%.2f machines=%d tasks=%d orders=%d",
+            shard,
+            own.term,
+            self._clock.now() - recovery.begun_at,
+            recovery.machines_known,
+            recovery.tasks_known,
+            recovery.orders.total(),
+        )
+        surplus = self.records.surplus(shard, self._recovery.kept_records - 1)
+        txn = Txn({}, [Put(keys.record(shard, own.term), record)], surplus)
+        await self._commit(shard, own, txn)
+
+    async def _commit(self, shard: int, own: Owned, txn: Txn) -> bool:
+        intent = shard_intent(self._membership, shard, own, WriteRank.BACKGROUND, txn)
+        return await self._writer.commit(intent) == WriteResult.OK
+
+    def is_steady(self, shard: int) -> bool:
+        """Whether this controller acts for the shard, and its recovery is over."""
+        own = self._membership.acting(shard)
+        return own is not None and self._finished.get(shard) == own.term
+
+    def recoveries(self) -> list[ShardRecovery]:
+        """Those that go on."""
+        return list(self._shards.values())
+
+    # -- for operators ---------------------------------------------------------------
+
+    def phases(self) -> list[PhaseReport]:
+        """Where the recoveries of this controller's shards are."""
+        return [
+            PhaseReport(r.shard, r.term, str(r.phase), r.waits_for(), r.is_braked)
+            for _, r in sorted(self._shards.items())
+        ]
--- /dev/null
+++ b/crossmill/recovery/verbs.py
@@ -0,0 +1,37 @@
+"""The client verbs about recoveries."""
+
+import argparse
+from collections.abc import Callable
+
+from ..client_command import BadUsage, ClientRequest, run_verb
+from ..wire.recovery import APPROVE_PATH, RECOVERY_PATH, Approval, approval_body
+
+
+def add_recovery_verbs(
+    parser: argparse.ArgumentParser,
+    add_client_options: Callable[[argparse.ArgumentParser, str, str, str], None],
+) -> None:
+    """The verbs under `recovery`."""
+    verbs = parser.add_subparsers(dest="recovery_verb", required=True, metavar="VERB")
+    show = verbs.add_parser("show", help="shards that recover, brakes, and past recoveries")
+    approve = verbs.add_parser("approve", help="let a braked shard go on with what was shown")
+    approve.add_argument("shard", type=int, help="the shard's number")
+    approve.add_argument("digest", help="as `show` gives it: it names what is approved")
+    for verb in (show, approve):
+        add_client_options(
+            verb, "CROSSMILL_RECOVERY", "127.0.0.1:8081", "a controller's peer_listen address"
+        )
+
+
+def request_of(args: argparse.Namespace) -> ClientRequest:
+    """The request of a verb; raises BadUsage."""
+    if args.recovery_verb == "show":
+        return ClientRequest("GET", RECOVERY_PATH)
+    if args.shard < 0:
+        raise BadUsage("the shard's number is at least 0")
+    return ClientRequest("POST", APPROVE_PATH, approval_body(Approval(args.shard, args.digest)))
+
+
+def run(args: argparse.Namespace) -> int:
+    """Sends the request of a verb and prints the answer; the exit code."""
+    return run_verb(args, request_of)
--- a/crossmill/workers/reports.py
+++ b/crossmill/workers/reports.py
@@ -14,6 +14,7 @@
 from ..settings import Settings
 from ..wire.workers import MAX_ORDERS, Command, Report, TaskReport, cached_task_reader
 from .findings import Attempt, Finding, Findings
+from .order_gate import OrderGate
 from .views import Verdict, View
 
 log = logging.getLogger(__name__)
@@ -57,6 +58,8 @@
         self.leaving: set[str] = set()
         # reports of running tasks that no plan holds: each is stopped
         self.unplanned = 0
+        # holds back orders, placements and returns while a shard recovers; None: nothing is held
+        self.gate: OrderGate | None = None
         membership.on_lost.append(self._forget)
 
     def _forget(self, shard: int) -> None:
@@ -111,7 +114,7 @@
         token = self.token(machine, own)
         if report.token > token:
             # the worker would drop our answer, and its lease would run out meanwhile
-            self._membership.raise_token(machine.shard)
+            self._membership.raise_token(machine.shard, report.token)
             return Answer(503)
         view = self.view(machine, own)
         verdict = view.beat(report, token, self._clock.now())
@@ -123,12 +126,31 @@
             return Answer(200, token)
         self._acknowledge(machine.id, report)
         orders = self._orders(machine, view, own)
+        if self.gate is not None:
+            orders = self.gate.screen(machine, view, own, orders)
         if not entitled:
             # only kept alive; nothing is begun meanwhile, and nothing ended but what is over
             # for good: to end that is right whoever says it, and whenever
             orders = [c for c in orders if c.op == "stop" and self._job_ended(c.task)]
+        self._count_unplanned(machine, orders)
         return Answer(200, token, tuple(orders))
 
+    def _count_unplanned(self, machine: Machine, orders: list[Command]) -> None:
+        for order in orders:
+            job, _, index = order.task.rpartition("/")
+            row = machine.rows.get((job, int(index)))
+            if order.op != "stop" or (row is not None and row.attempt == order.attempt):
+                continue
+            self.unplanned += 1
+            log.info(
+                "unplanned task stopped job=%s task=%s attempt=%d machine=%s total=%d",
+                job,
+                index,
+                order.attempt,
+                machine.id,
+                self.unplanned,
+            )
+
     def _job_ended(self, task: str) -> bool:
         job = self._cluster.jobs.get(task.rpartition("/")[0])
         return job is not None and job.is_over
@@ -193,15 +215,6 @@
         """The plan does not hold this attempt: its outcome is durable, or it must not be here."""
         name = f"{task.job}/{task.index}"
         if task.state != "exited":
-            self.unplanned += 1
-            log.info(
-                "unplanned task stopped job=%s task=%d attempt=%d machine=%s total=%d",
-                task.job,
-                task.index,
-                task.attempt,
-                machine.id,
-                self.unplanned,
-            )
             orders.append(Command("stop", name, task.attempt, 0.0))
         elif not self._may_still_begin(machine, task.job, task.index, task.attempt):
             # after this a start still under way would run it once more
--- a/run.py
+++ b/run.py
@@ -14,6 +14,6 @@
 
 if __name__ == "__main__":
     argv = sys.argv[1:]
-    if argv and argv[0].startswith(("--config", "--multihost")):
+    if argv and argv[0].startswith(("--config", "--multihost", "--recovery")):
         argv.insert(0, "serve")
     sys.exit(main(argv))
--- /dev/null
+++ b/tests/measure_recovery.py
@@ -0,0 +1,279 @@
+"""Measures restarts after all controllers end, and writes figures, plots and a page.
+
+    python -m tests.measure_recovery [--seeds N] [--sizes 100,1000] [--out FOLDER]
+
+Three controllers and stand-in workers under virtual time; it needs requirements-measure.txt and is
+no part of the test command. The baseline is the ordinary path, without the package."""
+
+import argparse
+import json
+from collections import Counter
+from concurrent.futures import ProcessPoolExecutor
+from pathlib import Path
+from random import Random
+from typing import Any, NamedTuple
+
+import curio
+import orjson
+
+from crossmill.cluster import keys
+from crossmill.cluster.model import Chunk, Row
+from crossmill.cluster.records import encode_chunk, encode_job
+from crossmill.wire.users import parse_spec
+
+from .recovery_region import (
+    RecoveryRegion,
+    give_unplanned,
+    recovery_settings,
+    simulate_recovery,
+)
+from .report_page import Table, plot, spread, write_page
+from .simulation import Worker
+
+# tasks of a job, and tasks of a worker
+JOB_TASKS, EACH = 8, 2
+# the part of the workers that is silent, and that runs a task never recorded
+ODD_SHARE = 0.05
+# the part of the jobs that a state service which came back older does not hold
+LOST_SHARE = 0.5
+WATCHED_S = 25.0
+LOOK_S = 0.05
+STORIES = ("calm", "differing", "older")
+
+
+class Case(NamedTuple):
+    """What is played."""
+
+    story: str
+    workers: int
+    with_recovery: bool
+    seed: int
+
+
+class Sample(NamedTuple):
+    """One restart; times in seconds from the last end, None if it did not come about."""
+
+    story: str
+    workers: int
+    with_recovery: bool
+    seed: int
+    outage_s: float
+    first_worker_s: float | None
+    all_workers_s: float | None
+    first_user_s: float | None
+    orders: dict[str, int]
+    orders_to_healthy: int
+    peak_orders_per_s: int
+    tasks_lost: int
+    state_reads: int
+    state_writes: int
+
+
+async def _fill(region: RecoveryRegion, workers: int) -> None:
+    """Plans are stored at once, and the ordinary path starts their tasks."""
+    await region.begin(machines=0)
+    for number in range(workers):
+        zone = ("north", "south")[number % 2]
+        await region.add_worker(f"n-{number:06d}", zone, number % len(region.LABELS))
+    await curio.sleep(3.0)
+    team_of = {shard: team for team, shard in region.nodes["node-0"].settings.team_shards.items()}
+    number = 0
+    for shard, team in sorted(team_of.items()):
+        mine = [w for w in region.workers.values() if w.number % len(region.LABELS) == shard]
+        filled = mine * EACH
+        for first in range(0, len(filled), JOB_TASKS):
+            _put_job(region, f"wk-{number:06d}", team, filled[first : first + JOB_TASKS])
+            number += 1
+    await region.until(lambda: all(len(w.tasks) == EACH for w in region.workers.values()))
+    await curio.sleep(4.0)
+
+
+def _put_job(region: RecoveryRegion, job: str, team: str, workers: list[Worker]) -> None:
+    fields = {"crew": team, "sacks": len(workers), "cards": 0.0, "cpus": 1.0, "ramGb": 1.0}
+    spec = parse_spec(region.expect(job, None, **fields))
+    region.judge.jobs[job].accepted = region.clock.now()
+    rows = {}
+    for index, worker in enumerate(workers):
+        rows[index] = Row(job, index, 1, worker.machine, worker.session)
+    layout = region.nodes["node-0"].cluster.layout
+    by_chunk: dict[str, dict[int, Row]] = {}
+    for index, row in rows.items():
+        by_chunk.setdefault(layout.chunk_of(index, ()).name, {})[index] = row
+    for name, chunk_rows in by_chunk.items():
+        region.state.put(keys.plan(job, name), encode_chunk(Chunk(2, 0, chunk_rows)))
+    record = encode_job(spec, region.clock.wall())
+    region.state.put(keys.job(job), orjson.loads(orjson.dumps(record)))
+
+
+def _make_trouble(region: RecoveryRegion, story: str, draw: Random) -> set[str]:
+    """Whatever differs when the controllers return; the machines that it is about."""
+    workers = list(region.workers.values())
+    if story == "differing":
+        odd = draw.sample(workers, max(2, int(2 * ODD_SHARE * len(workers))))
+        for number, worker in enumerate(odd):
+            if number % 2:
+                worker.mute = worker.deaf = True
+            else:
+                give_unplanned(worker, "wk-000000", 500 + number, 9)
+        return {worker.machine for worker in odd}
+    if story == "older":
+        jobs = sorted(region.judge.jobs)
+        lost = set(draw.sample(jobs, int(LOST_SHARE * len(jobs))))
+        for name in list(region.state.keys):
+            if name.startswith((keys.JOB, keys.PLAN)) and name.split("/")[2] in lost:
+                region.state.delete(name)
+        return {w.machine for w in workers if any(job in lost for job, _ in w.tasks)}
+    return set()
+
+
+def measure(case: Case) -> Sample:
+    """One restart of all controllers."""
+    results: list[Sample] = []
+
+    async def story(region: RecoveryRegion) -> None:
+        draw = Random(f"{case.story}/{case.workers}/{case.seed}")
+        await _fill(region, case.workers)
+        await curio.sleep(draw.random())
+        tasks = sum(len(worker.tasks) for worker in region.workers.values())
+        region.forget_orders()
+        await region.end_all()
+        odd = _make_trouble(region, case.story, draw)
+        strays = sum(len(w.tasks) for w in region.workers.values()) - tasks
+        ended_at, outage_s = region.clock.now(), draw.uniform(0.5, 3.5)
+        calls, puts = len(region.state.calls), region.state.puts
+        await curio.sleep(outage_s)
+        await region.start_all(draw.uniform(0.0, 0.5))
+        times = await _watch(region, ended_at)
+        orders = [(at, o["verb"]) for w in region.workers.values() for at, _, o in w.orders]
+        seconds = Counter(int(at) for at, _ in orders)
+        left = sum(len(worker.tasks) for worker in region.workers.values())
+        results.append(
+            Sample(
+                *case,
+                round(outage_s, 2),
+                *times,
+                dict(Counter(verb for _, verb in orders)),
+                sum(len(w.orders) for w in region.workers.values() if w.machine not in odd),
+                max(seconds.values(), default=0),
+                max(0, tasks + strays - left),
+                len(region.state.calls) - calls,
+                region.state.puts - puts,
+            )
+        )
+
+    settings = recovery_settings() if case.with_recovery else None
+    simulate_recovery(story, settings, expected=lambda blame: True)
+    return results[0]
+
+
+async def _watch(
+    region: RecoveryRegion, ended_at: float
+) -> tuple[float | None, float | None, float | None]:
+    """When the first and the last worker, and a user, were answered again."""
+    first_worker: float | None = None
+    all_workers: float | None = None
+    first_user: float | None = None
+    job = min(region.judge.jobs)
+    while region.clock.now() - ended_at < WATCHED_S:
+        await curio.sleep(LOOK_S)
+        passed_s = round(region.clock.now() - ended_at, 2)
+        heard = [w for w in region.workers.values() if not w.mute]
+        answered = sum(worker.answered > ended_at + LOOK_S for worker in heard)
+        if first_worker is None and answered:
+            first_worker = passed_s
+        if all_workers is None and answered == len(heard):
+            all_workers = passed_s
+        if first_user is None and await region.show("node-0", job) == 200:
+            first_user = passed_s
+    return first_worker, all_workers, first_user
+
+
+# -- the report ------------------------------------------------------------------------
+
+TIMES = ("first_worker_s", "all_workers_s", "first_user_s")
+COUNTS = ("orders_to_healthy", "peak_orders_per_s", "tasks_lost", "state_reads", "state_writes")
+
+
+def _groups(samples: list[dict[str, Any]]) -> dict[tuple[str, int, bool], list[dict[str, Any]]]:
+    groups: dict[tuple[str, int, bool], list[dict[str, Any]]] = {}
+    for sample in samples:
+        key = sample["story"], sample["workers"], sample["with_recovery"]
+        groups.setdefault(key, []).append(sample)
+    return groups
+
+
+def _table(samples: list[dict[str, Any]], story: str) -> Table:
+    rows = []
+    for (name, workers, with_recovery), group in _groups(samples).items():
+        if name != story:
+            continue
+        verbs = Counter[str]()
+        for sample in group:
+            verbs.update(sample["orders"])
+        mean = ", ".join(f"{verb} {number / len(group):.1f}" for verb, number in verbs.items())
+        cells = [spread(group, field) for field in (*TIMES, *COUNTS)]
+        rows.append([workers, "yes" if with_recovery else "no", len(group), mean or "0", *cells])
+    heads = ["workers", "recovery", "seeds", "orders (mean)", *TIMES, *COUNTS]
+    return Table(story, "Median / 95th percentile / largest.", heads, rows, f"{story}.svg")
+
+
+def _plot(samples: list[dict[str, Any]], story: str, path: Path) -> None:
+    with plot(path) as axis:
+        for with_recovery in (False, True):
+            points = [
+                s for s in samples if (s["story"], s["with_recovery"]) == (story, with_recovery)
+            ]
+            axis.plot(
+                [s["workers"] for s in points],
+                [sum(s["orders"].values()) for s in points],
+                "x" if with_recovery else "o",
+                label="with recovery" if with_recovery else "without",
+                fillstyle="none",
+            )
+        axis.set_xscale("log")
+        axis.set_yscale("symlog")
+        axis.set_xlabel("workers")
+        axis.set_ylabel(f"orders in {WATCHED_S:g} s")
+        axis.legend()
+
+
+def write_report(figures: dict[str, Any], out: Path) -> None:
+    """Writes figures, plots and the page."""
+    out.mkdir(parents=True, exist_ok=True)
+    (out / "figures.json").write_text(json.dumps(figures, indent=1) + "\n")
+    samples = figures["samples"]
+    for story in STORIES:
+        _plot(samples, story, out / f"{story}.svg")
+    text = (
+        f"Three controllers end at once and return within 0.5 to 5 s; {WATCHED_S:g} s from the "
+        f"end. Differing: {ODD_SHARE:.0%} of the workers silent, {ODD_SHARE:.0%} with a task "
+        f"never recorded. Older: the state service has lost {LOST_SHARE:.0%} of the jobs."
+    )
+    tables = [_table(samples, story) for story in STORIES]
+    title = "Restart after all controllers end, measured"
+    write_page(out / "index.html", title, text, "tests.measure_recovery", tables)
+
+
+def main() -> None:
+    """Runs all measurements and writes the results."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seeds", type=int, default=20)
+    parser.add_argument("--sizes", default="100,1000", help="workers, parted by commas")
+    parser.add_argument("--workers", type=int, default=4, help="processes at once")
+    parser.add_argument("--out", default="docs/recovery-results")
+    args = parser.parse_args()
+    sizes = [int(size) for size in args.sizes.split(",")]
+    cases = [
+        Case(story, size, with_recovery, seed)
+        for size in sizes
+        for story in STORIES
+        for with_recovery in (False, True)
+        for seed in range(args.seeds)
+    ]
+    with ProcessPoolExecutor(args.workers) as pool:
+        samples = [sample._asdict() for sample in pool.map(measure, cases)]
+    write_report({"seeds": args.seeds, "samples": samples}, Path(args.out))
+
+
+if __name__ == "__main__":
+    main()
--- a/tests/simulation.py
+++ b/tests/simulation.py
@@ -220,6 +220,10 @@
         self.target = 0
         self.copies: list[bytes] = []
         self.held: list[dict[str, Any]] = []
+        # the cloud will take the machine away; nothing is placed on it meanwhile
+        self.notice_s: float | None = None
+        # the orders that it got: when, in which session, what
+        self.orders: list[tuple[float, int, dict[str, Any]]] = []
 
     def _report(self) -> bytes:
         self.seq += 1
@@ -230,7 +234,8 @@
                 row["cause"] = task.cause
             tasks.append(row)
         report = load_object(beat(self.machine, self.session, self.seq, self.token, *tasks))
-        report.update(address=f"127.0.0.1:{20000 + self.number}", yard=self.zone)
+        address = f"127.0.0.1:{20000 + self.number}"
+        report.update(address=address, yard=self.zone, recallS=self.notice_s)
         return orjson.dumps(report)
 
     def _tick(self) -> None:
@@ -295,6 +300,7 @@
 
     def _obey(self, orders: list[dict[str, Any]]) -> None:
         for order in orders:
+            self.orders.append((self.region.clock.now(), self.session, order))
             job, _, index = order["sack"].rpartition("/")
             key, attempt = (job, int(index)), order["turn"]
             task = self.tasks.get(key)
--- /dev/null
+++ b/tests/test_recovery.py
@@ -0,0 +1,613 @@
+"""Several controllers fail while work goes on; when they return, healthy work gets no order."""
+
+from collections.abc import Callable
+from copy import deepcopy
+from dataclasses import replace
+from typing import Any
+
+import curio
+import orjson
+import pytest
+
+from crossmill.cluster import keys
+from crossmill.recovery.open_differences import OpenDifferences
+from crossmill.recovery.phases import Phase
+from crossmill.recovery.settings import RecoverySettings
+from crossmill.recovery.shard_recovery import ShardRecovery
+from crossmill.wire.recovery import APPROVE_PATH, RECOVERY_PATH, Approval, approval_body
+from crossmill.wire.workers import Report
+from crossmill.workers.views import Verdict, View
+
+from .recovery_region import (
+    RecoveryRegion,
+    give_unplanned,
+    recovery_settings,
+    simulate_recovery,
+)
+
+# the calm restart of the operators' wish
+WORKERS = 100
+SERVICES = 70
+# smaller regions, where the failure itself is what counts
+FEW_WORKERS = 18
+FEW_SERVICES = 12
+
+
+async def _busy_region(
+    region: RecoveryRegion, workers: int = FEW_WORKERS, services: int = FEW_SERVICES
+) -> list[str]:
+    """Workers in all shards and both zones, with services, spread services and long arrays."""
+    await region.begin(machines=0)
+    for number in range(workers):
+        await region.add_worker(f"n-{number:03d}", ("north", "south")[number % 2], number % 3)
+    await curio.sleep(8.0)
+    jobs = await region.services_running(services)
+    for number in range(services // 4):
+        job = f"wk-{900000 + number}"
+        label = region.LABELS[number % 3]
+        assert await region.submit(label, job, 400.0, crew="green", sacks=3, cards=0.0) == 201
+    await curio.sleep(10.0)
+    if region.recovery is not None:
+        await region.until(region.steady, 120.0)
+    region.forget_orders()
+    return jobs
+
+
+def _tasks(region: RecoveryRegion) -> dict[str, Any]:
+    return {w.machine: dict(w.tasks) for w in region.workers.values()}
+
+
+async def _overview(region: RecoveryRegion, label: str = "node-0") -> dict[str, Any]:
+    response = await region.request(label, "GET", RECOVERY_PATH)
+    assert response.status == 200
+    overview: dict[str, Any] = orjson.loads(response.body)
+    return overview
+
+
+def _is_unplanned(blame: str) -> bool:
+    """What the judge says of tasks that the story gave to workers behind the plans' back."""
+    return " orphaned " in blame and blame.endswith(": in no plan")
+
+
+@pytest.mark.parametrize("apart_s", [0.0, 1.0])
+def test_healthy_workers_get_no_order_after_all_controllers_end(apart_s: float) -> None:
+    async def story(region: RecoveryRegion) -> None:
+        await _busy_region(region, WORKERS, SERVICES)
+        running = _tasks(region)
+        assert sum(map(len, running.values())) > 2 * SERVICES
+        await region.end_all()
+        await curio.sleep(2.0)
+        await region.start_all(apart_s)
+        await region.until(region.steady, 60.0)
+        await curio.sleep(20.0)
+        assert region.orders() == {}
+        assert _tasks(region) == running
+        newest = (await _overview(region))["records"][-3:]
+        assert sum(record["classes"].get("healthy", 0) for record in newest) > 0
+
+    simulate_recovery(story, recovery_settings())
+
+
+def test_a_hundred_workers_of_which_some_differ() -> None:
+    """All controllers end; five workers are silent for two minutes, one reports a task that was
+    never recorded, and two jobs are to be cancelled while nobody serves."""
+
+    async def story(region: RecoveryRegion) -> None:
+        jobs = await _busy_region(region, WORKERS, SERVICES)
+        busy = [w for w in region.workers.values() if w.tasks]
+        silent, odd = busy[:5], busy[5]
+        cancelled = {key[0] for key in busy[6].tasks}
+        healthy = [
+            w
+            for w in region.workers.values()
+            if w is not odd and w not in silent and not cancelled & {key[0] for key in w.tasks}
+        ]
+        await region.end_all()
+        for worker in silent:
+            worker.mute = worker.deaf = True
+        stray = jobs[-1], 77, 9
+        give_unplanned(odd, *stray)
+        await curio.sleep(2.0)
+        await region.start_all()
+        for job in cancelled:
+            assert await region.cancel_until_told("node-0", job, 30.0)
+        await region.until(region.steady, 60.0)
+        assert stray[:2] not in odd.tasks
+        assert region.orders([odd]) == {odd.machine: ["kill", "reap"]}
+        await curio.sleep(60.0)
+        # what was on the silent ones is placed anew, on workers that may be healthy ones: they
+        # get starts, and nothing of theirs is stopped
+        stops = [v for verbs in region.orders(healthy).values() for v in verbs if v != "start"]
+        assert stops == []
+        for worker in silent:
+            worker.mute = worker.deaf = False
+        before = region.orders(silent)
+        await curio.sleep(60.0)
+        # they forgot their tasks when their leases ended: nothing is ordered about those
+        assert region.orders(silent) == before == {}
+
+    simulate_recovery(story, recovery_settings(), expected=_is_unplanned)
+
+
+def test_a_worker_that_comes_and_goes_costs_a_bounded_number_of_orders() -> None:
+    async def story(region: RecoveryRegion) -> None:
+        await _busy_region(region)
+        odd = next(w for w in region.workers.values() if w.tasks)
+        for index in range(30):
+            give_unplanned(odd, "wk-000001", 100 + index, 9)
+        await region.end_all()
+        await curio.sleep(2.0)
+        await region.start_all()
+        for _ in range(10):
+            odd.mute = odd.deaf = True
+            await curio.sleep(3.0)
+            odd.mute = odd.deaf = False
+            await curio.sleep(3.0)
+        sent = [at for at, _, order in odd.orders if order["verb"] == "kill"]
+        assert len(sent) > 0
+        assert region.recovery is not None
+        _assert_paced(sent, region.recovery.worker_orders_per_s, region.recovery.orders_per_worker)
+
+    settings = recovery_settings(orders_per_worker=2, brake_share=1.0)
+    simulate_recovery(story, settings, expected=_is_unplanned)
+
+
+def _assert_paced(times: list[float], rate: float, burst: float) -> None:
+    """No stretch of time has more orders than the rate and one burst allow."""
+    times = sorted(times)
+    for first, begun in enumerate(times):
+        for last in range(first, len(times)):
+            allowed = (times[last] - begun) * rate + burst
+            assert last - first + 1 <= allowed + 1e-6, (begun, times[last], last - first + 1)
+
+
+def _recovery_orders(region: RecoveryRegion, since: float) -> list[float]:
+    """When workers got orders to end tasks."""
+    return [
+        at
+        for worker in region.workers.values()
+        for at, _, order in worker.orders
+        if order["verb"] == "kill" and at >= since
+    ]
+
+
+# -- a state service that comes back older -------------------------------------------
+
+
+async def _state_comes_back_older(region: RecoveryRegion) -> list[str]:
+    """Services were submitted, and placed, that the restored state never heard of."""
+    await region.begin(machines=0)
+    for number in range(FEW_WORKERS):
+        await region.add_worker(f"n-{number:03d}", ("north", "south")[number % 2], number % 3)
+    await curio.sleep(12.0)
+    remembered = region.remember()
+    jobs = await region.services_running(FEW_SERVICES)
+    await curio.sleep(5.0)
+    region.forget_orders()
+    await region.end_all()
+    await region.come_back_older(remembered)
+    await curio.sleep(1.0)
+    await region.start_all()
+    return jobs
+
+
+def test_nothing_is_torn_down_after_the_state_came_back_older_until_it_is_approved() -> None:
+    async def story(region: RecoveryRegion) -> None:
+        await _state_comes_back_older(region)
+        running = _tasks(region)
+        await curio.sleep(60.0)
+        assert _recovery_orders(region, 0.0) == []
+        assert _tasks(region) == running
+        overview = await _overview(region)
+        braked = overview["braked"]
+        assert braked and all(report["stops"] > 0 for report in braked)
+        wrong = approval_body(Approval(braked[0]["shard"], "0" * 16))
+        assert (await region.request("node-1", "POST", APPROVE_PATH, wrong)).status == 409
+        approved_at = region.clock.now()
+        for report in braked:
+            # any controller takes it
+            body = approval_body(Approval(report["shard"], report["digest"]))
+            assert (await region.request("node-1", "POST", APPROVE_PATH, body)).status == 200
+        await region.until(region.steady, 200.0)
+        assert not any(worker.tasks for worker in region.workers.values())
+        assert (await _overview(region))["braked"] == []
+        assert region.recovery is not None
+        settings = region.recovery
+        burst = settings.nodes * settings.shard_burst
+        _assert_paced(_recovery_orders(region, approved_at), settings.orders_per_s, burst)
+
+    settings = recovery_settings(orders_per_s=1.5)
+    simulate_recovery(story, settings, expected=_is_unplanned)
+
+
+def test_an_empty_state_service_brings_no_order() -> None:
+    """No machine is known, so none is answered: PROTOCOL gives no way to keep its tasks."""
+
+    async def story(region: RecoveryRegion) -> None:
+        await _busy_region(region)
+        await region.end_all()
+        await region.come_back_older({})
+        await curio.sleep(1.0)
+        await region.start_all()
+        await curio.sleep(30.0)
+        assert region.orders() == {}
+        assert not any(worker.tasks for worker in region.workers.values())
+
+    simulate_recovery(story, recovery_settings(), expected=_is_unplanned)
+
+
+def test_an_approval_ends_with_the_ownership() -> None:
+    async def story(region: RecoveryRegion) -> None:
+        await _state_comes_back_older(region)
+        await curio.sleep(20.0)
+        braked = (await _overview(region))["braked"]
+        shard = braked[0]["shard"]
+        owner = region.owners()[shard]
+        # the approval is durable, and its owner ends before it has seen it
+        region.still_until[owner] = region.clock.now() + 2.0
+        other = next(label for label in region.LABELS if label != owner)
+        body = approval_body(Approval(shard, braked[0]["digest"]))
+        assert (await region.request(other, "POST", APPROVE_PATH, body)).status == 200
+        await region.kill(owner)
+        await curio.sleep(30.0)
+        assert region.owners()[shard] != owner
+        assert _recovery_orders(region, 0.0) == []
+        assert shard in [report["shard"] for report in (await _overview(region, other))["braked"]]
+
+    simulate_recovery(story, recovery_settings(), expected=_is_unplanned)
+
+
+async def _submit_until_taken(
+    region: RecoveryRegion, job: str, run_s: float | None, fields: dict[str, Any]
+) -> None:
+    while await region.submit("node-0", job, run_s, **fields) not in (200, 201):
+        await curio.sleep(1.0)
+
+
+def test_a_job_of_which_a_stray_task_runs_is_not_started_elsewhere() -> None:
+    """The planted meeting: the plan lost a task's row while it runs, the brake holds the stop."""
+
+    async def story(region: RecoveryRegion) -> None:
+        await _state_comes_back_older(region)
+        running = _tasks(region)
+        # the users repeat their submissions, as PROTOCOL lets them, and the jobs are new again
+        for job, facts in list(region.judge.jobs.items()):
+            spec = facts.spec
+            fields = {k: v for k, v in spec.items() if k != "nameId"}
+            await _submit_until_taken(region, job, facts.run_s, fields)
+        await curio.sleep(60.0)
+        assert _tasks(region) == running
+
+    simulate_recovery(story, recovery_settings(), expected=_is_unplanned)
+
+
+def test_a_task_whose_row_was_lost_is_not_started_elsewhere_while_it_runs() -> None:
+    """The stray's stop waits for its turn, and its task looks free to whoever places."""
+
+    async def story(region: RecoveryRegion) -> None:
+        await _busy_region(region)
+        odd = next(w for w in region.workers.values() if w.tasks)
+        job, index = next(iter(odd.tasks))
+        # or it would be placed on this very worker
+        odd.notice_s = 1000.0
+        await region.end_all()
+        name = next(
+            name
+            for name, (value, _, _) in region.state.keys.items()
+            if name.startswith(keys.plan(job, "")) and index in [row[0] for row in value["rows"]]
+        )
+        plan = deepcopy(region.state.keys[name][0])
+        plan["rows"] = [row for row in plan["rows"] if row[0] != index]
+        region.state.put(name, plan)
+        await curio.sleep(1.0)
+        await region.start_all()
+        await curio.sleep(15.0)
+        assert (job, index) in odd.tasks
+        await region.until(lambda: "kill" in region.orders([odd]).get(odd.machine, []), 90.0)
+        await region.until(lambda: region.is_up(job, 3), 90.0)
+
+    slow = recovery_settings(orders_per_s=0.1)
+    simulate_recovery(story, slow, expected=_is_unplanned)
+
+
+# -- failures in the middle of a recovery --------------------------------------------
+
+
+@pytest.mark.parametrize("phase", list(Phase))
+def test_all_end_again_in_each_phase(phase: Phase) -> None:
+    async def story(region: RecoveryRegion) -> None:
+        await _busy_region(region)
+        odd = [w for w in region.workers.values() if w.tasks][:4]
+        for worker in odd:
+            give_unplanned(worker, "wk-000001", 70 + worker.number, 9)
+        others = [w for w in region.workers.values() if w not in odd]
+        await region.end_all()
+        await curio.sleep(1.0)
+        seen: set[Phase] = set()
+        await region.start_all()
+
+        def is_reached() -> bool:
+            seen.update(recovery.phase for recovery in region.recoveries())
+            if phase is Phase.STEADY:
+                return region.steady()
+            return phase in seen or region.steady()
+
+        await region.until(is_reached, 60.0)
+        await region.end_all()
+        await curio.sleep(1.0)
+        await region.start_all()
+        await region.until(region.steady, 90.0)
+        await curio.sleep(10.0)
+        assert region.orders(others) == {}
+        assert all(index < 70 for worker in odd for _, index in worker.tasks)
+
+    simulate_recovery(story, recovery_settings(), expected=_is_unplanned)
+
+
+def _down(region: RecoveryRegion) -> None:
+    region.state.down = True
+
+
+def _slow(region: RecoveryRegion) -> None:
+    region.slow_s = 0.7
+
+
+def _read_only(region: RecoveryRegion) -> None:
+    for label in region.LABELS:
+        region.refused[label] = lambda method, path: path == "/txn"
+
+
+def _heal(region: RecoveryRegion) -> None:
+    region.state.down = False
+    region.slow_s = 0.0
+    region.mend()
+
+
+@pytest.mark.parametrize("trouble", [_down, _slow, _read_only])
+def test_the_state_service_is_in_trouble_at_the_restart(
+    trouble: Callable[[RecoveryRegion], None],
+) -> None:
+    async def story(region: RecoveryRegion) -> None:
+        await _busy_region(region)
+        running = _tasks(region)
+        await region.end_all()
+        trouble(region)
+        await curio.sleep(1.0)
+        await region.start_all()
+        await curio.sleep(1.5)
+        _heal(region)
+        await region.until(region.steady, 90.0)
+        await curio.sleep(10.0)
+        assert region.orders() == {}
+        assert _tasks(region) == running
+
+    simulate_recovery(story, recovery_settings())
+
+
+def test_a_zone_is_cut_off_while_all_controllers_end() -> None:
+    async def story(region: RecoveryRegion) -> None:
+        await _busy_region(region)
+        south = [w for w in region.workers.values() if w.zone == "south"]
+        north = [w for w in region.workers.values() if w.zone == "north"]
+        await region.end_all()
+        for worker in south:
+            worker.mute = worker.deaf = True
+        await curio.sleep(1.0)
+        await region.start_all()
+        await curio.sleep(60.0)
+        for worker in south:
+            worker.mute = worker.deaf = False
+        await region.until(region.steady, 120.0)
+        await curio.sleep(30.0)
+        # the north's healthy tasks are left alone; the south's ended with their leases, and were
+        # placed anew once that was proven
+        ended = [v for verbs in region.orders(north).values() for v in verbs if v != "start"]
+        assert ended == []
+
+    simulate_recovery(story, recovery_settings())
+
+
+def test_a_controller_stands_still_between_deciding_and_sending() -> None:
+    async def story(region: RecoveryRegion) -> None:
+        await _busy_region(region)
+        odd = next(w for w in region.workers.values() if w.tasks)
+        give_unplanned(odd, "wk-000001", 70, 9)
+        others = [w for w in region.workers.values() if w is not odd]
+        await region.end_all()
+        await curio.sleep(1.0)
+        await region.start_all()
+        await region.until(lambda: any(r.phase is Phase.SETTLING for r in region.recoveries()))
+        label = next(
+            r_label
+            for r_label, service in region.services.items()
+            if any(r.phase is Phase.SETTLING for r in service.recoveries())
+        )
+        region.still_until[label] = region.clock.now() + 8.0
+        await curio.sleep(12.0)
+        await region.until(region.steady, 90.0)
+        await curio.sleep(10.0)
+        assert region.orders(others) == {}
+        assert ("wk-000001", 70) not in odd.tasks
+        assert all(w.session == 1 for w in region.workers.values())
+
+    simulate_recovery(story, recovery_settings(), expected=_is_unplanned)
+
+
+def test_one_that_was_behind_stops_nothing_that_another_planned() -> None:
+    """Two controllers saw different things: one does not hear of changes, and its view of the
+    plans is old when it takes a shard."""
+
+    async def story(region: RecoveryRegion) -> None:
+        await _busy_region(region)
+        region.refused["node-1"] = lambda method, path: path.startswith("/changes")
+        for number in range(6):
+            job = f"wk-{800000 + number}"
+            assert await region.submit("node-0", job, None, crew="blue", sacks=1) in (201, 503)
+        await curio.sleep(5.0)
+        region.forget_orders()
+        running = _tasks(region)
+        await region.kill("node-0")
+        await region.kill("node-2")
+        await curio.sleep(6.0)
+        region.mend()
+        await region.start_all()
+        await region.until(region.steady, 90.0)
+        await curio.sleep(10.0)
+        ended = [v for verbs in region.orders().values() for v in verbs if v != "start"]
+        assert ended == []
+        for machine, tasks in running.items():
+            assert tasks.items() <= region.workers[machine].tasks.items()
+
+    simulate_recovery(story, recovery_settings())
+
+
+def test_beside_a_controller_without_recovery() -> None:
+    """The version before, or one without the file, takes part: what it does not hold back is as
+    right as ever."""
+
+    async def story(region: RecoveryRegion) -> None:
+        await _busy_region(region)
+        running = _tasks(region)
+        await region.end_all()
+        await curio.sleep(1.0)
+        plain, region.recovery = region.recovery, None
+        await region.start("node-1")
+        region.recovery = plain
+        region.services.pop("node-1")
+        await region.start_all()
+        await curio.sleep(40.0)
+        assert region.orders() == {}
+        assert _tasks(region) == running
+
+    simulate_recovery(story, recovery_settings())
+
+
+# -- planted faults ------------------------------------------------------------------
+
+
+def _older_without_brake(settings: RecoverySettings) -> list[float]:
+    """When tasks were ended in a region whose state came back older, and nothing brakes."""
+    times: list[float] = []
+
+    async def story(region: RecoveryRegion) -> None:
+        await _state_comes_back_older(region)
+        await region.until(region.steady, 200.0)
+        times.extend(_recovery_orders(region, 0.0))
+        assert len(times) > FEW_SERVICES
+
+    simulate_recovery(story, settings, expected=_is_unplanned)
+    return times
+
+
+def _region_paced(times: list[float], settings: RecoverySettings) -> None:
+    _assert_paced(times, settings.orders_per_s, settings.nodes * settings.shard_burst)
+
+
+def test_the_whole_region_keeps_to_its_rate() -> None:
+    settings = recovery_settings(orders_per_s=0.6, brake_share=1.0, first_batch=64)
+    _region_paced(_older_without_brake(settings), settings)
+
+
+@pytest.mark.parametrize("fault", ["no pace", "not divided"])
+def test_a_rate_that_is_not_kept_is_caught(fault: str, monkeypatch: pytest.MonkeyPatch) -> None:
+    settings = recovery_settings(orders_per_s=0.6, brake_share=1.0, first_batch=64)
+    if fault == "no pace":
+        rate = property(lambda self: 1e6)
+    else:
+        rate = property(lambda self: self.orders_per_s)
+    with monkeypatch.context() as patched:
+        patched.setattr(RecoverySettings, "shard_orders_per_s", rate)
+        times = _older_without_brake(settings)
+    with pytest.raises(AssertionError):
+        _region_paced(times, settings)
+
+
+def test_a_missing_brake_is_caught(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(ShardRecovery, "is_braked", property(lambda self: False))
+    with pytest.raises(AssertionError):
+        test_nothing_is_torn_down_after_the_state_came_back_older_until_it_is_approved()
+
+
+def test_a_claim_that_is_not_honoured_is_caught(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(ShardRecovery, "is_claimed", lambda self, key: False)
+    with pytest.raises(AssertionError, match="ran_twice"):
+        test_a_task_whose_row_was_lost_is_not_started_elsewhere_while_it_runs()
+
+
+def test_a_task_never_recorded_is_stopped_only_after_a_read_newer_than_its_report() -> None:
+    async def story(region: RecoveryRegion) -> None:
+        await _busy_region(region)
+        odd = next(w for w in region.workers.values() if w.tasks)
+        give_unplanned(odd, "wk-000001", 70, 9)
+        shard = region.nodes["node-0"].cluster.machines[odd.machine].shard
+        await region.end_all()
+        await curio.sleep(1.0)
+        await region.start_all()
+        await region.until(lambda: any(r.shard == shard for r in region.recoveries()))
+        # the shard is ready; from now on no read comes through
+        for label in region.LABELS:
+            region.refused[label] = lambda method, path: path.startswith("/changes")
+        await curio.sleep(2.5)
+        assert region.orders([odd]) == {}
+        region.mend()
+        await region.until(lambda: ("wk-000001", 70) not in odd.tasks)
+
+    simulate_recovery(story, recovery_settings(), expected=_is_unplanned)
+
+
+def test_a_stop_without_a_fresh_read_is_caught(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(OpenDifferences, "is_read", lambda self, difference, read_at: True)
+    with pytest.raises(AssertionError):
+        test_a_task_never_recorded_is_stopped_only_after_a_read_newer_than_its_report()
+
+
+def _late_copies_come_first() -> None:
+    """Reports of before the restart reach the new owners ahead of the workers' own."""
+
+    async def story(region: RecoveryRegion) -> None:
+        await _busy_region(region)
+        busy = [w for w in region.workers.values() if w.tasks]
+        old = [worker.copies[0] for worker in busy]
+        assert all(b'"sacks":[]' in copy for copy in old)
+        await region.end_all()
+        await curio.sleep(1.0)
+        await region.start_all()
+        for worker in busy:
+            worker.mute = True
+        await region.until(
+            lambda: len(region.owners()) == 3
+            and all(
+                region.nodes[label].membership.acting(shard)
+                for shard, label in region.owners().items()
+            )
+        )
+        for copy in old:
+            for label in region.LABELS:
+                region.deliver(copy, label)
+        for worker in busy:
+            worker.mute = False
+        await region.until(region.steady, 60.0)
+        newest = (await _overview(region))["records"][-3:]
+        classes = [record["classes"] for record in newest]
+        assert sum(c.get("healthy", 0) for c in classes) > 0
+        assert sum(c.get("absent", 0) for c in classes) == 0
+        assert region.orders() == {}
+
+    simulate_recovery(story, recovery_settings())
+
+
+def test_a_report_from_before_the_restart_is_not_taken_for_a_new_one() -> None:
+    _late_copies_come_first()
+
+
+def test_a_report_from_before_the_restart_that_is_believed_is_caught(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    def believe(view: View, report: Report, token: int, now: float) -> Verdict:
+        view.last_beat, view.heard_at = (report.session, report.seq), now
+        view.take(replace(report, token=token), token, now)
+        return Verdict.TRUSTED
+
+    monkeypatch.setattr(View, "beat", believe)
+    with pytest.raises(AssertionError):
+        _late_copies_come_first()
--- /dev/null
+++ b/tests/test_recovery_service.py
@@ -0,0 +1,127 @@
+"""Recovery's ways in: command line, operators' interface, and that nothing of it is loaded without
+the file."""
+
+import subprocess
+import sys
+from pathlib import Path
+from typing import Any
+
+import orjson
+import pytest
+import tomli_w
+
+from crossmill.app import App
+from crossmill.cli import BAD_USAGE, main
+from crossmill.net.server import Request
+from crossmill.recovery.api import RecoveryApi
+from crossmill.recovery.service import RecoveryService
+from crossmill.wire.recovery import APPROVE_PATH, RECOVERY_PATH, Approval, approval_body
+
+from .harness import Node, play, seed
+from .recovery_region import recovery_settings
+from .standins import FakeClock, StateService, make_settings, settings_table
+
+ROOT = Path(__file__).resolve().parent.parent
+DEPLOY = ROOT / "deploy" / "recovery.toml"
+
+
+@pytest.fixture
+def config(tmp_path: Path) -> str:
+    path = tmp_path / "settings.toml"
+    path.write_text(tomli_w.dumps(settings_table()))
+    return str(path)
+
+
+def test_check_says_what_follows_from_the_file(
+    config: str, capsys: pytest.CaptureFixture[str]
+) -> None:
+    assert main(["check", "--config", config, "--recovery", str(DEPLOY)]) == 0
+    printed = capsys.readouterr().out
+    assert "brake at 0.2" in printed and "observe_s = 4.000" in printed
+
+
+@pytest.mark.parametrize("verb", ["check", "serve"])
+def test_a_bad_field_is_named_and_ends_it(
+    verb: str, config: str, tmp_path: Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    bad = tmp_path / "recovery.toml"
+    bad.write_text("[recovery]\nbrake_share = 2\n")
+    assert main([verb, "--config", config, "--recovery", str(bad)]) == BAD_USAGE
+    assert "recovery.brake_share" in capsys.readouterr().err
+
+
+def test_without_the_file_nothing_of_it_is_loaded() -> None:
+    script = """
+import sys
+import crossmill.cli, crossmill.app
+from tests.standins import FakeClock, make_settings
+app = crossmill.app.App(make_settings(), FakeClock())
+assert app.reports.gate is None
+print(*(name for name in sys.modules if "recovery" in name))
+"""
+    command = [sys.executable, "-c", script]
+    result = subprocess.run(command, cwd=ROOT, capture_output=True, text=True, timeout=60)
+    assert result.returncode == 0, result.stderr
+    assert result.stdout.split() == []
+
+
+def test_with_the_file_reports_are_screened_from_the_start() -> None:
+    app = App(make_settings(), FakeClock(), recovery=recovery_settings())
+    assert isinstance(app.reports.gate, RecoveryService)
+
+
+@pytest.mark.parametrize(
+    "arguments", [["approve", "-1", "ab"], ["approve", "x", "ab"], ["approve", "0"], []]
+)
+def test_bad_arguments_of_the_verbs(arguments: list[str]) -> None:
+    try:
+        assert main(["recovery", *arguments]) == BAD_USAGE
+    except SystemExit as exc:
+        assert exc.code == BAD_USAGE
+
+
+async def _api(state: StateService, clock: FakeClock, nodes: dict[str, Node]) -> RecoveryApi:
+    seed(state, clock, machines=1)
+    node = Node(state, clock, nodes)
+    settings = recovery_settings()
+    service = RecoveryService(
+        node.settings,
+        settings,
+        clock,
+        node.cluster,
+        node.membership,
+        node.follower,
+        node.writer,
+        node.forecast.priority_of,
+    )
+    node.reports.gate = service
+    await node.boot()
+    await service.step()
+    return RecoveryApi(
+        node.settings, settings, clock, node.cluster, node.follower, node.writer, service
+    )
+
+
+def test_the_operators_interface() -> None:
+    async def story(state: StateService, clock: FakeClock, nodes: dict[str, Node]) -> None:
+        api = await _api(state, clock, nodes)
+
+        async def ask(method: str, path: str, body: bytes = b"") -> tuple[int, Any]:
+            response = await api.handle(Request(method, path, body))
+            return response.status, orjson.loads(response.body)
+
+        status, overview = await ask("GET", RECOVERY_PATH)
+        assert status == 200 and overview["controller"] == "node-0"
+        # a machine that is up has not reported: the shard says that it waits for it
+        waiting = {phase["shard"]: phase["waits_for"] for phase in overview["recovering"]}
+        assert waiting[0] == "reports of 1 machines"
+        approval = approval_body(Approval(0, "ab"))
+        assert (await ask("POST", APPROVE_PATH, b"{}"))[0] == 400
+        assert (await ask("POST", APPROVE_PATH, approval))[0] == 409
+        assert (await ask("PUT", RECOVERY_PATH))[0] == 404
+        state.down = True
+        for method, path, body in (("GET", RECOVERY_PATH, b""), ("POST", APPROVE_PATH, approval)):
+            response = await api.handle(Request(method, path, body))
+            assert response.status == 503 and response.retry_after_s is not None
+
+    play(story)
