The simulated region is parted by concern; write shares leave the membership

Judge, worker, links and virtual time are modules of their own, and what was called a road is a link. The part of the write rate that a controller may use is worked out by cluster/write_shares.py. No decision changes.

--- a/crossmill/cluster/membership.py
+++ b/crossmill/cluster/membership.py
@@ -17,6 +17,7 @@
 from .owner_choice import OwnerChoice
 from .promises import Promises
 from .reachability import WorkerReachability
+from .write_shares import write_share
 
 log = logging.getLogger(__name__)
 
@@ -58,7 +59,6 @@
         promises.owned = lambda: self.owned
         self.reachability = WorkerReachability(settings, clock, cluster)
         self.choice = OwnerChoice(settings, clock, cluster)
-        self._labels = settings.labels
         self._seen = 0
         self._started = clock.now()
         self._missing: dict[str, float] = {}
@@ -160,7 +160,7 @@
             await self._give_away()
         await self._announce()
         self.choice.look()
-        self._allot()
+        self._writer.allot(write_share(self._settings, self._cluster))
         missing = [k for k in range(self._settings.nodes) if k not in self._cluster.shards]
         if any(not self._promises.may_start(k) for k in missing):
             await self._promises.inquire()
@@ -211,27 +211,6 @@
             self._drop(shard, "no worker heard")
             await self._commit(Txn({keys.shard(shard): own.version}, [], [keys.shard(shard)]))
 
-    def _allot(self) -> None:
-        """The state service's write rate is parted by what there is to do: a controller whose
-        shards have no team takes submissions only, the leader also writes every machine's
-        record, and shards with many running arrays have more outcomes to write. All see the
-        same keys; while they differ, a refusal or two is the worst."""
-        weights = dict.fromkeys(self._cluster.nodes, 1.0)
-        if self._settings.label not in weights:
-            weights = dict.fromkeys(self._labels, 1.0)
-        busy = self._settings.busy_shards
-        loads = {shard: self._cluster.write_load(shard) for shard in busy}
-        total_load = sum(loads.values())
-        for index, shard in self._cluster.shards.items():
-            if shard.owner in weights and index in busy:
-                part = loads[index] / total_load if total_load else 1 / len(busy)
-                weights[shard.owner] += self._settings.shard_weight(part)
-        if self._cluster.leader in weights:
-            weights[self._cluster.leader] += self._settings.leader_weight
-        mine = weights[self._settings.label]
-        limits = self._cluster.limits
-        self._writer.allot(self._settings.writes_of(mine, sum(weights.values()), limits))
-
     async def _commit(self, txn: Txn) -> bool:
         epoch = self._keeper.epoch
         intent = Intent(txn, WriteRank.OWNERSHIP, holds=lambda: self._keeper.holds(epoch))
--- a/crossmill/recovery/api.py
+++ b/crossmill/recovery/api.py
@@ -49,7 +49,7 @@
         self._cluster = cluster
         self._follower = follower
         self._writer = writer
-        self._service = service
+        self.service = service
 
     async def handle(self, request: Request) -> Response:
         """The answer to a request under RECOVERY_PATH."""
@@ -70,9 +70,9 @@
             200,
             overview_body(
                 self._settings.label,
-                self._service.phases(),
+                self.service.phases(),
                 braked,
-                self._service.records.all(),
+                self.service.records.all(),
             ),
         )
 
--- a/tests/measure_recovery.py
+++ b/tests/measure_recovery.py
@@ -1,6 +1,6 @@
 """Measures restarts after all controllers end, and writes figures, plots and a page.
 
-    python -m tests.measure_recovery [--seeds N] [--sizes 100,1000] [--out FOLDER]
+    python -m tests.measure_recovery [--sizes 100:20,1000:20,4000:2] [--out FOLDER]
 
 Three controllers and stand-in workers under virtual time; it needs requirements-measure.txt and is
 no part of the test command. The baseline is the ordinary path, without the package."""
@@ -28,7 +28,7 @@
     simulate_recovery,
 )
 from .report_page import Table, plot, spread, write_page
-from .simulation import Worker
+from .simulated_worker import Worker
 
 # tasks of a job, and tasks of a worker
 JOB_TASKS, EACH = 8, 2
@@ -257,22 +257,23 @@
 def main() -> None:
     """Runs all measurements and writes the results."""
     parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("--seeds", type=int, default=20)
-    parser.add_argument("--sizes", default="100,1000", help="workers, parted by commas")
+    parser.add_argument(
+        "--sizes", default="100:20,1000:20,4000:2", help="numbers of workers, and of seeds for each"
+    )
     parser.add_argument("--workers", type=int, default=4, help="processes at once")
     parser.add_argument("--out", default="docs/recovery-results")
     args = parser.parse_args()
-    sizes = [int(size) for size in args.sizes.split(",")]
+    sizes = [tuple(map(int, size.split(":"))) for size in args.sizes.split(",")]
     cases = [
         Case(story, size, with_recovery, seed)
-        for size in sizes
+        for size, seeds in sizes
         for story in STORIES
         for with_recovery in (False, True)
-        for seed in range(args.seeds)
+        for seed in range(seeds)
     ]
     with ProcessPoolExecutor(args.workers) as pool:
         samples = [sample._asdict() for sample in pool.map(measure, cases)]
-    write_report({"seeds": args.seeds, "samples": samples}, Path(args.out))
+    write_report({"samples": samples}, Path(args.out))
 
 
 if __name__ == "__main__":
--- a/tests/multihost_agents.py
+++ b/tests/multihost_agents.py
@@ -26,7 +26,7 @@
     ping_body,
 )
 
-from .simulation import HOP_S
+from .simulated_worker import HOP_S
 
 if TYPE_CHECKING:
     from .multihost_region import MultihostRegion
--- a/tests/multihost_region.py
+++ b/tests/multihost_region.py
@@ -18,8 +18,10 @@
 
 from .harness import Node
 from .multihost_agents import Agent, heartbeat_request
-from .simulation import HOP_S, Region, run_under_virtual_time
+from .simulated_worker import HOP_S
+from .simulation import Region
 from .standins import FakeClock, StateService
+from .virtual_time import run_under_virtual_time
 
 LOOK_S = 0.05
 SETTINGS = MultihostSettings(Endpoint("127.0.0.1", 1), 0, 1.0, 0.25)
--- a/tests/recovery_region.py
+++ b/tests/recovery_region.py
@@ -14,8 +14,10 @@
 from crossmill.recovery.shard_recovery import ShardRecovery
 
 from .harness import Node
-from .simulation import Region, Task, Worker, run_under_virtual_time
+from .simulated_worker import Task, Worker
+from .simulation import Region
 from .standins import FakeClock, make_settings
+from .virtual_time import run_under_virtual_time
 
 # of every five jobs one is of the team with a limit, which the stories stay below
 CREWS = ("blue", "green", "blue", "green", "red")
@@ -26,6 +28,16 @@
     return parse({"recovery": changes}, make_settings())
 
 
+def add_recovery(node: Node, recovery: RecoverySettings) -> RecoveryApi:
+    """Gives a controller the package's parts, as the application does."""
+    parts = node.settings, recovery, node.clock, node.cluster
+    service = RecoveryService(
+        *parts, node.membership, node.follower, node.writer, node.forecast.priority_of
+    )
+    node.reports.gate = service
+    return RecoveryApi(*parts, node.follower, node.writer, service)
+
+
 class RecoveryRegion(Region):
     """`recovery` of None leaves the ordinary path alone."""
 
@@ -38,29 +50,10 @@
     def more_parts(self, node: Node) -> list[Callable[[], Awaitable[None]]]:
         if self.recovery is None:
             return []
-        service = RecoveryService(
-            node.settings,
-            self.recovery,
-            self.clock,
-            node.cluster,
-            node.membership,
-            node.follower,
-            node.writer,
-            node.forecast.priority_of,
-        )
-        node.reports.gate = service
         label = node.settings.label
-        self.services[label] = service
-        self.apis[label] = RecoveryApi(
-            node.settings,
-            self.recovery,
-            self.clock,
-            node.cluster,
-            node.follower,
-            node.writer,
-            service,
-        )
-        return [service.run]
+        api = add_recovery(node, self.recovery)
+        self.services[label], self.apis[label] = api.service, api
+        return [api.service.run]
 
     # -- troubles --------------------------------------------------------------------
 
--- /dev/null
+++ b/tests/simulated_links.py
@@ -0,0 +1,97 @@
+"""Links of a controller in a simulated region: to the state service and to other controllers."""
+
+from typing import TYPE_CHECKING
+from urllib.parse import parse_qs, urlsplit
+
+import curio
+import orjson
+
+from crossmill.net.client import Unanswered, Unreached
+from crossmill.net.server import Request
+from crossmill.wire import peers
+
+if TYPE_CHECKING:
+    from .simulation import Region
+
+from .simulated_worker import HOP_S
+
+
+class StateLink:
+    """A controller's line to the state service: refused alone, cut, slow or late as scripted."""
+
+    def __init__(self, region: "Region", label: str) -> None:
+        self._region = region
+        self._label = label
+
+    async def request(
+        self, method: str, path: str, body: bytes = b"", timeout_s: float = 2.0
+    ) -> tuple[int, bytes]:
+        region = self._region
+        until = region.clock.now() + timeout_s
+        await curio.sleep(HOP_S + region.slow_s)
+        if self._label in region.lost:
+            await curio.sleep(max(0.0, until - region.clock.now()))
+            raise Unanswered(path)
+        refuses = region.refused.get(self._label)
+        if region.state.down or (refuses is not None and refuses(method, path)):
+            return 503, b"{}"
+        fate = region.fate(self._label, method, path)
+        if fate is not None:
+            late_s, at_once = fate
+            if at_once:
+                await region.state.request(method, path, body)
+            else:
+                await curio.spawn(self._late, late_s, method, path, body, daemon=True)
+            await curio.sleep(max(0.0, until - region.clock.now()))
+            raise Unanswered(path)
+        if path.startswith("/changes"):
+            return await self._watch(method, path, body)
+        status, data = await region.state.request(method, path, body)
+        region.touch(method, path, body, status, data)
+        slow = path == "/txn" and self._label in region.answer_s
+        await curio.sleep(region.answer_s[self._label] if slow else HOP_S)
+        return status, data
+
+    async def _late(self, late_s: float, method: str, path: str, body: bytes) -> None:
+        await curio.sleep(late_s)
+        while self._region.state.down:
+            await curio.sleep(0.1)
+        await self._region.state.request(method, path, body)
+        await self._region.ring()
+
+    async def _watch(self, method: str, path: str, body: bytes) -> tuple[int, bytes]:
+        region = self._region
+        query = parse_qs(urlsplit(path).query)
+        end = region.clock.now() + int(query.get("holdMs", ["0"])[0]) / 1000
+        while True:
+            shut = region.state.down or self._label in region.refused or self._label in region.lost
+            if not shut:
+                status, data = await region.state.request(method, path, body)
+                if status != 200 or orjson.loads(data)["log"] or region.clock.now() >= end:
+                    await curio.sleep(HOP_S)
+                    return status, data
+            await curio.ignore_after(max(0.05, end - region.clock.now()), region.bell.wait)
+
+
+class PeerLink:
+    """The line from one controller to another."""
+
+    def __init__(self, region: "Region", source: str, label: str) -> None:
+        self._region, self._source, self._label = region, source, label
+
+    async def request(
+        self, method: str, path: str, body: bytes = b"", timeout_s: float = 2.0
+    ) -> tuple[int, bytes]:
+        region = self._region
+        await curio.sleep(HOP_S)
+        node = region.nodes.get(self._label)
+        if node is None or {self._source, self._label} & region.apart:
+            raise Unreached(self._label)
+        if region.stands_still(self._label):
+            await curio.sleep(timeout_s)
+            raise Unanswered(path)
+        asked = path in (peers.QUIET_PATH, peers.ENDING_PATH)
+        handler = node.deputies if asked else node.promises
+        response = handler.handle(Request(method, path, body))
+        await curio.sleep(HOP_S)
+        return response.status, response.body
--- a/tests/test_judge.py
+++ b/tests/test_judge.py
@@ -9,7 +9,8 @@
 from crossmill.net.server import Response
 from crossmill.wire.users import status_body
 
-from .simulation import Region, Task, simulate
+from .simulated_worker import Task
+from .simulation import Region, simulate
 
 JOB, DEPENDENT = "wk-000001", "wk-000002"
 Breach = Callable[[Region], Awaitable[None]]
--- a/tests/test_recovery_service.py
+++ b/tests/test_recovery_service.py
@@ -18,7 +18,7 @@
 from crossmill.wire.recovery import APPROVE_PATH, RECOVERY_PATH, Approval, approval_body
 
 from .harness import Node, play, seed
-from .recovery_region import recovery_settings
+from .recovery_region import add_recovery, recovery_settings
 from .standins import FakeClock, StateService, make_settings, settings_table
 
 ROOT = Path(__file__).resolve().parent.parent
@@ -83,23 +83,10 @@
 async def _api(state: StateService, clock: FakeClock, nodes: dict[str, Node]) -> RecoveryApi:
     seed(state, clock, machines=1)
     node = Node(state, clock, nodes)
-    settings = recovery_settings()
-    service = RecoveryService(
-        node.settings,
-        settings,
-        clock,
-        node.cluster,
-        node.membership,
-        node.follower,
-        node.writer,
-        node.forecast.priority_of,
-    )
-    node.reports.gate = service
+    api = add_recovery(node, recovery_settings())
     await node.boot()
-    await service.step()
-    return RecoveryApi(
-        node.settings, settings, clock, node.cluster, node.follower, node.writer, service
-    )
+    await api.service.step()
+    return api
 
 
 def test_the_operators_interface() -> None:
