--- a/tests/recovery_region.py
+++ b/tests/recovery_region.py
@@ -67,6 +67,11 @@
                 await self.start(label)
                 await curio.sleep(apart_s)
 
+    async def restart_all(self, outage_s: float, apart_s: float = 0.0) -> None:
+        await self.end_all()
+        await curio.sleep(outage_s)
+        await self.start_all(apart_s)
+
     def remember(self) -> dict[str, Any]:
         """What the state service holds, to be restored later. Leases are not: they will be over."""
         return {
--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -64,6 +64,12 @@
     return overview
 
 
+async def _approve(region: RecoveryRegion, label: str, braked: list[dict[str, Any]]) -> None:
+    for report in braked:
+        body = approval_body(Approval(report["shard"], report["digest"]))
+        assert (await region.request(label, "POST", APPROVE_PATH, body)).status == 200
+
+
 def _is_unplanned(blame: str) -> bool:
     """What the judge says of tasks that the story gave to workers behind the plans' back."""
     return " orphaned " in blame and blame.endswith(": in no plan")
@@ -75,9 +81,7 @@
         await _busy_region(region, WORKERS, SERVICES)
         running = _tasks(region)
         assert sum(map(len, running.values())) > 2 * SERVICES
-        await region.end_all()
-        await curio.sleep(2.0)
-        await region.start_all(apart_s)
+        await region.restart_all(2.0, apart_s)
         await region.until(region.steady, 60.0)
         await curio.sleep(20.0)
         assert region.orders() == {}
@@ -135,9 +139,7 @@
         odd = next(w for w in region.workers.values() if w.tasks)
         for index in range(30):
             give_unplanned(odd, "wk-000001", 100 + index, 9)
-        await region.end_all()
-        await curio.sleep(2.0)
-        await region.start_all()
+        await region.restart_all(2.0)
         for _ in range(10):
             odd.mute = odd.deaf = True
             await curio.sleep(3.0)
@@ -204,10 +206,8 @@
         wrong = approval_body(Approval(braked[0]["shard"], "0" * 16))
         assert (await region.request("node-1", "POST", APPROVE_PATH, wrong)).status == 409
         approved_at = region.clock.now()
-        for report in braked:
-            # any controller takes it
-            body = approval_body(Approval(report["shard"], report["digest"]))
-            assert (await region.request("node-1", "POST", APPROVE_PATH, body)).status == 200
+        # any controller takes it
+        await _approve(region, "node-1", braked)
         await region.until(region.steady, 200.0)
         assert not any(worker.tasks for worker in region.workers.values())
         assert (await _overview(region))["braked"] == []
@@ -246,8 +246,7 @@
         # the approval is durable, and its owner ends before it has seen it
         region.still_until[owner] = region.clock.now() + 2.0
         other = next(label for label in region.LABELS if label != owner)
-        body = approval_body(Approval(shard, braked[0]["digest"]))
-        assert (await region.request(other, "POST", APPROVE_PATH, body)).status == 200
+        await _approve(region, other, braked[:1])
         await region.kill(owner)
         await curio.sleep(30.0)
         assert region.owners()[shard] != owner
@@ -276,9 +275,7 @@
         assert given_up() <= len(region.LABELS)
         braked = (await _overview(region))["braked"]
         assert braked and all(report["releases"] > 1 for report in braked)
-        for report in braked:
-            body = approval_body(Approval(report["shard"], report["digest"]))
-            assert (await region.request("node-2", "POST", APPROVE_PATH, body)).status == 200
+        await _approve(region, "node-2", braked)
         await region.until(lambda: given_up() == len(silent), 60.0)
 
     simulate_recovery(story, recovery_settings(brake_least=1, brake_share=0.0))
@@ -360,9 +357,7 @@
             return phase in seen or region.steady()
 
         await region.until(is_reached, 60.0)
-        await region.end_all()
-        await curio.sleep(1.0)
-        await region.start_all()
+        await region.restart_all(1.0)
         await region.until(region.steady, 90.0)
         await curio.sleep(10.0)
         assert region.orders(others) == {}
@@ -440,9 +435,7 @@
         odd = next(w for w in region.workers.values() if w.tasks)
         give_unplanned(odd, "wk-000001", 70, 9)
         others = [w for w in region.workers.values() if w is not odd]
-        await region.end_all()
-        await curio.sleep(1.0)
-        await region.start_all()
+        await region.restart_all(1.0)
         await region.until(lambda: any(r.phase is Phase.SETTLING for r in region.recoveries()))
         label = next(
             r_label
@@ -567,9 +560,7 @@
         odd = next(w for w in region.workers.values() if w.tasks)
         give_unplanned(odd, "wk-000001", 70, 9)
         shard = region.nodes["node-0"].cluster.machines[odd.machine].shard
-        await region.end_all()
-        await curio.sleep(1.0)
-        await region.start_all()
+        await region.restart_all(1.0)
         await region.until(lambda: any(r.shard == shard for r in region.recoveries()))
         # the shard is ready; from now on no read comes through
         for label in region.LABELS:
@@ -596,9 +587,7 @@
         busy = [w for w in region.workers.values() if w.tasks]
         old = [worker.copies[0] for worker in busy]
         assert all(b'"sacks":[]' in copy for copy in old)
-        await region.end_all()
-        await curio.sleep(1.0)
-        await region.start_all()
+        await region.restart_all(1.0)
         for worker in busy:
             worker.mute = True
         await region.until(
