--- a/tests/test_deputies.py
+++ b/tests/test_deputies.py
@@ -1,5 +1,7 @@
 """A zone that is cut off: its controllers keep its workers alive, and nobody says otherwise."""
 
+from collections.abc import Awaitable, Callable
+
 from crossmill.cluster import keys
 from crossmill.cluster.model import CANCELLED
 from crossmill.cluster.records import encode_end
@@ -80,11 +82,20 @@
         return len(self.owner.cluster.machines["n-0"].rows)
 
 
-def test_a_cut_off_zones_workers_are_kept_alive_and_nobody_concludes_otherwise() -> None:
-    async def story(state: StateService, clock: FakeClock, nodes: Nodes) -> None:
+def play_settled(story: Callable[[Story], Awaitable[None]]) -> None:
+    """Plays a story from where node-0 counts as a deputy."""
+
+    async def begin(state: StateService, clock: FakeClock, nodes: Nodes) -> None:
         it = Story(state, clock, nodes)
         await it.begin()
         await it.settle()
+        await story(it)
+
+    play(begin)
+
+
+def test_a_cut_off_zones_workers_are_kept_alive_and_nobody_concludes_otherwise() -> None:
+    async def story(it: Story) -> None:
         it.cut()
         await it.pass_time(4)
         await it.pass_time(2 * it.s.lease_s, it.deputy)
@@ -97,16 +108,13 @@
         await it.pass_time(0.3 * it.s.lease_s)
         assert it.on_machine() == 0
 
-    play(story)
+    play_settled(story)
 
 
 def test_a_deputy_stops_long_before_its_going_counts_as_proof() -> None:
-    async def story(state: StateService, clock: FakeClock, nodes: Nodes) -> None:
-        it = Story(state, clock, nodes)
-        await it.begin()
-        await it.settle()
+    async def story(it: Story) -> None:
         it.cut()
-        state.end_lease(it.deputy.keeper.lease or 0)
+        it.state.end_lease(it.deputy.keeper.lease or 0)
         await it.pass_time(it.s.deputy_s - 1, it.deputy)
         await it.pass_time(2)
         assert it.deputy.report("n-0", 1, 900, it.token, RUNNING).status == 421
@@ -115,14 +123,11 @@
         await it.pass_time(6)
         assert it.on_machine() == 0
 
-    play(story)
+    play_settled(story)
 
 
 def test_a_deputy_leaves_a_machine_whose_owner_asked() -> None:
-    async def story(state: StateService, clock: FakeClock, nodes: Nodes) -> None:
-        it = Story(state, clock, nodes)
-        await it.begin()
-        await it.settle()
+    async def story(it: Story) -> None:
         # silent to its owner, who asks; then the zone is cut off
         await it.pass_time(it.s.suspect_s + 1.5)
         it.cut()
@@ -131,7 +136,7 @@
         await it.pass_time(it.s.worker_end_s)
         assert it.on_machine() == 0
 
-    play(story)
+    play_settled(story)
 
 
 def test_nobody_is_a_deputy_while_another_zone_answers_or_before_it_has_announced_itself() -> None:
@@ -165,10 +170,7 @@
 
 
 def test_a_job_is_called_withdrawn_only_when_a_deputy_would_end_it() -> None:
-    async def story(state: StateService, clock: FakeClock, nodes: Nodes) -> None:
-        it = Story(state, clock, nodes)
-        await it.begin()
-        await it.settle()
+    async def story(it: Story) -> None:
         it.cut()
         await it.pass_time(2, it.deputy)
         path = "/v1/jobs/wk-000001"
@@ -176,20 +178,17 @@
         assert (answer.status, answer.retry_after_s) == (503, 1)
         assert b"withdrawn" not in (await it.owner.ask("GET", path)).body
         # once the deputy must have stopped early enough, its word is no longer needed
-        state.end_lease(it.deputy.keeper.lease or 0)
+        it.state.end_lease(it.deputy.keeper.lease or 0)
         await it.pass_time(it.s.deputy_s + it.s.lease_s - it.s.cancel_s)
         assert (await it.owner.ask("POST", path + "/withdraw")).status == 503
         await it.pass_time(3)
         assert (await it.owner.ask("POST", path + "/withdraw")).status == 200
 
-    play(story)
+    play_settled(story)
 
 
 def test_a_deputy_ends_what_it_was_told_is_being_withdrawn() -> None:
-    async def story(state: StateService, clock: FakeClock, nodes: Nodes) -> None:
-        it = Story(state, clock, nodes)
-        await it.begin()
-        await it.settle()
+    async def story(it: Story) -> None:
         answer = await it.owner.ask("POST", "/v1/jobs/wk-000001/withdraw")
         assert answer.status == 200
         # the deputy's mirror never got it: only what it was told counts
@@ -199,7 +198,7 @@
         orders = it.deputy.report("n-0", 1, 900, it.token, RUNNING).commands
         assert orders == (Command("stop", "wk-000001/0", 1, 0.0),)
 
-    play(story)
+    play_settled(story)
 
 
 def test_machines_silent_since_a_takeover_are_not_given_up_while_their_zone_is_cut_off() -> None:
@@ -264,25 +263,22 @@
 
 
 def test_what_was_promised_by_a_process_that_has_ended_proves_nothing() -> None:
-    async def story(state: StateService, clock: FakeClock, nodes: Nodes) -> None:
-        it = Story(state, clock, nodes)
-        await it.begin()
-        await it.settle()
+    async def story(it: Story) -> None:
         # not yet asked when it falls silent; then node-0 says that it has not answered
-        clock.time += it.s.suspect_s + 0.5
+        it.clock.time += it.s.suspect_s + 0.5
         await it.owner.keeper.step()
         await it.owner.round()
         await it.owner.deputies.step()
         assert it.owner.deputies._quiet
         # node-0 ends; the process that follows knows of no promise, and helps
-        it.deputy = Node(state, clock, nodes, "node-0")
+        it.deputy = Node(it.state, it.clock, it.nodes, "node-0")
         await it.deputy.boot(waited=False)
         await it.deputy.deputies.step()
         it.cut()
         await it.deputy.keeper.step()
         assert it.deputy.report("n-0", 1, 900, it.token, RUNNING).status == 200
         # the owner has not heard of it: what it concludes is written on the old key's version
-        clock.time += it.s.worker_end_s - it.s.suspect_s
+        it.clock.time += it.s.worker_end_s - it.s.suspect_s
         await it.owner.keeper.step()
         machine, view = it.owner.cluster.machines["n-0"], it.owner.reports.peek("n-0")
         assert view and it.owner.deputies.lease_over(machine, view.answered_at)
@@ -292,60 +288,51 @@
         await it.owner.sync()
         assert it.owner.deputies.lease_over(machine, view.answered_at) is None
 
-    play(story)
+    play_settled(story)
 
 
 def test_a_withdrawal_rests_on_the_processes_that_were_told() -> None:
-    async def story(state: StateService, clock: FakeClock, nodes: Nodes) -> None:
-        it = Story(state, clock, nodes)
-        await it.begin()
-        await it.settle()
+    async def story(it: Story) -> None:
         job = it.owner.cluster.jobs["wk-000001"]
         rests = await it.owner.deputies.announce_end(job.id, ["north"])
-        assert rests == {"cm/n/node-0": state.keys["cm/n/node-0"][1]}
+        assert rests == {"cm/n/node-0": it.state.keys["cm/n/node-0"][1]}
         # node-0 ends, and the process that follows does not know of the withdrawal
-        again = Node(state, clock, nodes, "node-0")
+        again = Node(it.state, it.clock, it.nodes, "node-0")
         await again.boot(waited=False)
         assert job.spec is not None
         put = Put("cm/j/wk-000001", encode_end(CANCELLED, job.spec, 0.0, RECORD_BYTES))
         late = Intent(Txn({"cm/j/wk-000001": job.version, **rests}, [put]))
         assert await it.owner.writer.commit(late) == WriteResult.CONFLICT
 
-    play(story)
+    play_settled(story)
 
 
 def test_an_absence_is_counted_anew_when_a_controller_came_back_and_went_unseen() -> None:
-    async def story(state: StateService, clock: FakeClock, nodes: Nodes) -> None:
-        it = Story(state, clock, nodes)
-        await it.begin()
-        await it.settle()
+    async def story(it: Story) -> None:
         it.cut()
-        state.end_lease(it.deputy.keeper.lease or 0)
+        it.state.end_lease(it.deputy.keeper.lease or 0)
         await it.pass_time(it.s.deputy_s + it.s.lease_s - 1)
         assert it.on_machine() == 1
         # while the owner stands still node-0 comes back, learns all, and goes again
-        again = Node(state, clock, nodes, "node-0")
+        again = Node(it.state, it.clock, it.nodes, "node-0")
         await again.boot(waited=False)
         await again.deputies.step()
         again.cut = True
-        state.end_lease(again.keeper.lease or 0)
+        it.state.end_lease(again.keeper.lease or 0)
         await it.owner.sync()
         await it.pass_time(it.s.deputy_s)
         assert it.on_machine() == 1
         await it.pass_time(it.s.lease_s + 2)
         assert it.on_machine() == 0
 
-    play(story)
+    play_settled(story)
 
 
 def test_a_withdrawal_goes_through_the_state_service_while_controllers_refuse_each_other() -> None:
     """For as long as a packet filter stood between controllers no such job could be withdrawn."""
 
-    async def story(state: StateService, clock: FakeClock, nodes: Nodes) -> None:
-        it = Story(state, clock, nodes)
-        await it.begin()
-        await it.settle()
-        nodes["node-0"].cut = nodes["node-1"].cut = True
+    async def story(it: Story) -> None:
+        it.nodes["node-0"].cut = it.nodes["node-1"].cut = True
         path = "/v1/jobs/wk-000001/withdraw"
         assert (await it.owner.ask("POST", path)).status == 503
         assert (await it.owner.ask("POST", path)).status == 503
@@ -359,37 +346,34 @@
         orders = it.deputy.report("n-0", 1, 900, it.token, RUNNING).commands
         assert [c.op for c in orders] == ["stop"]
         # the note goes with the next round
-        assert "cm/w/wk-000001" in state.keys
+        assert "cm/w/wk-000001" in it.state.keys
         await it.owner.round()
-        assert "cm/w/wk-000001" not in state.keys
+        assert "cm/w/wk-000001" not in it.state.keys
 
-    play(story)
+    play_settled(story)
 
 
 def test_a_task_that_moves_to_another_zone_while_deputies_are_told() -> None:
     """Only the controllers of the zones with tasks of the job are told; before the write a task
     may move to a zone whose controllers know nothing."""
 
-    async def story(state: StateService, clock: FakeClock, nodes: Nodes) -> None:
-        it = Story(state, clock, nodes)
-        await it.begin()
-        await it.settle()
-        add_machine(state, clock, "s-0", zone="south")
-        other = Node(state, clock, nodes, "node-2")
+    async def story(it: Story) -> None:
+        add_machine(it.state, it.clock, "s-0", zone="south")
+        other = Node(it.state, it.clock, it.nodes, "node-2")
         await other.boot()
         await it.owner.live()
         told = it.deputy.deputies.handle
-        plan = state.keys[keys.plan("wk-000001", "0")][0]
+        plan = it.state.keys[keys.plan("wk-000001", "0")][0]
 
         def moves(request: Request) -> Response:
-            state.put(keys.plan("wk-000001", "0"), {**plan, "rows": [[0, 2, "s-0", 1]]})
+            it.state.put(keys.plan("wk-000001", "0"), {**plan, "rows": [[0, 2, "s-0", 1]]})
             return told(request)
 
         it.deputy.deputies.handle = moves  # type: ignore[method-assign]
         answer = await it.owner.ask("POST", "/v1/jobs/wk-000001/withdraw")
         assert answer.status == 503 or "wk-000001" in other.deputies._ending
 
-    play(story)
+    play_settled(story)
 
 
 def test_an_owner_that_answers_as_deputy_counts_the_workers_lease_from_there() -> None:
@@ -400,7 +384,7 @@
         it = Story(state, clock, nodes)
         await it.begin()
         own = it.owner
-        add_machine(state, clock, "s-0", zone="south")
+        add_machine(it.state, it.clock, "s-0", zone="south")
         await own.live()
         await own.deputies.step()
         own.report("s-0", 1, 1, 0)
