--- a/crossmill/recovery/service.py
+++ b/crossmill/recovery/service.py
@@ -104,11 +104,11 @@
     # -- the loop --------------------------------------------------------------------
 
     async def run(self) -> None:
-        """Moves the recoveries on until the controller ends. Between them it looks once in a
-        lease for shards of which no machine has reported yet."""
+        """Moves the recoveries on until the controller ends. Between them it looks as often as a
+        lease is renewed for shards that were taken and of which no machine has reported yet."""
         while True:
             await self.step()
-            pause_s = self._recovery.read_s if self._shards else self._settings.lease_s / 4
+            pause_s = self._recovery.read_s if self._shards else self._settings.renew_s
             await curio.sleep(pause_s)
 
     async def step(self) -> None:
--- a/tests/test_start_compiles_nothing.py
+++ b/tests/test_start_compiles_nothing.py
@@ -10,6 +10,7 @@
 import tomllib
 from importlib.util import find_spec
 from pathlib import Path
+from typing import NamedTuple
 
 import curio
 import orjson
@@ -133,8 +134,15 @@
         await curio.sleep(RETRY_S)
 
 
-def _serve_once(root: Path, folder: Path, *arguments: str) -> list[str]:
-    """What a controller compiles from its start to its first answers."""
+class Served(NamedTuple):
+    """What a controller compiled from its start to its first answers, and what a client verb
+    printed that was sent to its peers' address then."""
+
+    compiled: list[str]
+    shown: str
+
+
+def _serve_once(root: Path, folder: Path, *arguments: str, verb: tuple[str, ...] = ()) -> Served:
     neighbours = Neighbours()
     config, record = folder / "settings.toml", folder / "compiled"
     config.write_text(tomli_w.dumps(neighbours.settings))
@@ -145,14 +153,41 @@
         process = _start_recorded(root, record, str(config), *arguments)
         try:
             curio.run(neighbours.use_controller)
+            shown = _shown(root, verb, neighbours.peer_port) if verb else ""
         finally:
             process.kill()
             process.wait()
-    return record.read_text().split()
+    return Served(record.read_text().split(), shown)
+
+
+def _shown(root: Path, verb: tuple[str, ...], port: int) -> str:
+    command = [sys.executable, "-S", "-E", "run.py", *verb, "--server", f"127.0.0.1:{port}"]
+    deadline = time.monotonic() + PATIENCE_S
+    while True:
+        result = subprocess.run(command, cwd=root, capture_output=True, text=True, timeout=60)
+        assert result.returncode == 0, result.stderr
+        if '"shard"' in result.stdout:
+            return result.stdout
+        # the shard was taken a moment ago
+        assert time.monotonic() < deadline, result.stdout
+        time.sleep(RETRY_S)
 
 
 def test_a_built_controller_compiles_nothing(checkout: Path, tmp_path: Path) -> None:
-    assert _serve_once(checkout, tmp_path) == []
+    assert _serve_once(checkout, tmp_path).compiled == []
+
+
+def test_with_recovery_it_compiles_nothing_either_and_shows_what_it_recovered(
+    checkout: Path, tmp_path: Path
+) -> None:
+    recovery = str(checkout / "deploy" / "recovery.toml")
+    arguments = ("--recovery", recovery)
+    served = _serve_once(checkout, tmp_path, *arguments, verb=("recovery", "show"))
+    assert served.compiled == []
+    overview = orjson.loads(served.shown)
+    assert overview["controller"] == "node-0" and overview["braked"] == []
+    shards = [report["shard"] for report in overview["recovering"] + overview["records"]]
+    assert 0 in shards
 
 
 def _run_recorded(root: Path, record: Path, before: str, *arguments: str) -> str:
