--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -1,5 +1,6 @@
 """Several controllers fail while work goes on; when they return, healthy work gets no order."""
 
+from collections import Counter
 from collections.abc import Callable
 from copy import deepcopy
 from dataclasses import replace
@@ -275,6 +276,42 @@
     simulate_recovery(story, recovery_settings(), expected=_is_unplanned)
 
 
+def test_an_approval_ends_with_its_time() -> None:
+    async def story(region: RecoveryRegion) -> None:
+        await _state_comes_back_older(region)
+        await curio.sleep(20.0)
+        braked = (await _overview(region))["braked"][:1]
+        owner = region.owners()[braked[0]["shard"]]
+        # its owner sees it only when it is over
+        region.still_until[owner] = region.clock.now() + 1.5
+        await _approve(region, next(x for x in region.LABELS if x != owner), braked)
+        await curio.sleep(30.0)
+        assert region.owners()[braked[0]["shard"]] == owner
+        assert _recovery_orders(region, 0.0) == []
+
+    simulate_recovery(story, recovery_settings(approval_s=1.0), expected=_is_unplanned)
+
+
+def test_records_are_bounded_in_number() -> None:
+    async def story(region: RecoveryRegion) -> None:
+        await _busy_region(region)
+        for _ in range(4):
+            await region.restart_all(1.0)
+            await region.until(region.steady, 60.0)
+            await curio.sleep(1.0)
+        records = (await _overview(region))["records"]
+        by_shard = Counter(record["shard"] for record in records)
+        assert by_shard == dict.fromkeys(range(3), 2)
+        newest = {shard: row[0]["token"] for shard, row in _shard_rows(region)}
+        assert {r["shard"]: r["token"] for r in records} == newest
+
+    simulate_recovery(story, recovery_settings(kept_records=2))
+
+
+def _shard_rows(region: RecoveryRegion) -> list[tuple[int, Any]]:
+    return [(n, region.state.keys[keys.shard(n)]) for n in range(len(region.LABELS))]
+
+
 def test_many_machines_are_given_up_only_when_it_is_approved() -> None:
     async def story(region: RecoveryRegion) -> None:
         await _busy_region(region)
