--- a/tests/test_on_call_troubles.py
+++ b/tests/test_on_call_troubles.py
@@ -97,6 +97,35 @@
     simulate(story)
 
 
+def test_questions_of_all_users_at_once_cost_the_one_that_serves_alone_few_reads() -> None:
+    """Eight questions a second for each of fifty jobs: those that come together share a read, and
+    workers are answered and work begins meanwhile."""
+
+    async def story(region: Region) -> None:
+        await _begin(region)
+        jobs = [f"wk-{n:06d}" for n in range(50)]
+        small = {"crew": "blue", "cards": 0.0, "cpus": 0.25, "ramGb": 0.5}
+        for job in jobs:
+            assert await region.submit("node-0", job, None, sacks=1, **small) == 201
+        await region.until(lambda: all(region.running(job) for job in jobs))
+        for label in ("node-1", "node-2"):
+            await region.darken(label)
+        await curio.sleep(20.0)
+        reads = len(region.state.calls)
+        for _ in range(8 * 10):
+            async with curio.TaskGroup() as group:
+                for job in jobs:
+                    await group.spawn(region.show, "node-0", job)
+            await curio.sleep(0.125)
+        # 4,000 questions; a read serves all that were asked before it
+        assert len(region.state.calls) - reads < 1000
+        assert await region.submit("node-0", "wk-000100", 5.0, sacks=2, **small) == 201
+        await region.until(lambda: region.finished("wk-000100", 2), 20.0)
+        assert all(region.running(job) for job in jobs)
+
+    simulate(story)
+
+
 def test_machines_that_never_come_up_are_given_up_and_replaced() -> None:
     async def story(region: Region) -> None:
         await region.begin(machines=0)
