Recovery: starts that restore service are not batched; silent machines are waited for half as long

After each change of owner placing waited four report intervals (10 s there) for the zone that was cut off, and 166 starts under way at one change went out in rising batches for 101 s: each batch waits for reports. Ruled out: the brake (never on), the pace (13 orders a second).

Change: batches are for what cleans up; a shard is observed for two report intervals.

--- a/crossmill/recovery/settings.py
+++ b/crossmill/recovery/settings.py
@@ -74,7 +74,7 @@
         # what an order leads to is written: faster than that nothing is gained
         orders_per_s=table.number("orders_per_s", 0.1, settings.state_lowest.write_rps),
         orders_per_worker=table.number("orders_per_worker", 1, 8.0),
-        observe_reports=table.number("observe_reports", 1, 4.0),
+        observe_reports=table.number("observe_reports", 1, 2.0),
         brake_share=share,
         brake_least=int(table.number("brake_least", 1, 5.0)),
         first_batch=int(table.number("first_batch", 1, 1.0)),
--- a/crossmill/recovery/shard_recovery.py
+++ b/crossmill/recovery/shard_recovery.py
@@ -261,7 +261,8 @@
     def _is_due(self, difference: Difference) -> bool:
         if self.phase not in (Phase.SETTLING, Phase.STEADY):
             return False
-        if self.phase is Phase.SETTLING and difference.machine not in self._batches.admitted:
+        is_batched = difference.rule.urgency is Urgency.CLEAN_UP and self.phase is Phase.SETTLING
+        if is_batched and difference.machine not in self._batches.admitted:
             return False
         if difference.rule.proof is Proof.FRESH_READ and not self._open.is_read(
             difference, self.read_at
--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -452,6 +452,27 @@
     simulate_recovery(story, recovery_settings(), expected=_is_unplanned)
 
 
+def test_starts_under_way_at_a_change_of_owner_do_not_wait_for_batches() -> None:
+    """Every machine lacks a planned task whose start was never sent."""
+
+    async def story(region: RecoveryRegion) -> None:
+        await _busy_region(region)
+        await region.end_all()
+        missing = {w.machine: next(iter(w.tasks)) for w in region.workers.values() if w.tasks}
+        for machine, key in missing.items():
+            del region.workers[machine].tasks[key]
+        await curio.sleep(1.0)
+        await region.start_all()
+        await region.until(lambda: len(region.recoveries()) > 0, 20.0)
+        started = [key in region.workers[machine].tasks for machine, key in missing.items()]
+        assert not all(started)
+        await region.until(
+            lambda: all(key in region.workers[m].tasks for m, key in missing.items()), 8.0
+        )
+
+    simulate_recovery(story, recovery_settings(brake_share=1.0))
+
+
 # -- failures in the middle of a recovery --------------------------------------------
 
 
