--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -467,7 +467,7 @@
         started = [key in region.workers[machine].tasks for machine, key in missing.items()]
         assert not all(started)
         await region.until(
-            lambda: all(key in region.workers[m].tasks for m, key in missing.items()), 8.0
+            lambda: all(key in region.workers[m].tasks for m, key in missing.items()), 3.5
         )
 
     simulate_recovery(story, recovery_settings(brake_share=1.0))
