Rounds in named steps; ends and stops of attempts are enums; owners are asked by methods

Readable code, no change of behaviour meant. Rounds.round becomes placing, planning of writes, submitting and following up; why an attempt is over (AttemptEnd) and why one is stopped (StopReason) are enums with the spellings they had; an attempt's identity is a property of its row; what rounds, placement and preemption changed inside reports and reassignment is asked of them by methods.

Tests were changed in names and types only.

--- a/crossmill/cluster/model.py
+++ b/crossmill/cluster/model.py
@@ -8,6 +8,9 @@
 
 ACTIVE, DONE, CANCELLED = "", "done", "cancelled"
 
+# a job, the index of a task, and the number of one of its attempts
+Attempt = tuple[str, int, int]
+
 
 @dataclass(slots=True)
 class Row:
@@ -19,6 +22,11 @@
     machine: str
     session: int
 
+    @property
+    def key(self) -> Attempt:
+        """What tells this attempt from all others."""
+        return self.job, self.index, self.attempt
+
 
 @dataclass(slots=True)
 class Chunk:
--- a/crossmill/jobs/durable.py
+++ b/crossmill/jobs/durable.py
@@ -14,7 +14,7 @@
 from ..state.writer import Intent, WriteRank
 from ..wire.state import Put, Txn
 from ..wire.users import JobSpec
-from ..workers.findings import Finding
+from ..workers.findings import AttemptEnd, Finding
 from .plan_migration import PlanMigration
 from .shard_writes import shard_intent
 
@@ -114,7 +114,7 @@
                 continue
             txn.conditions = rests
             del new.rows[index]
-            if finding.why == "done":
+            if finding.why == AttemptEnd.DONE:
                 new.done |= 1 << (index - where.first)
 
     def _done(self, spec: JobSpec) -> dict[str, Any]:
--- a/crossmill/jobs/failures.py
+++ b/crossmill/jobs/failures.py
@@ -6,7 +6,7 @@
 from ..cluster.model import Job
 from ..net.clock import Clock
 from ..settings import Settings
-from ..workers.findings import Finding
+from ..workers.findings import AttemptEnd, Finding
 
 # failing on so many machines, a job itself is at fault, or at least suspected
 SUSPECT_MACHINES = 2
@@ -55,11 +55,11 @@
         """An attempt of the job is over."""
         entry = self._by_job.setdefault(job.id, JobFailures())
         machine = finding.row.machine
-        if finding.why == "done":
+        if finding.why == AttemptEnd.DONE:
             entry.succeeded = True
             self._by_machine.pop(machine, None)
-        elif finding.why in ("error", "unknown"):
-            self._failed(job, entry, machine, finding.why == "unknown")
+        elif finding.why in (AttemptEnd.ERROR, AttemptEnd.UNKNOWN):
+            self._failed(job, entry, machine, finding.why == AttemptEnd.UNKNOWN)
 
     def _failed(self, job: Job, entry: JobFailures, machine: str, is_unknown: bool) -> None:
         entry.failures += 1
--- a/crossmill/jobs/machine_maintenance.py
+++ b/crossmill/jobs/machine_maintenance.py
@@ -103,7 +103,7 @@
         """Empty machines go to the shard they are given to under a token drawn for them alone,
         so that nothing said by this shard's owner is obeyed afterwards. One at a time: each
         raises the counter that all tokens come from."""
-        for machine in machines if self._reassignment.going else ():
+        for machine in machines if self._reassignment.has_any else ():
             target = self._reassignment.target(machine)
             if target is not None:
                 token, version = self._membership.next_token()
--- a/crossmill/jobs/outcome_batch.py
+++ b/crossmill/jobs/outcome_batch.py
@@ -9,7 +9,7 @@
 
 from ..cluster.cluster_state import ClusterState
 from ..cluster.model import ACTIVE, Chunk, Job
-from ..workers.findings import Finding, Key
+from ..workers.findings import AttemptEnd, Finding, Key
 
 
 @dataclass(slots=True, eq=False)
@@ -27,7 +27,7 @@
         if self.job.end != ACTIVE:
             return False
         is_last = len(self.findings) == len(self.chunk.rows)
-        return is_last or any(finding.why != "done" for finding in self.findings)
+        return is_last or any(finding.why != AttemptEnd.DONE for finding in self.findings)
 
 
 def collect(
--- a/crossmill/jobs/placement.py
+++ b/crossmill/jobs/placement.py
@@ -62,8 +62,8 @@
             and view.notice_at is None
             and not self._failures.is_faulty(machine.id)
             and machine.id not in self._preemption.draining
-            and machine.id not in self._reassignment.going
-            and machine.id not in self._reports.leaving
+            and not self._reassignment.is_going(machine.id)
+            and not self._reports.is_leaving(machine.id)
         )
 
     def _rooms(self, machines: list[Machine]) -> list[Room]:
--- a/crossmill/jobs/preemption.py
+++ b/crossmill/jobs/preemption.py
@@ -13,13 +13,12 @@
 from ..planning.rooms import Room, Zones, allowed
 from ..settings import Settings
 from ..wire.users import JobSpec
+from ..workers.findings import StopReason
 from ..workers.reports import Reports
 from .guarantees import Guarantees, Use
 
 log = logging.getLogger(__name__)
 
-Attempt = tuple[str, int, int]
-
 
 class Preemption:
     """Stops lesser work for jobs that find no room, and empties machines that can be spared."""
@@ -135,7 +134,7 @@
                 row.machine,
                 job.id,
             )
-            self._reports.stopping[row.job, row.index, row.attempt] = "preempted"
+            self._reports.request_stop(row, StopReason.PREEMPTED)
         return chosen, covered
 
     def _spec(self, row: Row) -> JobSpec:
@@ -203,11 +202,10 @@
         machine = self._cluster.machines.get(room.machine)
         if machine is None:
             return None
-        stopping = self._reports.stopping
         rows = [
             r
             for r in machine.rows.values()
-            if r.job in stoppable and (r.job, r.index, r.attempt) not in stopping
+            if r.job in stoppable and not self._reports.is_stopping(r)
         ]
         if not rows:
             return None
@@ -244,7 +242,7 @@
         self.draining[machine.id] = now + 2 * self._settings.lease_s
         log.info("machine drained machine=%s tasks=%d", machine.id, len(machine.rows))
         for row in machine.rows.values():
-            self._reports.stopping[row.job, row.index, row.attempt] = "drained"
+            self._reports.request_stop(row, StopReason.DRAINED)
             yield row
 
     def _emptiest(self, shard: int, rooms: list[Room]) -> Machine | None:
--- a/crossmill/jobs/reassignment.py
+++ b/crossmill/jobs/reassignment.py
@@ -13,6 +13,7 @@
 from ..planning.demand import Want, slots_on
 from ..planning.rooms import allowed
 from ..settings import Settings
+from ..workers.findings import StopReason
 from ..workers.reports import Reports
 
 log = logging.getLogger(__name__)
@@ -35,25 +36,38 @@
         self._reports = reports
         self._forecast = forecast
         # machines that go to another shard once they are empty, and until when that is tried
-        self.going: dict[str, tuple[int, float]] = {}
+        self._going: dict[str, tuple[int, float]] = {}
         self._promised: dict[str, float] = {}
         self._looked_at: dict[int, float] = {}
 
     def target(self, machine: Machine) -> int | None:
         """The shard that the machine is to go to now: nothing is on it or may come to it."""
-        entry = self.going.get(machine.id)
+        entry = self._going.get(machine.id)
         view = self._reports.peek(machine.id)
         if entry is None or view is None or machine.rows or view.tasks or machine.retiring:
             return None
         return None if self._reports.unacknowledged.get(machine.id) else entry[0]
 
+    def is_going(self, machine_id: str) -> bool:
+        """Whether the machine goes to another shard once it is empty."""
+        return machine_id in self._going
+
+    @property
+    def has_any(self) -> bool:
+        """Whether any machine is to go to another shard."""
+        return bool(self._going)
+
+    def note_given(self, machine_id: str) -> None:
+        """The machine has gone."""
+        self._going.pop(machine_id, None)
+
     def look(self, shard: int, machines: list[Machine]) -> Iterator[Row]:
         """Chooses machines to give; yields the attempts to be stopped for it."""
         now = self._clock.now()
-        for machine_id, (to, until) in list(self.going.items()):
+        for machine_id, (to, until) in list(self._going.items()):
             machine = self._cluster.machines.get(machine_id)
             if machine is None or machine.shard == to or machine.retiring or now > until:
-                del self.going[machine_id]
+                del self._going[machine_id]
         if now - self._looked_at.get(shard, 0.0) < self._settings.give_every_s:
             return
         self._looked_at[shard] = now
@@ -85,10 +99,10 @@
             for machine in mine[: self._settings.give_most]:
                 if left <= 0:
                     break
-                if machine.id in self.going or not self._idle(machine, stop):
+                if machine.id in self._going or not self._idle(machine, stop):
                     continue
                 left -= min(slots_on(want.spec, self._cluster.catalog[machine.type]), left)
-                self.going[machine.id] = (other, now + self._settings.lease_s)
+                self._going[machine.id] = (other, now + self._settings.lease_s)
                 log.info(
                     "machine to be given machine=%s shard=%d for=%s tasks=%d",
                     machine.id,
@@ -97,7 +111,7 @@
                     len(machine.rows),
                 )
                 for row in machine.rows.values():
-                    self._reports.stopping[row.job, row.index, row.attempt] = "given"
+                    self._reports.request_stop(row, StopReason.GIVEN)
                     yield row
             if left < want.tasks:
                 self._promised[job.id] = now + self._settings.lease_s
--- a/crossmill/jobs/rounds.py
+++ b/crossmill/jobs/rounds.py
@@ -11,13 +11,13 @@
 from ..cluster.cluster_state import ClusterState
 from ..cluster.deputies import Deputies
 from ..cluster.membership import Membership, Owned
-from ..cluster.model import Job, Row
+from ..cluster.model import Job, Machine, Row
 from ..fleet.forecast import DemandForecast
 from ..net.clock import Clock
 from ..settings import Settings
 from ..state.writer import Intent, Writer, WriteResult
 from ..workers.direct import Direct
-from ..workers.findings import Finding
+from ..workers.findings import AttemptEnd, Finding
 from ..workers.reports import Reports
 from .cleanup import Cleanup
 from .durable import Durable, Edits, edit_of
@@ -114,14 +114,32 @@
             self._reports.expire(machine, own)
         self._find_released(shard, own)
         self._gather(shard, own, edits)
-        stops: list[Row] = []
-        if self._reports.gate is None or self._reports.gate.may_place(shard):
-            # machines to be given are chosen before tasks are placed: a start planned in the same
-            # round would follow its machine to a shard that knows nothing of the job
-            stops += self._reassignment.look(shard, machines)
-            stops += self._placement.place(shard, own, machines, edits)
+        stops = self._place(shard, own, machines, edits)
         if stops:
             await self._direct.send([], stops)
+        intents, starts = self._plan_writes(shard, own, edits)
+        if await self._clean_up(shard, own):
+            self._failures.forget_ended(shard)
+        intents += self._maintenance.give_up(shard, own, machines)
+        moves = self._maintenance.moves(shard, own, machines)
+        intents += moves.values()
+        await self._submit(intents, moves)
+        await self._follow_up(intents, starts)
+
+    def _place(self, shard: int, own: Owned, machines: list[Machine], edits: Edits) -> list[Row]:
+        """Plans starts into `edits`; returns the attempts to be stopped. Machines to be given are
+        chosen before tasks are placed: a start planned in the same round would follow its
+        machine to a shard that knows nothing of the job."""
+        gate = self._reports.gate
+        if gate is not None and not gate.may_place(shard):
+            return []
+        stops = list(self._reassignment.look(shard, machines))
+        return stops + self._placement.place(shard, own, machines, edits)
+
+    def _plan_writes(
+        self, shard: int, own: Owned, edits: Edits
+    ) -> tuple[list[Intent], dict[int, list[Row]]]:
+        """The writes of edited plans and finished jobs, and by write the starts that follow it."""
         starts: dict[int, list[Row]] = {}
         intents: list[Intent] = []
         for edit in edits.values():
@@ -131,28 +149,32 @@
                 starts[id(intent)] = edit.starts
         intents += self._durable.finish(shard, own)
         intents += self._migration.steps(shard, own)
-        if await self._clean_up(shard, own):
-            self._failures.forget_ended(shard)
-        intents += self._maintenance.give_up(shard, own, machines)
-        moves = self._maintenance.moves(shard, own, machines)
-        intents += moves.values()
-        self._reports.leaving.update(moves)
+        return intents, starts
+
+    async def _submit(self, intents: list[Intent], moves: dict[str, Intent]) -> None:
+        """Queues the writes, and waits for those that move machines: until its fate is known, a
+        machine that moves is not answered."""
+        self._reports.begin_moves(moves)
         try:
             for intent in intents:
                 await self._writer.submit(intent)
             for machine_id, intent in moves.items():
                 if await intent.future.wait() == WriteResult.OK:
                     self._reports.moved(machine_id)
-                    self._reassignment.going.pop(machine_id, None)
+                    self._reassignment.note_given(machine_id)
                     log.info("machine given machine=%s", machine_id)
         finally:
-            self._reports.leaving.difference_update(moves)
+            self._reports.end_moves(moves)
+
+    async def _follow_up(self, intents: list[Intent], starts: dict[int, list[Row]]) -> None:
+        """Sends the starts of plans that are durable now, and logs the jobs that are done."""
         for intent in intents:
-            if await intent.future.wait() == WriteResult.OK:
-                await self._direct.send(starts.get(id(intent), []), [])
-                for put in intent.txn.puts:
-                    if put.key.startswith(keys.JOB):
-                        log.info("job done job=%s", put.key[len(keys.JOB) :])
+            if await intent.future.wait() != WriteResult.OK:
+                continue
+            await self._direct.send(starts.get(id(intent), []), [])
+            for put in intent.txn.puts:
+                if put.key.startswith(keys.JOB):
+                    log.info("job done job=%s", put.key[len(keys.JOB) :])
 
     async def _clean_up(self, shard: int, own: Owned) -> bool:
         """Sends what is due for ended jobs, once all that was sent before is settled. No round
@@ -171,7 +193,7 @@
             job = self._cluster.jobs.get(row.job)
             if job is not None and job.shard == shard:
                 rests = {keys.machine(row.machine): 0}
-                finding = Finding(row, "released", own.term, rests=rests)
+                finding = Finding(row, AttemptEnd.RELEASED, own.term, rests=rests)
                 self._reports.findings.record(finding)
 
     def _gather(self, shard: int, own: Owned, edits: Edits) -> None:
@@ -201,7 +223,7 @@
         )
         if spec is None:
             return
-        self._reports.stopping.pop((row.job, row.index, row.attempt), None)
+        self._reports.forget_stop(row)
         self._failures.record(job, finding)
-        if finding.why == "done" and finding.took_s is not None:
+        if finding.why == AttemptEnd.DONE and finding.took_s is not None:
             self.estimates.saw(spec.job_class, spec.estimate_s, finding.took_s)
--- a/crossmill/recovery/open_differences.py
+++ b/crossmill/recovery/open_differences.py
@@ -5,7 +5,7 @@
 from collections import Counter
 from collections.abc import Iterator
 
-from ..workers.findings import Attempt
+from ..cluster.model import Attempt
 from .brake import Impact
 from .classification import Action, Proof, TaskClass
 from .differences import Difference, TaskKey
--- a/crossmill/workers/direct.py
+++ b/crossmill/workers/direct.py
@@ -78,13 +78,13 @@
         commands = [self._reports.stop(r) for r in stops[:MAX_ORDERS]]
         rows = rows[: MAX_ORDERS - len(commands)]
         commands += [Command("start", f"{r.job}/{r.index}", r.attempt) for r in rows]
-        if machine_id in self._reports.leaving:
+        if self._reports.is_leaving(machine_id):
             return
         token = self._reports.token(machine, own)
         body = direct_body(token, view.session, commands)
         unacknowledged = self._reports.unacknowledged.setdefault(machine_id, {})
         for row in rows:
-            unacknowledged[row.job, row.index, row.attempt] = token
+            unacknowledged[row.key] = token
         self._sending += 1
         try:
             status, data = await client.request(
@@ -102,7 +102,7 @@
         finally:
             self._sending -= 1
         for row in rows:
-            unacknowledged.pop((row.job, row.index, row.attempt), None)
+            unacknowledged.pop(row.key, None)
 
     def _answered(self, machine_id: str, status: int, data: bytes) -> None:
         if status not in (200, 409):
--- a/crossmill/workers/findings.py
+++ b/crossmill/workers/findings.py
@@ -5,23 +5,54 @@
 have started the very attempt that was found not started."""
 
 from dataclasses import dataclass, field
+from enum import StrEnum
 
 from ..cluster.cluster_state import ClusterState
-from ..cluster.model import Row
+from ..cluster.model import Attempt, Row
 
 Key = tuple[str, int]
-Attempt = tuple[str, int, int]
 
 # so many are kept before those whose rows have gone are looked for
 CONCLUDED_LEAST = 1000
 
 
+class AttemptEnd(StrEnum):
+    """Why an attempt is over: what its worker reports of it, or what proves it gone."""
+
+    DONE = "done"
+    STOPPED = "stopped"
+    ERROR = "error"
+    # start refused: no room on the machine, the task is there already, the task is not known
+    NO_ROOM = "no_room"
+    BUSY = "busy"
+    UNKNOWN = "unknown"
+    # a gang's task that lost the others
+    PEERS = "peers"
+    # the worker began a new session, and forgot what it had
+    SESSION_OVER = "session over"
+    # nobody can have answered the worker for as long as its lease
+    LEASE_OVER = "lease over"
+    # a newer report lacks it, and no start of it can arrive any more
+    NOT_STARTED = "not started"
+    # the cloud confirmed that the machine is gone
+    RELEASED = "released"
+
+
+class StopReason(StrEnum):
+    """Why a running attempt is stopped."""
+
+    PREEMPTED = "preempted"
+    DRAINED = "drained"
+    # its machine goes to another shard
+    GIVEN = "given"
+
+
 @dataclass(frozen=True, slots=True)
 class Finding:
     """An attempt that is over, with what it means for the plan."""
 
     row: Row
-    why: str
+    why: AttemptEnd
     # the owner's term (see `Owned.term`): later ones must prove it anew
     term: int
     took_s: float | None = None
@@ -47,13 +78,13 @@
         known = self.get(key)
         if known is None or known.term != finding.term:
             self[key] = finding
-        self._concluded.add((row.job, row.index, row.attempt))
+        self._concluded.add(row.key)
         if len(self._concluded) > self._concluded_most:
             self._trim()
 
     def is_concluded(self, row: Row) -> bool:
         """Whether the attempt was found to be over, so that no start of it may be sent."""
-        return (row.job, row.index, row.attempt) in self._concluded
+        return row.key in self._concluded
 
     def end_term(self, shard: int) -> None:
         """The right to act for the shard has ended, and with it all that was concluded."""
@@ -68,5 +99,5 @@
 
     def _trim(self) -> None:
         rows = (r for m in self._cluster.machines.values() for r in m.rows.values())
-        self._concluded &= {(r.job, r.index, r.attempt) for r in rows}
+        self._concluded &= {row.key for row in rows}
         self._concluded_most = 2 * len(self._concluded) + CONCLUDED_LEAST
--- a/crossmill/workers/reports.py
+++ b/crossmill/workers/reports.py
@@ -4,16 +4,17 @@
 can be repeated. Only responses carry them: the worker drops a response that comes late."""
 
 import logging
+from collections.abc import Collection
 from typing import NamedTuple
 
 from ..cluster.cluster_state import ClusterState
 from ..cluster.deputies import Deputies
 from ..cluster.membership import Membership, Owned
-from ..cluster.model import Machine, Row
+from ..cluster.model import Attempt, Machine, Row
 from ..net.clock import Clock
 from ..settings import Settings
 from ..wire.workers import MAX_ORDERS, Command, Report, TaskReport, cached_task_reader
-from .findings import Attempt, Finding, Findings
+from .findings import AttemptEnd, Finding, Findings, StopReason
 from .order_gate import OrderGate
 from .views import Verdict, View
 
@@ -48,14 +49,13 @@
         self._views: dict[str, View] = {}
         self.read_task = cached_task_reader(settings.kept_task_reports)
         self.findings = Findings(cluster)
-        # tasks to be stopped to make room or to drain, by attempt
-        self.stopping: dict[Attempt, str] = {}
+        self.stopping: dict[Attempt, StopReason] = {}
         # starts sent straight to a worker and not answered, with the token they carried: they
         # may still be executed until the worker has seen a higher token or begun a new session
         self.unacknowledged: dict[str, dict[Attempt, int]] = {}
         # machines whose move to another shard is being written: whoever gets one counts on
         # nobody else answering it, so it is not answered from before the write is sent
-        self.leaving: set[str] = set()
+        self._leaving: set[str] = set()
         # reports of running tasks that no plan holds: each is stopped
         self.unplanned = 0
         # holds back orders, placements and returns while a shard recovers; None: nothing is held
@@ -97,7 +97,7 @@
         if machine is None:
             return self._elsewhere()
         standing = self._membership.answering(machine.shard)
-        if machine.id in self.leaving:
+        if self.is_leaving(machine.id):
             return self._elsewhere()
         if standing is None:
             kept = self._deputies.keep_alive(machine, report)
@@ -173,6 +173,30 @@
         self._views.pop(machine_id, None)
         self.unacknowledged.pop(machine_id, None)
 
+    def is_leaving(self, machine_id: str) -> bool:
+        """Whether the machine's move to another shard is being written."""
+        return machine_id in self._leaving
+
+    def begin_moves(self, machine_ids: Collection[str]) -> None:
+        """These machines are not answered until their moves' fate is known."""
+        self._leaving.update(machine_ids)
+
+    def end_moves(self, machine_ids: Collection[str]) -> None:
+        """The fate of these machines' moves is known."""
+        self._leaving.difference_update(machine_ids)
+
+    def request_stop(self, row: Row, reason: StopReason) -> None:
+        """The attempt is to be stopped; the answers to its worker's reports say so from now on."""
+        self.stopping[row.key] = reason
+
+    def is_stopping(self, row: Row) -> bool:
+        """Whether the attempt is to be stopped, to make room or to drain its machine."""
+        return row.key in self.stopping
+
+    def forget_stop(self, row: Row) -> None:
+        """The attempt is over."""
+        self.stopping.pop(row.key, None)
+
     def learn(self, report: Report) -> None:
         """The answer to a direct command: a report, but one that renews no lease."""
         machine = self._cluster.machines.get(report.machine)
@@ -180,7 +204,7 @@
         if machine is None or own is None:
             return
         view = self.view(machine, own)
-        if machine.id in self.leaving:
+        if self.is_leaving(machine.id):
             return
         if view.take(report, self.token(machine, own), self._clock.now()):
             self._acknowledge(machine.id, report)
@@ -239,8 +263,8 @@
     ) -> None:
         """The worker does not have this planned attempt."""
         if row.session < view.session:
-            self.unacknowledged.get(machine.id, {}).pop((row.job, row.index, row.attempt), None)
-            self.findings.record(Finding(row, "session over", own.term))
+            self.unacknowledged.get(machine.id, {}).pop(row.key, None)
+            self.findings.record(Finding(row, AttemptEnd.SESSION_OVER, own.term))
             return
         if (row.job, row.index) in view.tasks or row.session != view.session:
             return
@@ -255,7 +279,7 @@
             # may hold the start, was still on its way
             return
         # a newer report without it: no start sent before can still arrive
-        self.findings.record(Finding(row, "not started", own.term))
+        self.findings.record(Finding(row, AttemptEnd.NOT_STARTED, own.term))
 
     def _is_known(self, row: Row) -> bool:
         job = self._cluster.jobs.get(row.job)
@@ -272,7 +296,7 @@
         job = self._cluster.jobs.get(row.job)
         if job is None or not job.is_active or machine.retiring:
             return True
-        return (row.job, row.index, row.attempt) in self.stopping
+        return self.is_stopping(row)
 
     def _on_planned(
         self, row: Row, task: TaskReport, view: View, own: Owned, orders: list[Command]
@@ -281,7 +305,7 @@
         if task.state == "exited":
             since = view.running_since.get(key)
             took = None if since is None else self._clock.now() - since
-            self.findings.record(Finding(row, task.why, own.term, took))
+            self.findings.record(Finding(row, AttemptEnd(task.why), own.term, took))
             return
         job = self._cluster.jobs.get(row.job)
         if job is None or job.is_over:
@@ -289,7 +313,7 @@
             return
         spec = job.spec
         saves = spec is not None and spec.checkpoint_s > 0
-        if (row.job, row.index, row.attempt) in self.stopping:
+        if self.is_stopping(row):
             if task.state != "saving":
                 orders.append(self.stop(row))
         elif view.notice_at is not None and saves and spec is not None:
@@ -315,4 +339,5 @@
         if rests is not None:
             for row in machine.rows.values():
                 if row.session <= view.session or not view.trusted:
-                    self.findings.record(Finding(row, "lease over", own.term, rests=rests))
+                    finding = Finding(row, AttemptEnd.LEASE_OVER, own.term, rests=rests)
+                    self.findings.record(finding)
--- a/tests/test_on_call_troubles.py
+++ b/tests/test_on_call_troubles.py
@@ -11,7 +11,7 @@
 from crossmill.cluster.model import Job, Row
 from crossmill.jobs.failures import TaskFailures
 from crossmill.state.mirror import Mirror
-from crossmill.workers.findings import Finding
+from crossmill.workers.findings import AttemptEnd, Finding
 
 from .scenario_steps import all_over_but_services
 from .simulated_worker import Worker
@@ -182,7 +182,7 @@
 
     def fail(machine: str) -> None:
         for job in jobs:
-            failures.record(job, Finding(Row(job.id, 0, 1, machine, 1), "error", 1))
+            failures.record(job, Finding(Row(job.id, 0, 1, machine, 1), AttemptEnd.ERROR, 1))
 
     fail("n-0")
     assert failures.is_faulty("n-0")
--- a/tests/test_safety.py
+++ b/tests/test_safety.py
@@ -9,6 +9,7 @@
 from crossmill.state.writer import Intent, WriteResult
 from crossmill.wire.state import Put, Txn
 from crossmill.wire.workers import Command
+from crossmill.workers.findings import StopReason
 
 from .harness import Node, add_job, add_machine, play, seed
 from .standins import FakeClock, StateService, beat, on, submission
@@ -357,7 +358,7 @@
         node.report("n-0", 1, 2, token)
         await node.round()
         assert node.report("n-0", 1, 3, token).commands[0].op == "start"
-        node.reports.stopping["wk-000001", 0, 1] = "room"
+        node.reports.stopping["wk-000001", 0, 1] = StopReason.PREEMPTED
         node.direct._answered("n-0", 200, beat("n-0", 1, 4, token))
         assert not node.reports.findings
         # a report is sent only when the answer to the one before has come or is given up
@@ -598,7 +599,7 @@
         plan = {"next": 2, "done": "0", "rows": [[0, 1, "n-0", 1]]}
         state.put(keys.plan("wk-000001", "0"), plan)
         await node.sync()
-        node.reports.stopping["wk-000001", 0, 1] = "room"
+        node.reports.stopping["wk-000001", 0, 1] = StopReason.PREEMPTED
         node.report("n-0", 1, 3, token)
         assert [f.why for f in node.reports.findings.values()] == ["not started"]
         # its end is being written, and the reason for it has gone
@@ -661,7 +662,7 @@
         await node.boot()
         node.report("n-0", 1, 1, node.token())
         await node.round()
-        node.rounds._reassignment.going["n-0"] = (1, clock.now() + 9)
+        node.rounds._reassignment._going["n-0"] = (1, clock.now() + 9)
         state.script["/txn"] = ["refuse"] * 2
         task = await curio.spawn(node.round)
         await curio.sleep(0)
@@ -679,7 +680,7 @@
         node = await _placed(state, clock, nodes)
         giving = node.rounds._reassignment
         machine = node.cluster.machines["n-0"]
-        giving.going["n-0"] = (1, clock.now() + 9)
+        giving._going["n-0"] = (1, clock.now() + 9)
         assert giving.target(machine) is None
         machine.rows.clear()
         assert giving.target(machine) is None, "the worker still reports a task"
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -22,7 +22,7 @@
 from crossmill.wire.checks import load_object
 from crossmill.wire.state import Put, Txn
 from crossmill.wire.workers import cached_task_reader, parse_report
-from crossmill.workers.findings import Finding
+from crossmill.workers.findings import AttemptEnd, Finding
 
 from . import harness
 from .full_fleet import EACH, full_fleet, report_all
@@ -171,7 +171,7 @@
     def news(number: int, rows: int, why: str = "done") -> ChunkNews:
         row = Row(f"wk-{number:06d}", 0, 1, "n-0", 1)
         chunk = Chunk(2, 0, {i: row for i in range(rows)})
-        return ChunkNews(Job(row.job), "0", chunk, [Finding(row, why, term=1)])
+        return ChunkNews(Job(row.job), "0", chunk, [Finding(row, AttemptEnd(why), term=1)])
 
     many = [news(number, 9) for number in range(20)]
     last, failed = news(90, 1), news(91, 9, "error")
--- a/tests/test_unseen_changes.py
+++ b/tests/test_unseen_changes.py
@@ -16,6 +16,7 @@
 from crossmill.state.follower import Follower
 from crossmill.state.mirror import Mirror
 from crossmill.wire.checks import load_object
+from crossmill.workers.findings import StopReason
 
 from .harness import RECORD_BYTES, Node, add_job, play, seed
 from .standins import FakeClock, StateService, make_settings, make_spec, on
@@ -104,7 +105,7 @@
     # owner started the task; with the shard back, the old finding removed the running task's row
     async def story(state: StateService, clock: FakeClock, nodes: Nodes) -> None:
         node = await _node_with_a_row(state, clock, nodes)
-        node.reports.stopping[JOB, 0, 1] = "drained"
+        node.reports.stopping[JOB, 0, 1] = StopReason.DRAINED
         node.report("n-0", 1, 3, node.token())
         assert [f.why for f in node.reports.findings.values()] == ["not started"]
         # before it can be written, the shard changes hands and the next owner starts the task
