Room is made only in zones that are still open to the job, on GPU machines last for others

Cause: a job that is spread got half of its tasks into one zone, and in the same round lesser work was stopped for the other half in that very zone, since the choice of victims looked at the durable plans alone. The choice now has the zones as the round has filled them, and tasks without GPUs take the place of work on GPU machines last.

--- a/crossmill/jobs/placement.py
+++ b/crossmill/jobs/placement.py
@@ -211,14 +211,14 @@
                 if self._preemption.claimed(job):
                     return taken
                 stops, covered = self._preemption.preempt(
-                    job, wanted, list(filter(near, rooms)), used
+                    job, wanted, list(filter(near, rooms)), zones, used
                 )
                 self._stops.extend(stops)
                 wanted -= covered
         more = assign(spec, wanted, free, zones, self._settings.together) if wanted else []
         wanted -= sum(number for _, number in more)
         if wanted and may_preempt and not again:
-            stops, _ = self._preemption.preempt(job, wanted, rooms, used)
+            stops, _ = self._preemption.preempt(job, wanted, rooms, zones, used)
             self._stops.extend(stops)
         return taken + more
 
--- a/crossmill/jobs/preemption.py
+++ b/crossmill/jobs/preemption.py
@@ -84,9 +84,12 @@
         """Whether room is being made for the job, or there is work that may be stopped for it."""
         return self.claimed(job) or bool(self._stoppable_jobs(job, used))
 
-    def preempt(self, job: Job, tasks: int, rooms: list[Room], used: Use) -> tuple[list[Row], int]:
+    def preempt(
+        self, job: Job, tasks: int, rooms: list[Room], zones: Zones, used: Use
+    ) -> tuple[list[Row], int]:
         """Rows to be stopped so that up to this many tasks of the job find room, and how many
-        tasks they make room for."""
+        tasks they make room for. `zones` counts what this round has placed already, and takes
+        what room is made for."""
         spec, now = job.spec, self._clock.now()
         if spec is None or self.claimed(job):
             return [], 0
@@ -94,8 +97,7 @@
         if not stoppable:
             return [], 0
         beyond = {name: self._guarantees.beyond(name, used) for name in set(stoppable.values())}
-        zones = Zones(spec, self._cluster.zones_of(job))
-        best: list[tuple[bool, float, Room, list[Row]]] = []
+        best: list[tuple[int, bool, float, Room, list[Row]]] = []
         for room in rooms:
             if not allowed(spec, room.type, room.zone, room.spot):
                 continue
@@ -104,12 +106,12 @@
             victims = self._victims(spec, room, stoppable)
             if victims is not None:
                 lost = sum(self._lost_s(row) for row in victims)
-                best.append((spec.image not in room.images, lost, room, victims))
-        best.sort(key=lambda entry: entry[:2])
+                best.append((room.pins(spec), spec.image not in room.images, lost, room, victims))
+        best.sort(key=lambda entry: entry[:3])
         chosen: list[Row] = []
         machines: list[str] = []
         covered = 0
-        for _, _, room, victims in best:
+        for _, _, _, room, victims in best:
             if covered >= tasks:
                 break
             if zones.open(room.zone) <= 0 or not self._draw(victims, stoppable, beyond):
--- a/crossmill/planning/rooms.py
+++ b/crossmill/planning/rooms.py
@@ -81,6 +81,12 @@
         cpus, memory_gb = self.cpus - slots * share.cpus, self.memory_gb - slots * share.memory_gb
         return tasks_fitting(spec, cpus, 0.0, memory_gb)
 
+    def pins(self, spec: JobSpec) -> int:
+        """How far a task would hold what others need: without GPUs, it would keep a GPU machine
+        rented when all else on it has ended, and on the only type that some class fits on it
+        would take that class's place."""
+        return 0 if spec.gpus > 0 else self.accelerated + (self.bound is not None)
+
     def fits(self, spec: JobSpec) -> int:
         """How many tasks like this fit into what is free."""
         return tasks_fitting(spec, self.cpus, self.gpus, self.memory_gb)
@@ -163,9 +169,7 @@
             price = prices[room.type] = room.price_for(spec)
         share = max(spec.gpus and room.gpus / room.size, spec.cpus and room.cpus / room.size)
         # a zone that offers fewer types is kept for the replicas that must go there
-        # a task without GPUs would keep a GPU machine rented when all else on it has ended
-        # and on the only type that some class fits on it would take that class's place
-        pins = 0 if spec.gpus > 0 else room.accelerated + (room.bound is not None)
+        pins = room.pins(spec)
         if spec.kind == "service":
             return (pins, room.narrow, delay_s, not room.used, price, share)
         # spot room can't serve those who may not use it, so the others go there first
--- a/tests/test_planning.py
+++ b/tests/test_planning.py
@@ -10,7 +10,7 @@
 from crossmill.planning.queue import budget_end, place_in_queue
 from crossmill.planning.rooms import Room, Share, Zones, assign
 from crossmill.planning.split import Option, Stage, split
-from crossmill.wire.cloud import parse_catalog
+from crossmill.wire.cloud import MachineType, parse_catalog
 
 from .standins import CATALOG, make_settings, make_spec
 
@@ -214,3 +214,16 @@
     assert shares.bound_to(room_of("a", KINDS["g4"], "north", True)) is None
     # where a class fits on one type, as all others do, nothing is bound
     assert gpu_shares([wide, tall], [KINDS["g4"]]).bound == {}
+
+
+def test_a_task_without_gpus_pins_a_gpu_machine_and_more_so_the_only_type_of_a_class() -> None:
+    small, large = make_spec(cards=0.0), make_spec(cards=1.0)
+    plain, gpus = (room_of("n", kind, "north", False) for kind in _kinds("c16", "g4"))
+    assert (plain.pins(small), gpus.pins(small), gpus.pins(large)) == (0, 1, 0)
+    gpus.bound = Share(8.0, 2.0, 40.0)
+    assert (gpus.pins(small), gpus.pins(large)) == (2, 0)
+
+
+def _kinds(*names: str) -> list[MachineType]:
+    catalog = parse_catalog(CATALOG)
+    return [catalog[name] for name in names]
--- a/tests/test_work.py
+++ b/tests/test_work.py
@@ -81,6 +81,30 @@
     play(story)
 
 
+def test_no_room_is_made_in_a_zone_that_the_job_has_just_filled() -> None:
+    """The canteen's gates, found on a recorded day: half of a job went to one zone, lesser work was
+    stopped there for the other half, and that waited until the claim on the room ended."""
+
+    async def story(state: StateService, clock: FakeClock, nodes: Nodes) -> None:
+        node = await _ready(state, clock, nodes, 1, sacks=2)
+        replica = {"cut": "service", "precedence": "production", "grindS": 0.0, "dueS": None}
+        replica |= {"recipe": "img-2", "pullGb": 20.0}
+        add_job(state, clock, nameId="wk-000002", sacks=1, **replica)
+        await node.sync()
+        await node.round()
+        assert len(node.cluster.machines["n-0"].rows) == 3
+        add_machine(state, clock, "n-1", zone="south")
+        add_job(state, clock, nameId="wk-000003", sacks=2, spread=True, **replica)
+        await node.sync()
+        node.report("n-1", 1, 1, node.token())
+        await node.round()
+        assert not node.reports.stopping
+        zones = node.cluster.zones_of(node.cluster.jobs["wk-000003"])
+        assert zones == {"north": 1, "south": 1}
+
+    play(story)
+
+
 def test_equal_priority_is_never_preempted() -> None:
     async def story(state: StateService, clock: FakeClock, nodes: Nodes) -> None:
         node = await _ready(state, clock, nodes, 1, sacks=4)
