The leader's right is looked at anew after the wait for the cloud's pace

Cause: between the leader's look at its right and the rental or return lay the wait for the cloud's pace. A controller that stood still there for longer than its lease rented and returned machines as a former leader when it went on; a rental's repeat after a failed call was sent without any look. The request is now sent only if the right still holds after the wait.

Ruled out: writes (they carry the versions they rest on and are asked for their right before each sending), direct commands (looked at right before the request is made), answers to reports (no wait between look and answer).

Measured: the tests stand still in that wait, for rentals and returns; both fail without the change.

--- a/crossmill/fleet/cloud.py
+++ b/crossmill/fleet/cloud.py
@@ -1,5 +1,7 @@
 """Typed calls to the cloud, all paced below its rate."""
 
+from collections.abc import Callable
+
 import curio
 import orjson
 
@@ -15,6 +17,10 @@
     """Refused, not reached or not answered; it may be carried out late."""
 
 
+class NotLeading(CloudTrouble):
+    """The right to rent and return ended before the request could be sent."""
+
+
 class NoCapacity(Exception):
     """None of this type, zone and kind is to be had now."""
 
@@ -27,9 +33,19 @@
         self._pacer = Pacer(clock, settings.cloud_pace, settings.cloud_pace)
         self._timeout_s = max(4.0, 8 / settings.cloud_rps)
 
-    async def _call(self, method: str, path: str, body: bytes = b"") -> tuple[int, bytes]:
+    async def _call(
+        self,
+        method: str,
+        path: str,
+        body: bytes = b"",
+        holds: Callable[[], bool] = lambda: True,
+    ) -> tuple[int, bytes]:
+        """Sends a request once the pace allows it, if `holds` is still true then: the wait may have
+        lasted, and the process may have stood still in it."""
         while not self._pacer.take():
             await curio.sleep(self._pacer.wait_s())
+        if not holds():
+            raise NotLeading(f"{method} {path}: not sent")
         try:
             status, data = await self._http.request(method, path, body, self._timeout_s)
         except (Unreached, Unanswered) as exc:
@@ -46,18 +62,25 @@
         return wire.parse_catalog(load_object(data))
 
     async def rent(
-        self, request: str, type_name: str, zone: str, spot: bool, number: int
+        self,
+        request: str,
+        type_name: str,
+        zone: str,
+        spot: bool,
+        number: int,
+        holds: Callable[[], bool],
     ) -> list[str]:
-        """Rents up to so many machines under a request name; raises NoCapacity or CloudTrouble."""
+        """Rents up to so many machines under a request name, if `holds` at the sending; raises
+        NoCapacity or CloudTrouble."""
         body = wire.rent_body(request, type_name, zone, spot, min(number, wire.MAX_RENT))
-        status, data = await self._call("POST", wire.MACHINES_PATH, body)
+        status, data = await self._call("POST", wire.MACHINES_PATH, body, holds)
         if status == 503:
             raise NoCapacity
         return wire.parse_rented(load_object(data))
 
-    async def release(self, machines: list[str]) -> None:
-        """Returns machines; after it they are gone."""
-        await self._call("POST", wire.RELEASE_PATH, wire.release_body(machines))
+    async def release(self, machines: list[str], holds: Callable[[], bool]) -> None:
+        """Returns machines, if `holds` at the sending; after it they are gone."""
+        await self._call("POST", wire.RELEASE_PATH, wire.release_body(machines), holds)
 
     async def machines(self) -> list[wire.Listed]:
         """All machines that the cloud lists."""
--- a/crossmill/fleet/leader.py
+++ b/crossmill/fleet/leader.py
@@ -15,7 +15,7 @@
 from ..state.writer import Intent, Writer, WriteRank, WriteResult
 from ..wire.cloud import MAX_RELEASE, Listed
 from ..wire.state import Put, Txn
-from .cloud import Cloud, CloudTrouble, NoCapacity, stored_catalog
+from .cloud import Cloud, CloudTrouble, NoCapacity, NotLeading, stored_catalog
 from .forecast import DemandForecast
 
 log = logging.getLogger(__name__)
@@ -115,7 +115,7 @@
         txn = Txn({keys.LEADER: version}, [Put(keys.CATALOG, stored_catalog(catalog))])
         await self._commit([Intent(txn, WriteRank.BACKGROUND, holds=self._leads)])
 
-    def _leads(self) -> bool | None:
+    def _leads(self) -> bool:
         return self._membership.leading() is not None
 
     async def _commit(self, intents: list[Intent]) -> int:
@@ -139,14 +139,14 @@
         asked_at = self._clock.wall()
         for last in (False, True):
             try:
-                rented = await self._cloud.rent(
-                    name, source.type.name, source.zone, source.spot, need.number
-                )
+                rented = await self._cloud.rent(name, *key, need.number, self._leads)
                 break
             except NoCapacity:
                 self._forecast.blocked[key] = self._clock.now() + self._settings.blocked_s
                 log.info("no capacity type=%s zone=%s spot=%s", *key)
                 return
+            except NotLeading:
+                raise
             except CloudTrouble:
                 # the same name again rents nothing twice; what comes late is adopted
                 if last:
@@ -242,7 +242,7 @@
         going = [m for m in self._cluster.machines.values() if m.retiring][:MAX_RELEASE]
         if not going:
             return
-        await self._cloud.release([m.id for m in going])
+        await self._cloud.release([m.id for m in going], self._leads)
         version = self._membership.leading()
         if version is None:
             return
--- a/tests/test_on_call_troubles.py
+++ b/tests/test_on_call_troubles.py
@@ -10,13 +10,15 @@
 from crossmill.cluster.keeper import Keeper
 from crossmill.cluster.model import Job, Row
 from crossmill.jobs.failures import TaskFailures
+from crossmill.planning.demand import Need
 from crossmill.state.mirror import Mirror
 from crossmill.workers.findings import AttemptEnd, Finding
 
+from .harness import Node, add_machine, play, seed
 from .scenario_steps import all_over_but_services
 from .simulated_worker import Worker
 from .simulation import Region, simulate
-from .standins import FakeClock, make_settings, make_spec
+from .standins import FakeClock, StateService, make_settings, make_spec
 
 
 async def _begin(region: Region, machines: int = 9) -> None:
@@ -209,3 +211,28 @@
         await all_over_but_services(region)
 
     simulate(story)
+
+
+@pytest.mark.parametrize("step", ["rent", "release"])
+@pytest.mark.parametrize("stands_still", [False, True])
+def test_a_leader_that_stood_still_neither_rents_nor_returns(step: str, stands_still: bool) -> None:
+    """It stands still while it waits for the cloud's pace, between its look at its right to lead
+    and the request."""
+
+    async def story(state: StateService, clock: FakeClock, nodes: dict[str, Node]) -> None:
+        seed(state, clock, machines=1)
+        add_machine(state, clock, "n-9", retiring="idle")
+        node = Node(state, clock, nodes)
+        await node.boot()
+        leader = node.leader
+        need = Need(node.forecast.sources()[0], 2)
+        leader._cloud._pacer.drain()
+        begun = leader._rent_one(0, need) if step == "rent" else leader._release()
+        task = await curio.spawn(begun, daemon=True)
+        await curio.sleep(0.05)
+        clock.time += 25.0 if stands_still else 0.5
+        await curio.sleep(0.5)
+        await task.cancel()
+        assert bool(node.cloud.requests or node.cloud.released) is not stands_still
+
+    play(story)
