Test: controllers stand still at drawn moments, and views agree with the machines afterwards

Eight drawn stories of three freezes of 5 to 25 s each, in the middle of whatever the loops wait for, with jobs that come, end and are cancelled meanwhile. The judge finds no rule broken, and every machine has a controller that acts for it and believes what is on it within two report intervals, once the shards are home.

--- a/crossmill/cluster/cluster_state.py
+++ b/crossmill/cluster/cluster_state.py
@@ -344,6 +344,7 @@
             value["up"],
             value.get("token", 0),
             version,
+            value.get("boot_s"),
         )
         if old is not None:
             machine.images = old.images
--- a/crossmill/cluster/model.py
+++ b/crossmill/cluster/model.py
@@ -125,6 +125,8 @@
     # its worker can have seen, and than any that a command still under way can carry
     token: int = 0
     version: int = 0
+    # seconds from the rental to the first report, as the shard's owner saw it; None: not known
+    boot_s: float | None = None
     cpus: float = 0.0
     gpus: float = 0.0
     memory_gb: float = 0.0
@@ -138,10 +140,12 @@
         retiring: str | None = None,
         up: bool | None = None,
         moved: tuple[int, int] | None = None,
+        boot_s: float | None = None,
     ) -> dict[str, Any]:
         """Its record, changed; `moved` is the shard that gets it and its new token."""
         shard, token = moved or (self.shard, self.token)
         return {
+            "boot_s": self.boot_s if boot_s is None else boot_s,
             "type": self.type,
             "zone": self.zone,
             "spot": self.spot,
--- a/crossmill/fleet/forecast.py
+++ b/crossmill/fleet/forecast.py
@@ -16,6 +16,7 @@
 from ..settings import Settings
 from ..wire.cloud import MachineType
 from ..wire.users import JobSpec
+from .boot_times import BootTimes
 from .pipelines import PipelineBudgets
 from .room_cache import RoomCache
 
@@ -37,6 +38,7 @@
         self._clock = clock
         self._cluster = cluster
         self.estimates = Estimates()
+        self.boot_times = BootTimes(settings, cluster.mirror)
         self._pipelines = PipelineBudgets(settings, clock, cluster, self.estimates)
         self.blocked: dict[tuple[str, str, bool], float] = {}
         self._arrivals: dict[tuple[int, str], _Arrivals] = {}
@@ -53,7 +55,7 @@
         kind = self._cluster.catalog.get(machine.type)
         if kind is None or machine.retiring:
             return None
-        if not machine.up and wall - machine.rented > self._settings.late_boot * kind.boot_s:
+        if not machine.up and not self.boot_times.is_expected(machine, kind, wall):
             # late: it may still come, but nobody counts on it
             return None
         return kind
--- a/crossmill/jobs/machine_maintenance.py
+++ b/crossmill/jobs/machine_maintenance.py
@@ -61,11 +61,7 @@
         if now - self._looked_at.get(shard, -inf) < self._settings.maintenance_s:
             return []
         self._looked_at[shard] = now
-        intents = [
-            self._intent(shard, own, m, m.encode(up=True))
-            for m in machines
-            if not m.up and (v := self._reports.peek(m.id)) is not None and v.trusted
-        ]
+        intents = self._came_up(shard, own, machines)
         cut = self._silent_zones(shard, machines, now)
         spare = self._spare(shard, machines, now)
         for machine in machines:
@@ -82,6 +78,23 @@
                 intents.append(self._intent(shard, own, machine, machine.encode(why, True)))
         return intents
 
+    def _came_up(self, shard: int, own: Owned, machines: list[Machine]) -> list[Intent]:
+        intents: list[Intent] = []
+        for machine in machines:
+            view = self._reports.peek(machine.id)
+            if machine.up or view is None or not view.trusted:
+                continue
+            boot_s = round(self._clock.wall() - machine.rented, 1)
+            log.info(
+                "machine up machine=%s type=%s spot=%s boot_s=%.1f",
+                machine.id,
+                machine.type,
+                machine.spot,
+                boot_s,
+            )
+            intents.append(self._intent(shard, own, machine, machine.encode(up=True, boot_s=boot_s)))
+        return intents
+
     def _silent_zones(self, shard: int, machines: list[Machine], now: float) -> set[str]:
         """Zones of which most machines that have been up are not heard, or were not until a
         moment ago: they fall silent and come back one by one, and none should be given up for
@@ -144,8 +157,8 @@
                 # an earlier owner has heard it: half a fleet was once taken for never come up
                 # by whoever took over while its zone was cut off
                 return "silent"
-            age = self._clock.wall() - machine.rented
-            return "never-up" if age > self._settings.boot_patience * kind.boot_s else ""
+            has_failed = self._forecast.boot_times.has_failed(machine, kind, self._clock.wall())
+            return "never-up" if has_failed else ""
         if not view.fresh(now, patience):
             return "silent"
         if self._failures.is_faulty(machine.id):
--- a/tests/test_on_call_troubles.py
+++ b/tests/test_on_call_troubles.py
@@ -1,6 +1,7 @@
 """What the operators' on-call people met: controllers that stand still and go on with clocks that
 ran, all but one gone for a minute, machines that come up late or never, broken jobs, guests."""
 
+import random
 from collections.abc import Awaitable, Callable
 
 import curio
@@ -236,3 +237,60 @@
         assert bool(node.cloud.requests or node.cloud.released) is not stands_still
 
     play(story)
+
+
+def _agrees(region: Region, worker: Worker) -> bool:
+    """Whether some controller acts for the machine and believes what is on it."""
+    for node in region.nodes.values():
+        machine = node.cluster.machines.get(worker.machine)
+        if machine is None or node.membership.acting(machine.shard) is None:
+            continue
+        view = node.reports.peek(worker.machine)
+        if view is not None and view.trusted and set(view.tasks) == set(worker.tasks):
+            return True
+    return False
+
+
+@pytest.mark.parametrize("seed_number", range(900, 908))
+def test_views_agree_soon_after_freezes_drawn_by_lot(seed_number: int) -> None:
+    """Controllers stand still at drawn moments, in the middle of whatever each of their loops waits
+    for, while jobs come, end and are cancelled; the judge looks on."""
+    lots = random.Random(seed_number)
+
+    async def story(region: Region) -> None:
+        await _begin(region, machines=12)
+        services = [f"wk-{n:06d}" for n in range(9)]
+        for n, job in enumerate(services):
+            crew = ("red", "blue", "green")[n % 3]
+            assert await region.submit("node-0", job, None, crew=crew, sacks=2) == 201
+        await region.until(lambda: all(region.running(job) for job in services))
+        for freeze in range(3):
+            label = lots.choice(region.LABELS)
+            freeze_s = lots.uniform(5.0, 25.0)
+            traffic = await curio.spawn(_traffic, region, label, freeze, daemon=True)
+            await curio.sleep(lots.uniform(0.0, 3.0))
+            region.still_until[label] = region.clock.now() + freeze_s
+            others = [other for other in region.LABELS if other != label]
+            assert await region.cancel_until_told(lots.choice(others), services[freeze], 20.0)
+            await curio.sleep(max(0.0, region.still_until[label] - region.clock.now()))
+            await traffic.join()
+            # all shards go home within two leases; from then on nobody's view may be old
+            await curio.sleep(2 * region.lease_s)
+            await region.until(
+                lambda: all(_agrees(region, worker) for worker in region.workers.values()),
+                2 * region.report_s,
+            )
+        assert not any(region.running(job) for job in services[:3])
+        assert all(len(region.running(job)) > 0 for job in services[3:])
+
+    simulate(story)
+
+
+async def _traffic(region: Region, frozen: str, number: int) -> None:
+    """Short arrays through the controllers that go on, until well after the freeze has begun."""
+    labels = [label for label in region.LABELS if label != frozen]
+    for n in range(8):
+        job = f"wk-{1000 * (number + 1) + n:06d}"
+        crew = ("red", "blue", "green")[n % 3]
+        await region.submit(labels[n % 2], job, 2.0, crew=crew, sacks=2)
+        await curio.sleep(1.0)
