How long a booting machine is waited for follows from the boots seen

Cause: a machine not up after 3.5 boot times was returned, and one later than 1.8 not counted on, whatever the others did. Now the first report's time is kept in the machine's record, and the bounds follow from the last eight boots of the type. Until there are such, machines that are late together, with none of their type ahead of them, are waited for 2.5 times as long, and every other one of them counts as supply; one that others have overtaken is given up as before.

--- a/crossmill/cluster/model.py
+++ b/crossmill/cluster/model.py
@@ -144,8 +144,7 @@
     ) -> dict[str, Any]:
         """Its record, changed; `moved` is the shard that gets it and its new token."""
         shard, token = moved or (self.shard, self.token)
-        return {
-            "boot_s": self.boot_s if boot_s is None else boot_s,
+        record = {
             "type": self.type,
             "zone": self.zone,
             "spot": self.spot,
@@ -155,6 +154,9 @@
             "retiring": self.retiring if retiring is None else retiring,
             "up": self.up if up is None else up,
         }
+        if boot_s is not None or self.boot_s is not None:
+            record["boot_s"] = self.boot_s if boot_s is None else boot_s
+        return record
 
 
 class Shard(NamedTuple):
--- a/crossmill/fleet/boot_times.py
+++ b/crossmill/fleet/boot_times.py
@@ -1,15 +1,16 @@
 """How long machines take to come up, learned from those that did.
 
-The catalogue states a usual boot time. At times machines take several times as long, and a few never
-come up. A bound of a fixed number of boot times gave up whole batches that were only late, rented
-them anew, and gave those up as well, so that none ever joined while the trouble lasted. Whether a
-machine is late by itself, or all are, shows in those of its type that were rented with it or after
-it: if one of them is up, the machine has been overtaken.
+The catalogue states a usual boot time. At times machines take several times as long, and a few
+never come up. A bound of a fixed number of boot times gave up whole batches that were only late,
+rented them anew, and gave those up as well, so that none ever joined while the trouble lasted.
+Whether a machine is late by itself, or all are, shows in those of its type that were rented with it
+or after it: if one of them is up, the machine has been overtaken.
 
-All ages here are in parts of the type's boot time. What is learned rests on the machines' records, so
-that every controller concludes the same."""
+All ages here are in parts of the type's boot time. What is learned rests on the machines' records,
+so that every controller concludes the same."""
 
 from collections import deque
+from math import inf
 from typing import Any, NamedTuple
 
 from ..cluster import keys
@@ -22,6 +23,9 @@
 KEPT_BOOTS = 8
 # so many machines that are late with none of their type ahead of them: the cloud is slow
 SLOW_TOGETHER = 2
+# beyond the slowest boot remembered by this factor a machine is late, or has failed
+LATE_MARGIN = 1.25
+FAILED_MARGIN = 2.0
 
 
 class _Boot(NamedTuple):
@@ -63,10 +67,10 @@
             boots.append(_Boot(machine, value["at"], value["boot_s"]))
 
     def is_expected(self, machine: Machine, kind: MachineType, wall: float) -> bool:
-        """Whether the machine, which is not up yet, counts as supply. Of those that are late together
-        every other one does: the rest is replaced while it is missed."""
+        """Whether the machine, which is not up yet, counts as supply. Of those that are late
+        together every other one does: the rest is replaced while it is missed."""
         age = self._age(machine, kind, wall)
-        if age <= max(self._settings.late_boot, 1.25 * self._slowest(kind)):
+        if age <= max(self._settings.late_boot, LATE_MARGIN * self._slowest(kind)):
             return True
         late = self._late_together(machine, kind, wall)
         return len(late) >= SLOW_TOGETHER and late.index(machine.id) % 2 == 0
@@ -74,7 +78,7 @@
     def has_failed(self, machine: Machine, kind: MachineType, wall: float) -> bool:
         """Whether the machine will hardly come up any more, and is to be returned."""
         age = self._age(machine, kind, wall)
-        if age <= max(self._settings.boot_patience, 2 * self._slowest(kind)):
+        if age <= max(self._settings.boot_patience, FAILED_MARGIN * self._slowest(kind)):
             return False
         is_cloud_slow = len(self._late_together(machine, kind, wall)) >= SLOW_TOGETHER
         return not is_cloud_slow or age > self._settings.slow_boot_patience
@@ -91,7 +95,7 @@
     def _late_together(self, machine: Machine, kind: MachineType, wall: float) -> list[str]:
         """The machines of the type that are late and were not overtaken, if this is one of them."""
         boots = self._boots.get(kind.name, ())
-        newest = max((boot.rented for boot in boots), default=0.0)
+        newest = max((boot.rented for boot in boots), default=-inf)
         if machine.rented <= newest:
             return []
         latest = wall - self._settings.late_boot * kind.boot_s
--- a/crossmill/jobs/machine_maintenance.py
+++ b/crossmill/jobs/machine_maintenance.py
@@ -79,20 +79,25 @@
         return intents
 
     def _came_up(self, shard: int, own: Owned, machines: list[Machine]) -> list[Intent]:
+        """Writes for machines that have reported for the first time, with how long they booted."""
         intents: list[Intent] = []
         for machine in machines:
             view = self._reports.peek(machine.id)
             if machine.up or view is None or not view.trusted:
                 continue
-            boot_s = round(self._clock.wall() - machine.rented, 1)
+            # a type that no catalogue has is not an ordinary machine's: nothing is learned of it
+            boot_s = None
+            if machine.type in self._cluster.catalog:
+                boot_s = round(self._clock.wall() - machine.rented, 1)
             log.info(
-                "machine up machine=%s type=%s spot=%s boot_s=%.1f",
+                "machine up machine=%s type=%s spot=%s boot_s=%s",
                 machine.id,
                 machine.type,
                 machine.spot,
                 boot_s,
             )
-            intents.append(self._intent(shard, own, machine, machine.encode(up=True, boot_s=boot_s)))
+            value = machine.encode(up=True, boot_s=boot_s)
+            intents.append(self._intent(shard, own, machine, value))
         return intents
 
     def _silent_zones(self, shard: int, machines: list[Machine], now: float) -> set[str]:
