Owned shards have one holder, which membership and promises are given

Readable code, no change of behaviour: what was set from outside after construction (promises.owned, served_ago_s, refused_at; deputies.sync) is a constructor argument, Owned and the shards being taken have a module of their own, and promises no longer know of the membership. 757 tests passed; tests were changed where they construct or call these.

--- a/crossmill/app.py
+++ b/crossmill/app.py
@@ -15,6 +15,7 @@
 from .cluster.keeper import Keeper
 from .cluster.keys import ROOT
 from .cluster.membership import Membership
+from .cluster.ownership import OwnedShards
 from .cluster.promises import Promises
 from .fleet.cloud import Cloud
 from .fleet.forecast import DemandForecast
@@ -62,17 +63,22 @@
         self.follower = Follower(client, mirror, clock, ROOT, settings)
         self.writer = Writer(client, mirror, clock, settings, lambda: self.cluster.limits)
         self.keeper = Keeper(client, clock, settings)
-        self.promises = Promises(settings, clock)
-        self.promises.served_ago_s = client.served_ago_s
-        self.promises.refused_at = client.refused_at
+        shards = OwnedShards()
+        self.promises = Promises(settings, clock, shards, client)
         self.membership = Membership(
-            settings, clock, self.keeper, self.cluster, self.follower, self.writer, self.promises
+            settings,
+            clock,
+            self.keeper,
+            self.cluster,
+            self.follower,
+            self.writer,
+            shards,
+            self.promises,
         )
         self.feature_level = FeatureLevel(
             settings, clock, self.cluster, self.follower, self.writer, self.membership
         )
-        self.deputies = Deputies(settings, clock, self.cluster, self.keeper)
-        self.deputies.sync = self.follower.sync
+        self.deputies = Deputies(settings, clock, self.cluster, self.keeper, self.follower.sync)
         self.reports = Reports(settings, clock, self.cluster, self.membership, self.deputies)
         self.forecast = DemandForecast(settings, clock, self.cluster)
         direct = Direct(settings, self.cluster, self.membership, self.reports)
--- a/crossmill/cluster/deputies.py
+++ b/crossmill/cluster/deputies.py
@@ -46,6 +46,7 @@
         clock: Clock,
         cluster: ClusterState,
         keeper: Keeper,
+        sync: Callable[[float], Awaitable[bool]],
         connect: Callable[[Peer], Http] = lambda peer: Client(peer.endpoint, max_sockets=2),
     ) -> None:
         self._settings = settings
@@ -58,8 +59,8 @@
             self._of_zone.setdefault(peer.zone, []).append(peer.label)
         self._elsewhere = [p.label for p in settings.peers if p.zone != settings.zone]
         self._started = clock.now()
-        # set by the application: shows that the mirror holds all that is durable
-        self.sync: Callable[[float], Awaitable[bool]] | None = None
+        # shows that the mirror holds all that is durable
+        self._sync = sync
         # as a deputy: when all that was durable was known, whom we answered, whom we must not,
         # and the jobs that are being withdrawn
         self._synced_at: float | None = None
@@ -82,13 +83,13 @@
         announced = mine is not None and mine["lease"] == self._keeper.lease
         return self._keeper.lease if announced and self._keeper.authority() else None
 
-    async def _note_durable(self, sync: Callable[[float], Awaitable[bool]]) -> None:
+    async def _note_durable(self) -> None:
         """Reads all that is durable. It counts while our key stands in the state service, as it
         did when the read was sent: its going bounds for others how long we may answer, and its
         change shows them that promises of the process before this one are void."""
         sent, lease = self._clock.now(), self._announced_lease()
         if (
-            await sync(self._settings.renew_s)
+            await self._sync(self._settings.renew_s)
             and lease is not None
             and lease == self._announced_lease()
         ):
@@ -309,8 +310,8 @@
                 machines = [m for m, z in asked.items() if z == zone]
                 for label in labels if machines else ():
                     await group.spawn(self._ask, label, machines)
-        if self.sync is not None and not self._keeper.failing:
-            await self._note_durable(self.sync)
+        if not self._keeper.failing:
+            await self._note_durable()
 
     async def run(self) -> None:
         """Steps until the controller ends."""
--- a/crossmill/cluster/membership.py
+++ b/crossmill/cluster/membership.py
@@ -2,7 +2,6 @@
 
 import logging
 from collections.abc import Callable
-from dataclasses import dataclass
 
 import curio
 
@@ -15,6 +14,7 @@
 from .cluster_state import ClusterState
 from .keeper import Keeper
 from .owner_choice import OwnerChoice
+from .ownership import Owned, OwnedShards
 from .promises import Promises
 from .reachability import WorkerReachability
 from .write_shares import write_share
@@ -22,20 +22,6 @@
 log = logging.getLogger(__name__)
 
 
-@dataclass(slots=True, eq=False)
-class Owned:
-    """A shard this incarnation acts for. `ready` once all earlier owners' writes are known.
-    `term` is the token under which this ownership began: it stays when the token is raised, and
-    whatever was concluded under another term is void."""
-
-    token: int
-    version: int
-    acquired_at: float
-    epoch: int
-    term: int
-    ready: bool = False
-
-
 class Membership:
     """Which shards this controller owns, under which tokens, and whether it leads."""
 
@@ -47,6 +33,7 @@
         cluster: ClusterState,
         follower: Follower,
         writer: Writer,
+        shards: OwnedShards,
         promises: Promises,
     ) -> None:
         self._settings = settings
@@ -56,13 +43,13 @@
         self._follower = follower
         self._writer = writer
         self._promises = promises
-        promises.owned = lambda: self.owned
         self.reachability = WorkerReachability(settings, clock, cluster)
         self.choice = OwnerChoice(settings, clock, cluster)
         self._seen = 0
         self._started = clock.now()
         self._missing: dict[str, float] = {}
-        self.owned: dict[int, Owned] = {}
+        self._shards = shards
+        self.owned = shards.owned
         self._leads: tuple[int, int] | None = None
         # by shard: a token that a worker has seen and that the next has to be above
         self._raise: dict[int, int] = {}
@@ -247,11 +234,11 @@
         return self._patient(key)
 
     async def _take(self, shard: int, above: int = 0) -> None:
-        self._promises.taking.add(shard)
+        self._shards.taking.add(shard)
         try:
             await self._take_one(shard, above)
         finally:
-            self._promises.taking.discard(shard)
+            self._shards.taking.discard(shard)
 
     def next_token(self, above: int = 0) -> tuple[int, int]:
         """The next token, above this one, and the counter's version that a write of it rests on."""
--- /dev/null
+++ b/crossmill/cluster/ownership.py
@@ -0,0 +1,30 @@
+"""The shards that this controller owns: kept by the membership, read by all who act for them."""
+
+from dataclasses import dataclass, field
+
+
+@dataclass(slots=True, eq=False)
+class Owned:
+    """A shard this incarnation acts for. `ready` once all earlier owners' writes are known.
+    `term` is the token under which this ownership began: it stays when the token is raised, and
+    whatever was concluded under another term is void."""
+
+    token: int
+    version: int
+    acquired_at: float
+    epoch: int
+    term: int
+    ready: bool = False
+
+
+@dataclass(slots=True, eq=False)
+class OwnedShards:
+    """The shards owned, and those that are being taken right now."""
+
+    owned: dict[int, Owned] = field(default_factory=dict)
+    taking: set[int] = field(default_factory=set)
+
+    def claimed(self) -> set[int]:
+        """The shards that this controller acts for, or may be about to: a transaction under way
+        can't be called back."""
+        return {*self.owned, *self.taking}
--- a/crossmill/cluster/promises.py
+++ b/crossmill/cluster/promises.py
@@ -7,7 +7,8 @@
 not act for it, or after the longest promise it can have forgotten has ended."""
 
 import logging
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
+from typing import Protocol
 
 import curio
 
@@ -17,10 +18,21 @@
 from ..settings import Peer, Settings
 from ..wire import peers as wire
 from ..wire.checks import Malformed
+from .ownership import OwnedShards
 
 log = logging.getLogger(__name__)
 
 
+class ServiceContact(Protocol):
+    """When the state service last served this controller, and when it did not."""
+
+    def served_ago_s(self) -> float | None:
+        """How long ago it was served; None: never."""
+
+    def refused_at(self) -> float:
+        """When it was last refused, or got no answer."""
+
+
 class Promises:
     """Grants and asks for extensions of a controller's right to answer while the state service
     is out."""
@@ -29,6 +41,8 @@
         self,
         settings: Settings,
         clock: Clock,
+        shards: OwnedShards,
+        service: ServiceContact,
         connect: Callable[[Peer], Http] = lambda peer: Client(peer.endpoint, max_sockets=2),
     ) -> None:
         self._settings = settings
@@ -39,12 +53,8 @@
         self._got: dict[str, float] = {}
         self._free: dict[str, set[int]] = {}
         self._failing_since: float | None = None
-        # set by the membership: shards owned, and those being taken right now
-        self.owned: Callable[[], Iterable[int]] = lambda: ()
-        self.taking: set[int] = set()
-        # set by the application: how long ago the state service last served this controller
-        self.served_ago_s: Callable[[], float | None] = lambda: None
-        self.refused_at: Callable[[], float] = lambda: 0.0
+        self._shards = shards
+        self._service = service
         self._others_served_at: float | None = None
         self.alone = False
 
@@ -53,7 +63,7 @@
     def handle(self, request: Request) -> Response:
         """Answers a peer's request for a promise, or for the shards that this controller acts
         for."""
-        mine = {*self.owned(), *self.taking}
+        mine = self._shards.claimed()
         if request.path == wire.ACTING_PATH and request.method == "GET":
             return Response(200, wire.acting_body(sorted(mine)))
         if request.path != wire.PROMISE_PATH or request.method != "POST":
@@ -63,12 +73,11 @@
         except Malformed:
             return Response(400)
         if mine & set(claim.shards):
-            # taken, or perhaps about to be: a transaction under way can't be called back
             return Response(409)
         until = self._clock.now() + self._settings.promise_s * (1 + self._settings.drift)
         for shard in claim.shards:
             self._given[shard] = until
-        return Response(200, wire.promise_body(self.served_ago_s()))
+        return Response(200, wire.promise_body(self._service.served_ago_s()))
 
     def bound(self, shard: int) -> bool:
         """Whether a promise forbids taking this shard now."""
@@ -156,6 +165,6 @@
             return
         if self._others_served_at is None:
             self._others_served_at = self._clock.now()
-        elif self.refused_at() > self._others_served_at:
+        elif self._service.refused_at() > self._others_served_at:
             log.info("state service refuses us alone peer=%s", label)
             self.alone = True
--- a/crossmill/jobs/cleanup.py
+++ b/crossmill/jobs/cleanup.py
@@ -5,8 +5,9 @@
 
 from ..cluster import keys
 from ..cluster.cluster_state import ClusterState
-from ..cluster.membership import Membership, Owned
+from ..cluster.membership import Membership
 from ..cluster.model import ACTIVE, CANCELLED, Job
+from ..cluster.ownership import Owned
 from ..cluster.records import encode_archived, encode_end
 from ..net.clock import Clock
 from ..settings import Settings
--- a/crossmill/jobs/durable.py
+++ b/crossmill/jobs/durable.py
@@ -6,8 +6,9 @@
 from ..cluster import keys
 from ..cluster.cluster_state import ClusterState
 from ..cluster.layout import ChunkRange
-from ..cluster.membership import Membership, Owned
+from ..cluster.membership import Membership
 from ..cluster.model import DONE, Chunk, Job, Machine, Row
+from ..cluster.ownership import Owned
 from ..cluster.records import encode_chunk, encode_end
 from ..net.clock import Clock
 from ..settings.limits import OTHER_CONDITIONS
--- a/crossmill/jobs/machine_maintenance.py
+++ b/crossmill/jobs/machine_maintenance.py
@@ -8,8 +8,9 @@
 from ..cluster import keys
 from ..cluster.cluster_state import ClusterState
 from ..cluster.deputies import Deputies
-from ..cluster.membership import Membership, Owned
+from ..cluster.membership import Membership
 from ..cluster.model import Machine
+from ..cluster.ownership import Owned
 from ..fleet.forecast import DemandForecast
 from ..net.clock import Clock
 from ..settings import Settings
--- a/crossmill/jobs/placement.py
+++ b/crossmill/jobs/placement.py
@@ -4,8 +4,8 @@
 from dataclasses import replace
 
 from ..cluster.cluster_state import ClusterState
-from ..cluster.membership import Owned
 from ..cluster.model import Job, Machine, Row
+from ..cluster.ownership import Owned
 from ..fleet.forecast import DemandForecast
 from ..net.clock import Clock
 from ..planning.rooms import Room, Zones, allowed, assign
--- a/crossmill/jobs/plan_migration.py
+++ b/crossmill/jobs/plan_migration.py
@@ -11,8 +11,9 @@
 from ..cluster import keys
 from ..cluster.cluster_state import ClusterState
 from ..cluster.layout import ChunkRange
-from ..cluster.membership import Membership, Owned
+from ..cluster.membership import Membership
 from ..cluster.model import ACTIVE, Chunk, Job
+from ..cluster.ownership import Owned
 from ..cluster.records import encode_chunk
 from ..state.writer import Intent, WriteRank
 from ..wire.state import Put, Txn
--- a/crossmill/jobs/preemption.py
+++ b/crossmill/jobs/preemption.py
@@ -6,8 +6,8 @@
 from math import inf
 
 from ..cluster.cluster_state import ClusterState
-from ..cluster.membership import Owned
 from ..cluster.model import Job, Machine, Row
+from ..cluster.ownership import Owned
 from ..fleet.forecast import DemandForecast
 from ..net.clock import Clock
 from ..planning.rooms import Room, Zones, allowed
--- a/crossmill/jobs/record_repair.py
+++ b/crossmill/jobs/record_repair.py
@@ -13,8 +13,9 @@
 
 from ..cluster import keys
 from ..cluster.cluster_state import ClusterState
-from ..cluster.membership import Membership, Owned
+from ..cluster.membership import Membership
 from ..cluster.model import CANCELLED, DONE, Job
+from ..cluster.ownership import Owned
 from ..cluster.records import encode_end, encode_job
 from ..net.clock import Clock
 from ..settings import Settings
--- a/crossmill/jobs/rounds.py
+++ b/crossmill/jobs/rounds.py
@@ -10,8 +10,9 @@
 from ..cluster import keys
 from ..cluster.cluster_state import ClusterState
 from ..cluster.deputies import Deputies
-from ..cluster.membership import Membership, Owned
+from ..cluster.membership import Membership
 from ..cluster.model import Job, Machine, Row
+from ..cluster.ownership import Owned
 from ..fleet.forecast import DemandForecast
 from ..net.clock import Clock
 from ..settings import Settings
--- a/crossmill/jobs/shard_writes.py
+++ b/crossmill/jobs/shard_writes.py
@@ -3,7 +3,8 @@
 from functools import partial
 
 from ..cluster import keys
-from ..cluster.membership import Membership, Owned
+from ..cluster.membership import Membership
+from ..cluster.ownership import Owned
 from ..state.writer import Intent, WriteRank
 from ..wire.state import Txn
 
--- a/crossmill/multihost/coordinator.py
+++ b/crossmill/multihost/coordinator.py
@@ -9,7 +9,8 @@
 
 import curio
 
-from ..cluster.membership import Membership, Owned
+from ..cluster.membership import Membership
+from ..cluster.ownership import Owned
 from ..net.clock import Clock
 from ..state.writer import Intent
 from .agents import Agents
--- a/crossmill/multihost/registration.py
+++ b/crossmill/multihost/registration.py
@@ -4,7 +4,8 @@
 
 from ..cluster import keys as cluster_keys
 from ..cluster.cluster_state import ClusterState
-from ..cluster.membership import Membership, Owned
+from ..cluster.membership import Membership
+from ..cluster.ownership import Owned
 from ..jobs.shard_writes import shard_intent
 from ..net.clock import Clock
 from ..state.writer import Intent, Writer, WriteRank
--- a/crossmill/multihost/set_rounds.py
+++ b/crossmill/multihost/set_rounds.py
@@ -4,7 +4,7 @@
 from collections.abc import Iterable
 from dataclasses import replace
 
-from ..cluster.membership import Owned
+from ..cluster.ownership import Owned
 from ..state.writer import Intent
 from .agents import Agents
 from .lifecycle import Moment
--- a/crossmill/multihost/writes.py
+++ b/crossmill/multihost/writes.py
@@ -8,7 +8,8 @@
 from dataclasses import replace as with_changes
 
 from ..cluster import keys as cluster_keys
-from ..cluster.membership import Membership, Owned
+from ..cluster.membership import Membership
+from ..cluster.ownership import Owned
 from ..jobs.shard_writes import shard_intent
 from ..state.writer import Intent, Writer, WriteRank, WriteResult
 from ..wire.state import Put, Txn
--- a/crossmill/recovery/service.py
+++ b/crossmill/recovery/service.py
@@ -7,8 +7,9 @@
 import curio
 
 from ..cluster.cluster_state import ClusterState
-from ..cluster.membership import Membership, Owned
+from ..cluster.membership import Membership
 from ..cluster.model import Machine
+from ..cluster.ownership import Owned
 from ..jobs.shard_writes import shard_intent
 from ..net.clock import Clock
 from ..settings import Settings
--- a/crossmill/recovery/shard_recovery.py
+++ b/crossmill/recovery/shard_recovery.py
@@ -5,8 +5,8 @@
 from collections.abc import Callable
 
 from ..cluster.cluster_state import ClusterState
-from ..cluster.membership import Owned
 from ..cluster.model import Machine
+from ..cluster.ownership import Owned
 from ..net.clock import Clock
 from ..net.pacer import Pacer
 from ..wire.workers import Command
--- a/crossmill/workers/order_gate.py
+++ b/crossmill/workers/order_gate.py
@@ -2,8 +2,8 @@
 
 from typing import Protocol
 
-from ..cluster.membership import Owned
 from ..cluster.model import Machine
+from ..cluster.ownership import Owned
 from ..wire.workers import Command
 from .views import View
 
--- a/crossmill/workers/reports.py
+++ b/crossmill/workers/reports.py
@@ -9,8 +9,9 @@
 
 from ..cluster.cluster_state import ClusterState
 from ..cluster.deputies import Deputies
-from ..cluster.membership import Membership, Owned
+from ..cluster.membership import Membership
 from ..cluster.model import Attempt, Machine, Row
+from ..cluster.ownership import Owned
 from ..net.clock import Clock
 from ..settings import Settings
 from ..wire.workers import MAX_ORDERS, Command, Report, TaskReport, cached_task_reader
--- a/tests/harness.py
+++ b/tests/harness.py
@@ -12,6 +12,7 @@
 from crossmill.cluster.feature_level import FeatureLevel
 from crossmill.cluster.keeper import Keeper
 from crossmill.cluster.membership import Membership
+from crossmill.cluster.ownership import OwnedShards
 from crossmill.cluster.promises import Promises
 from crossmill.cluster.records import encode_job
 from crossmill.fleet.cloud import Cloud, stored_catalog
@@ -113,17 +114,15 @@
         def line(peer: Peer) -> Http:
             return connect(peer) if connect is not None else PeerLine(nodes, peer.label)
 
-        self.promises = Promises(s, clock, line)
-        self.promises.served_ago_s = self.client.served_ago_s
-        self.promises.refused_at = self.client.refused_at
+        shards = OwnedShards()
+        self.promises = Promises(s, clock, shards, self.client, line)
         self.membership = Membership(
-            s, clock, self.keeper, self.cluster, self.follower, self.writer, self.promises
+            s, clock, self.keeper, self.cluster, self.follower, self.writer, shards, self.promises
         )
         self.feature_level = FeatureLevel(
             s, clock, self.cluster, self.follower, self.writer, self.membership
         )
-        self.deputies = Deputies(s, clock, self.cluster, self.keeper, line)
-        self.deputies.sync = self.follower.sync
+        self.deputies = Deputies(s, clock, self.cluster, self.keeper, self.follower.sync, line)
         self.reports = Reports(s, clock, self.cluster, self.membership, self.deputies)
         self.forecast = DemandForecast(s, clock, self.cluster)
         self.worker = WorkerLine()
--- a/tests/test_deputies.py
+++ b/tests/test_deputies.py
@@ -145,7 +145,7 @@
         await it.begin()
         # the process before this one may have promised to leave the machine
         it.deputy.cluster.nodes["node-0"] = {"lease": -1}
-        await it.deputy.deputies._note_durable(it.deputy.follower.sync)
+        await it.deputy.deputies._note_durable()
         assert it.deputy.deputies._synced_at is None
         it.cut()
         await it.deputy.keeper.step()
--- a/tests/test_unseen_changes.py
+++ b/tests/test_unseen_changes.py
@@ -355,7 +355,7 @@
             await node.membership._announce()
             return True
 
-        node.deputies.sync = announced_meanwhile
+        node.deputies._sync = announced_meanwhile
         await node.deputies.step()
         assert keys.node("node-0") in state.keys
         assert node.deputies._synced_at is None
