Recovery: a dry run, and fields that the file does not have are refused

An operator can try the file on a fleet that serves: with dry_run = true all orders, placements and returns are let through as without it, and recoveries are classified, logged and recorded with what would have been held back. A misspelt field is named with exit code 2; it was passed over before.

The tests play one restart without the file, with the dry run and with the file: the first two give every worker the same orders at the same tenth of a second, the third does not; seen to fail with a dry run that holds orders back.

--- a/crossmill/cli.py
+++ b/crossmill/cli.py
@@ -133,7 +133,8 @@
         print(f"multi-machine replicas on {multihost.listen.host}:{multihost.listen.port}")
         _print_derived(multihost, "heartbeat_s", "detection_s", "serving_lease_s", "agent_lease_s")
     if recovery is not None:
-        print(f"recovery, brake at {recovery.brake_share:g} of the tasks or machines known")
+        kind = "recovery, dry run" if recovery.dry_run else "recovery"
+        print(f"{kind}, brake at {recovery.brake_share:g} of the tasks or machines known")
         _print_derived(recovery, "observe_s", "shard_orders_per_s", "worker_orders_per_s")
 
 
--- a/crossmill/recovery/records.py
+++ b/crossmill/recovery/records.py
@@ -38,8 +38,11 @@
     return None if value is None else BrakedReport(**value)
 
 
-def encode_record(recovery: ShardRecovery, controller: str, wall: float) -> dict[str, Any]:
-    """The record of a recovery that has come to its end."""
+def encode_record(
+    recovery: ShardRecovery, controller: str, wall: float, dry_run: bool
+) -> dict[str, Any]:
+    """The record of a recovery that has come to its end; of a dry run also what was let through
+    that would have been held back."""
     return {
         "shard": recovery.shard,
         "token": recovery.term,
@@ -51,6 +54,8 @@
         "machine_classes": {str(name): n for name, n in recovery.machine_classes.items()},
         "classes": {str(name): number for name, number in recovery.classes.items()},
         "orders": dict(recovery.orders),
+        "dry_run": dry_run,
+        "let_through": dict(recovery.let_through),
     }
 
 
--- a/crossmill/recovery/service.py
+++ b/crossmill/recovery/service.py
@@ -22,7 +22,7 @@
 from . import keys
 from .records import RecordIndex, decode_approval, encode_braked, encode_record
 from .settings import RecoverySettings
-from .shard_recovery import ShardRecovery
+from .shard_recovery import RELEASE, ShardRecovery
 
 log = logging.getLogger(__name__)
 
@@ -70,22 +70,31 @@
         if not orders:
             return orders
         admitted = [order for order in orders if recovery.admits(machine, order)]
+        if self._recovery.dry_run:
+            recovery.let_through.update(order.op for order in orders if order not in admitted)
+            return orders
         # an answer may not have room for all: what stops a task is what may be urgent
         return sorted(admitted, key=lambda order: order.op != "stop")
 
     def may_place(self, shard: int) -> bool:
         """Whether waiting tasks of the shard may be placed."""
         recovery = self._shards.get(shard)
-        return recovery is None or recovery.may_place
+        return recovery is None or recovery.may_place or self._recovery.dry_run
 
     def is_claimed(self, job: str, index: int) -> bool:
         """Whether a worker runs the task though no plan holds it."""
+        if self._recovery.dry_run:
+            return False
         return any(recovery.is_claimed((job, index)) for recovery in self._shards.values())
 
     def may_give_up(self, machine: Machine, why: str) -> bool:
         """Whether the machine may be marked to be returned."""
         recovery = self._shards.get(machine.shard)
-        return recovery is None or recovery.may_give_up(machine)
+        if recovery is None or recovery.may_give_up(machine):
+            return True
+        if self._recovery.dry_run:
+            recovery.let_through[RELEASE] += 1
+        return self._recovery.dry_run
 
     def _recovery_of(self, shard: int, own: Owned) -> ShardRecovery:
         recovery = self._shards.get(shard)
@@ -130,7 +139,7 @@
             await self._write_record(recovery, shard, own)
 
     def _take_approval(self, recovery: ShardRecovery) -> None:
-        if not recovery.is_braked:
+        if not recovery.is_braked or self._recovery.dry_run:
             return
         approval = decode_approval(self._cluster.mirror.value(keys.approval(recovery.shard)))
         if (
@@ -145,7 +154,8 @@
         """What the brake holds back is durable, so that an operator can ask any controller."""
         key = keys.braked(shard)
         stored = self._cluster.mirror.value(key)
-        wanted = encode_braked(recovery) if recovery.is_braked else None
+        is_braked = recovery.is_braked and not self._recovery.dry_run
+        wanted = encode_braked(recovery) if is_braked else None
         if stored == wanted:
             return
         version = self._cluster.mirror.version(key)
@@ -169,15 +179,19 @@
         return [key] if self._cluster.mirror.value(key) is not None else []
 
     async def _write_record(self, recovery: ShardRecovery, shard: int, own: Owned) -> None:
-        record = encode_record(recovery, self._settings.label, self._clock.wall())
+        controller, wall = self._settings.label, self._clock.wall()
+        record = encode_record(recovery, controller, wall, self._recovery.dry_run)
         log.info(
-            "recovery over shard=%d epoch=%d after_s=%.2f machines=%d tasks=%d orders=%d",
+            "recovery over shard=%d epoch=%d after_s=%.2f machines=%d tasks=%d orders=%d "
+            "dry_run=%s let_through=%d",
             shard,
             own.term,
             self._clock.now() - recovery.begun_at,
             recovery.machines_known,
             recovery.tasks_known,
             recovery.orders.total(),
+            self._recovery.dry_run,
+            recovery.let_through.total(),
         )
         surplus = self.records.surplus(shard, self._recovery.kept_records - 1)
         txn = Txn({}, [Put(keys.record(shard, own.term), record)], surplus)
@@ -207,7 +221,8 @@
 
     def phases(self) -> list[PhaseReport]:
         """Where the recoveries of this controller's shards are."""
+        dry_run = self._recovery.dry_run
         return [
-            PhaseReport(r.shard, r.term, str(r.phase), r.waits_for(), r.is_braked)
+            PhaseReport(r.shard, r.term, str(r.phase), r.waits_for(), r.is_braked, dry_run)
             for r in sorted(self.recoveries(), key=lambda recovery: recovery.shard)
         ]
--- a/crossmill/recovery/settings.py
+++ b/crossmill/recovery/settings.py
@@ -7,6 +7,19 @@
 from ..settings.loader import read_toml
 from ..settings.table import Table
 
+# the fields of the file's table
+FIELDS = (
+    "orders_per_s",
+    "orders_per_worker",
+    "observe_reports",
+    "brake_share",
+    "brake_least",
+    "first_batch",
+    "approval_s",
+    "kept_records",
+    "dry_run",
+)
+
 
 @dataclass(frozen=True, slots=True)
 class RecoverySettings:
@@ -28,6 +41,8 @@
     approval_s: float
     # how many records of recoveries are kept for each shard
     kept_records: int
+    # whether all is let through, and only noted what would have been held back
+    dry_run: bool
     nodes: int
     report_s: float
     lease_s: float
@@ -66,7 +81,9 @@
 
 def parse(data: dict[str, Any], settings: Settings) -> RecoverySettings:
     """Reads the table; raises BadSettings with the name of the field that is wrong."""
+    Table(data, "").expect_only("recovery")
     table = Table(data, "").table("recovery")
+    table.expect_only(*FIELDS)
     share = table.number("brake_share", 0, 0.2)
     if share > 1:
         raise BadSettings("recovery.brake_share: a number from 0 to 1 is needed")
@@ -80,6 +97,7 @@
         first_batch=int(table.number("first_batch", 1, 1.0)),
         approval_s=table.number("approval_s", 1, 60 * settings.lease_s),
         kept_records=int(table.number("kept_records", 1, 8.0)),
+        dry_run=table.flag("dry_run", False),
         nodes=settings.nodes,
         report_s=settings.report_s,
         lease_s=settings.lease_s,
--- a/crossmill/recovery/shard_recovery.py
+++ b/crossmill/recovery/shard_recovery.py
@@ -57,6 +57,8 @@
         self.classes: Counter[TaskClass] = Counter()
         self.machine_classes: Counter[MachineClass] = Counter()
         self.orders: Counter[str] = Counter()
+        # in a dry run, by kind: what was let through and would have been held back
+        self.let_through: Counter[str] = Counter()
         self.machines_known = 0
         self.tasks_known = 0
         # when the newest read was sent that showed all that was durable
--- a/crossmill/settings/table.py
+++ b/crossmill/settings/table.py
@@ -48,6 +48,22 @@
             raise BadSettings(f"{self._name(field)}: a number of at least {low:g} is needed")
         return float(value)
 
+    def flag(self, field: str, default: bool) -> bool:
+        """True or false."""
+        value = self.data.get(field, default)
+        if not isinstance(value, bool):
+            raise BadSettings(f"{self._name(field)}: true or false is needed")
+        return value
+
+    def expect_only(self, *fields: str) -> None:
+        """Refuses fields beyond these: in a file that an operator writes, a name that is not known
+        is a mistake, and what it was to change would stay as it is."""
+        for field in self.data:
+            if field not in fields:
+                raise BadSettings(
+                    f"{self._name(field)}: not a field, those are {', '.join(fields)}"
+                )
+
     def endpoint(self, field: str) -> Endpoint:
         """An address in the form HOST:PORT."""
         host, _, port = self.text(field).rpartition(":")
--- a/crossmill/wire/recovery.py
+++ b/crossmill/wire/recovery.py
@@ -38,6 +38,8 @@
     phase: str
     waits_for: str
     is_braked: bool
+    # whether all is let through, and this is only what would be
+    is_dry_run: bool
 
 
 def approval_body(approval: Approval) -> bytes:
--- a/tests/recovery_region.py
+++ b/tests/recovery_region.py
@@ -151,6 +151,11 @@
     worker.tasks[job, index] = Task(attempt, "running", worker.region.clock.now())
 
 
+def is_unplanned(blame: str) -> bool:
+    """What the judge says of tasks that the story gave to workers behind the plans' back."""
+    return " orphaned " in blame and blame.endswith(": in no plan")
+
+
 def simulate_recovery(
     story: Callable[[RecoveryRegion], Awaitable[None]],
     recovery: RecoverySettings | None,
--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -24,6 +24,7 @@
 from .recovery_region import (
     RecoveryRegion,
     give_unplanned,
+    is_unplanned,
     recovery_settings,
     simulate_recovery,
 )
@@ -74,11 +75,6 @@
         assert (await region.request(label, "POST", APPROVE_PATH, body)).status == 200
 
 
-def _is_unplanned(blame: str) -> bool:
-    """What the judge says of tasks that the story gave to workers behind the plans' back."""
-    return " orphaned " in blame and blame.endswith(": in no plan")
-
-
 @pytest.mark.parametrize("apart_s", [0.0, 1.0])
 def test_healthy_workers_get_no_order_after_all_controllers_end(apart_s: float) -> None:
     async def story(region: RecoveryRegion) -> None:
@@ -142,7 +138,7 @@
         # they forgot their tasks when their leases ended: nothing is ordered about those
         assert region.orders(silent) == before == {}
 
-    simulate_recovery(story, recovery_settings(), expected=_is_unplanned)
+    simulate_recovery(story, recovery_settings(), expected=is_unplanned)
 
 
 def test_a_cancellation_is_not_held_up_behind_many_differences() -> None:
@@ -161,7 +157,7 @@
         await curio.sleep(3 * region.report_s)
         assert not any(key[0] == job and t.state == "running" for key, t in odd.tasks.items())
 
-    simulate_recovery(story, recovery_settings(), expected=_is_unplanned)
+    simulate_recovery(story, recovery_settings(), expected=is_unplanned)
 
 
 def test_a_worker_that_comes_and_goes_costs_a_bounded_number_of_orders() -> None:
@@ -182,7 +178,7 @@
         _assert_paced(sent, region.recovery.worker_orders_per_s, region.recovery.orders_per_worker)
 
     settings = recovery_settings(orders_per_worker=2, brake_share=1.0)
-    simulate_recovery(story, settings, expected=_is_unplanned)
+    simulate_recovery(story, settings, expected=is_unplanned)
 
 
 def _assert_paced(times: list[float], rate: float, burst: float) -> None:
@@ -240,7 +236,7 @@
         least = region.recovery.brake_least * len(region.LABELS)
         assert sum(map(len, _tasks(region).values())) >= running - least
 
-    simulate_recovery(story, recovery_settings(), expected=_is_unplanned)
+    simulate_recovery(story, recovery_settings(), expected=is_unplanned)
 
 
 def test_nothing_is_torn_down_after_the_state_came_back_older_until_it_is_approved() -> None:
@@ -267,7 +263,7 @@
         _assert_paced(_recovery_orders(region, approved_at), settings.orders_per_s, burst)
 
     settings = recovery_settings(orders_per_s=1.5)
-    simulate_recovery(story, settings, expected=_is_unplanned)
+    simulate_recovery(story, settings, expected=is_unplanned)
 
 
 def test_an_empty_state_service_brings_no_order() -> None:
@@ -283,7 +279,7 @@
         assert region.orders() == {}
         assert not any(worker.tasks for worker in region.workers.values())
 
-    simulate_recovery(story, recovery_settings(), expected=_is_unplanned)
+    simulate_recovery(story, recovery_settings(), expected=is_unplanned)
 
 
 def test_an_approval_ends_with_the_ownership() -> None:
@@ -303,7 +299,7 @@
         assert _recovery_orders(region, 0.0) == []
         assert shard in [report["shard"] for report in (await _overview(region, other))["braked"]]
 
-    simulate_recovery(story, recovery_settings(), expected=_is_unplanned)
+    simulate_recovery(story, recovery_settings(), expected=is_unplanned)
 
 
 @pytest.mark.parametrize(("left_s", "is_honoured"), [(-1.0, False), (60.0, True)])
@@ -318,7 +314,7 @@
         await curio.sleep(20.0)
         assert bool(_recovery_orders(region, 0.0)) is is_honoured
 
-    simulate_recovery(story, recovery_settings(), expected=_is_unplanned)
+    simulate_recovery(story, recovery_settings(), expected=is_unplanned)
 
 
 def test_records_are_bounded_in_number() -> None:
@@ -380,7 +376,7 @@
         await curio.sleep(60.0)
         assert _tasks(region) == running
 
-    simulate_recovery(story, recovery_settings(), expected=_is_unplanned)
+    simulate_recovery(story, recovery_settings(), expected=is_unplanned)
 
 
 def test_a_cancellation_passes_a_brake_that_is_on() -> None:
@@ -395,7 +391,7 @@
         await curio.sleep(region.cancel_s + 1.0)
         assert not region.running(job)
 
-    simulate_recovery(story, recovery_settings(), expected=_is_unplanned)
+    simulate_recovery(story, recovery_settings(), expected=is_unplanned)
 
 
 def test_a_task_whose_row_was_lost_is_not_started_elsewhere_while_it_runs() -> None:
@@ -424,7 +420,7 @@
         await region.until(lambda: region.is_up(job, 3), 90.0)
 
     slow = recovery_settings(orders_per_s=0.1)
-    simulate_recovery(story, slow, expected=_is_unplanned)
+    simulate_recovery(story, slow, expected=is_unplanned)
 
 
 def test_a_planned_task_is_not_started_while_another_attempt_runs_elsewhere() -> None:
@@ -449,7 +445,7 @@
         await region.until(lambda: (job, index) in before.tasks, 120.0)
         assert (job, index) not in after.tasks or after.tasks[job, index].state == "exited"
 
-    simulate_recovery(story, recovery_settings(), expected=_is_unplanned)
+    simulate_recovery(story, recovery_settings(), expected=is_unplanned)
 
 
 def test_starts_under_way_at_a_change_of_owner_do_not_wait_for_batches() -> None:
@@ -502,7 +498,7 @@
         assert region.orders(others) == {}
         assert all(index < 70 for worker in odd for _, index in worker.tasks)
 
-    simulate_recovery(story, recovery_settings(), expected=_is_unplanned)
+    simulate_recovery(story, recovery_settings(), expected=is_unplanned)
 
 
 def _down(region: RecoveryRegion) -> None:
@@ -589,7 +585,7 @@
         assert ("wk-000001", 70) not in odd.tasks
         assert all(w.session == 1 for w in region.workers.values())
 
-    simulate_recovery(story, recovery_settings(), expected=_is_unplanned)
+    simulate_recovery(story, recovery_settings(), expected=is_unplanned)
 
 
 def test_one_that_was_behind_stops_nothing_that_another_planned() -> None:
@@ -654,7 +650,7 @@
         times.extend(_recovery_orders(region, 0.0))
         assert len(times) > FEW_SERVICES
 
-    simulate_recovery(story, settings, expected=_is_unplanned)
+    simulate_recovery(story, settings, expected=is_unplanned)
     return times
 
 
@@ -718,7 +714,7 @@
         region.mend()
         await region.until(lambda: ("wk-000001", 70) not in odd.tasks)
 
-    simulate_recovery(story, recovery_settings(), expected=_is_unplanned)
+    simulate_recovery(story, recovery_settings(), expected=is_unplanned)
 
 
 def test_a_stop_without_a_fresh_read_is_caught(monkeypatch: pytest.MonkeyPatch) -> None:
--- /dev/null
+++ b/tests/test_recovery_dry_run.py
@@ -0,0 +1,105 @@
+"""The recovery file's dry run: all goes as without the file, and what would have been held back is
+noted; and what the file does not take."""
+
+from pathlib import Path
+
+import curio
+import pytest
+import tomli_w
+
+from crossmill.cli import BAD_USAGE, main
+from crossmill.recovery.settings import RecoverySettings
+from crossmill.wire.checks import load_object
+from crossmill.wire.recovery import APPROVE_PATH, RECOVERY_PATH, Approval, approval_body
+
+from .recovery_region import (
+    RecoveryRegion,
+    give_unplanned,
+    is_unplanned,
+    recovery_settings,
+    simulate_recovery,
+)
+from .standins import settings_table
+
+
+async def _restart_with_differences(region: RecoveryRegion) -> None:
+    """All controllers end; a fifth of the machines then run tasks that no record holds."""
+    await region.begin(machines=0)
+    for number in range(20):
+        await region.add_worker(f"n-{number:02d}", ("north", "south")[number % 2], number % 3)
+    await region.services_running(10)
+    await region.end_all()
+    for number in range(0, 20, 5):
+        give_unplanned(region.workers[f"n-{number:02d}"], "wk-000000", 90 + number, 7)
+    region.forget_orders()
+    await curio.sleep(2.0)
+    await region.start_all()
+    await region.until(lambda: len(region.owners()) == 3, 30.0)
+    await curio.sleep(30.0)
+
+
+def _timeline(recovery: RecoverySettings | None) -> dict[str, list[tuple[float, str]]]:
+    """By worker, when it got which orders."""
+    region = simulate_recovery(_restart_with_differences, recovery, is_unplanned)
+    return {
+        worker.machine: [(round(at, 1), order["verb"]) for at, _, order in worker.orders]
+        for worker in region.workers.values()
+        if worker.orders
+    }
+
+
+def test_a_dry_run_orders_what_the_ordinary_path_orders_and_when() -> None:
+    plain = _timeline(None)
+    assert sum(len(orders) for orders in plain.values()) >= 4
+    assert _timeline(recovery_settings(dry_run=True)) == plain
+    # with the same file in earnest they wait
+    assert _timeline(recovery_settings()) != plain
+
+
+def test_a_dry_run_says_what_it_would_have_held_back_and_takes_no_approval() -> None:
+    async def story(region: RecoveryRegion) -> None:
+        await _restart_with_differences(region)
+        label = next(iter(region.nodes))
+        overview = load_object((await region.request(label, "GET", RECOVERY_PATH)).body)
+        assert overview["braked"] == []
+        assert all(phase["is_dry_run"] for phase in overview["recovering"])
+        records = [record for record in overview["records"] if record["dry_run"]]
+        assert len(records) == len(overview["records"]) >= 3
+        assert sum(sum(record["let_through"].values()) for record in records) > 0
+        approval = approval_body(Approval(0, "ab"))
+        assert (await region.request(label, "POST", APPROVE_PATH, approval)).status == 409
+
+    simulate_recovery(story, recovery_settings(dry_run=True), is_unplanned)
+
+
+@pytest.mark.parametrize(
+    ("text", "named"),
+    [
+        ("[recovery]\nbrake_shares = 0.2\n", "recovery.brake_shares"),
+        ('[recovery]\ndry_run = "yes"\n', "recovery.dry_run"),
+        ("[recovery]\norders_per_s = true\n", "recovery.orders_per_s"),
+        ("[recovery]\norders_per_s = 0\n", "recovery.orders_per_s"),
+        ("[recovery]\nbrake_share = -0.1\n", "recovery.brake_share"),
+        ("[recover]\n", "recover"),
+        ("recovery = 3\n", "recovery"),
+    ],
+)
+def test_what_the_file_does_not_take_is_named(
+    text: str, named: str, tmp_path: Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    config, bad = tmp_path / "settings.toml", tmp_path / "recovery.toml"
+    config.write_text(tomli_w.dumps(settings_table()))
+    bad.write_text(text)
+    assert main(["check", "--config", str(config), "--recovery", str(bad)]) == BAD_USAGE
+    error = capsys.readouterr().err.strip()
+    assert named in error and "\n" not in error
+
+
+def test_check_says_that_it_is_a_dry_run(
+    tmp_path: Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    config, recovery = tmp_path / "settings.toml", tmp_path / "recovery.toml"
+    config.write_text(tomli_w.dumps(settings_table()))
+    recovery.write_text("[recovery]\ndry_run = true\n")
+    assert main(["check", "--config", str(config), "--recovery", str(recovery)]) == 0
+    assert "dry run" in capsys.readouterr().out
