Recovery: what a later version stored is left alone, and said so

A record's key of another shape raised in the mirror's listener, and a brake's note with one field more raised in the loop and in the operators' interface (seen on the code before: ValueError and TypeError). Both are now passed over with one line; a note of another form is neither read nor deleted.

--- a/crossmill/recovery/api.py
+++ b/crossmill/recovery/api.py
@@ -21,7 +21,7 @@
 )
 from ..wire.state import Put, Txn
 from . import keys
-from .records import StoredApproval, decode_braked, encode_approval
+from .records import StoredApproval, encode_approval
 from .service import RecoveryService
 from .settings import RecoverySettings
 
@@ -78,7 +78,7 @@
 
     def _braked(self, shard: int) -> BrakedReport | None:
         """What the shard's present owner holds back; a former owner's word is void."""
-        report = decode_braked(self._cluster.mirror.value(keys.braked(shard)))
+        report = self.service.notes.braked(shard)
         owner = self._cluster.shards.get(shard)
         return report if report is not None and owner is not None else None
 
--- a/crossmill/recovery/keys.py
+++ b/crossmill/recovery/keys.py
@@ -23,7 +23,9 @@
     return f"{RECORD}{shard}/{token}"
 
 
-def parse_record(key: str) -> tuple[int, int]:
-    """The shard and the token of a record's key."""
+def parse_record(key: str) -> tuple[int, int] | None:
+    """The shard and the token of a record's key; None for one that another version wrote."""
     shard, _, token = key[len(RECORD) :].partition("/")
+    if not (shard.isdecimal() and token.isdecimal()):
+        return None
     return int(shard), int(token)
--- a/crossmill/recovery/records.py
+++ b/crossmill/recovery/records.py
@@ -1,12 +1,15 @@
 """What is stored of recoveries: records, what a brake holds back, approvals."""
 
-from typing import Any, NamedTuple
+import logging
+from typing import Any, NamedTuple, TypeVar, get_type_hints
 
 from ..state.mirror import Mirror
 from ..wire.recovery import BrakedReport
 from . import keys
 from .shard_recovery import ShardRecovery
 
+log = logging.getLogger(__name__)
+
 
 class StoredApproval(NamedTuple):
     """An operator's approval: for one digest, under one token, until a time of day."""
@@ -21,11 +24,6 @@
     return approval._asdict()
 
 
-def decode_approval(value: Any) -> StoredApproval | None:
-    """A stored approval; None if there is none."""
-    return None if value is None else StoredApproval(**value)
-
-
 def encode_braked(recovery: ShardRecovery) -> dict[str, Any]:
     """What the shard's brake holds back."""
     impact = recovery.impact()
@@ -33,11 +31,6 @@
     return report._asdict()
 
 
-def decode_braked(value: Any) -> BrakedReport | None:
-    """What a brake holds back; None if it is off."""
-    return None if value is None else BrakedReport(**value)
-
-
 def encode_record(
     recovery: ShardRecovery, controller: str, wall: float, dry_run: bool
 ) -> dict[str, Any]:
@@ -59,6 +52,54 @@
     }
 
 
+_Stored = TypeVar("_Stored", StoredApproval, BrakedReport)
+
+
+def _decode(kind: type[_Stored], value: Any) -> _Stored | None:
+    """The stored value; None if its fields are not exactly those that this version writes."""
+    types = get_type_hints(kind)
+    if not isinstance(value, dict) or value.keys() != types.keys():
+        return None
+    if not all(isinstance(value[name], _accepted(type_)) for name, type_ in types.items()):
+        return None
+    return kind(**value)
+
+
+def _accepted(type_: type) -> tuple[type, ...]:
+    # numbers come back from the state service in either form
+    return (int, float) if type_ is float else (type_,)
+
+
+class StoredNotes:
+    """Approvals, and what brakes hold back, as they are stored. What a later version of the program
+    wrote is left alone, and said so once."""
+
+    def __init__(self, mirror: Mirror) -> None:
+        self._mirror = mirror
+        self._noted: set[tuple[str, int]] = set()
+
+    def approval(self, shard: int) -> StoredApproval | None:
+        """The operator's approval for the shard, if there is one."""
+        return self._read(StoredApproval, keys.approval(shard))
+
+    def braked(self, shard: int) -> BrakedReport | None:
+        """What the shard's brake holds back; None if it is off."""
+        return self._read(BrakedReport, keys.braked(shard))
+
+    def is_foreign(self, key: str) -> bool:
+        """Whether the key stands, in a form that this version does not write."""
+        return (key, self._mirror.version(key)) in self._noted
+
+    def _read(self, kind: type[_Stored], key: str) -> _Stored | None:
+        value = self._mirror.value(key)
+        decoded = _decode(kind, value)
+        noted = key, self._mirror.version(key)
+        if value is not None and decoded is None and noted not in self._noted:
+            self._noted.add(noted)
+            log.warning("recovery note of another version left alone key=%s", key)
+        return decoded
+
+
 class RecordIndex:
     """The keys of the stored records, by shard, kept as they change."""
 
@@ -70,7 +111,11 @@
     def _on_key(self, key: str, value: Any, version: int) -> None:
         if not key.startswith(keys.RECORD):
             return
-        shard, token = keys.parse_record(key)
+        parsed = keys.parse_record(key)
+        if parsed is None:
+            log.warning("recovery record of another version left alone key=%s", key)
+            return
+        shard, token = parsed
         tokens = self._tokens.setdefault(shard, set())
         if value is None:
             tokens.discard(token)
--- a/crossmill/recovery/service.py
+++ b/crossmill/recovery/service.py
@@ -20,7 +20,7 @@
 from ..wire.workers import Command
 from ..workers.views import View
 from . import keys
-from .records import RecordIndex, decode_approval, encode_braked, encode_record
+from .records import RecordIndex, StoredNotes, encode_braked, encode_record
 from .settings import RecoverySettings
 from .shard_recovery import RELEASE, ShardRecovery
 
@@ -52,6 +52,7 @@
         self._shards: dict[int, ShardRecovery] = {}
         self._recorded: set[int] = set()
         self.records = RecordIndex(cluster.mirror)
+        self.notes = StoredNotes(cluster.mirror)
         membership.on_lost.append(self._forget)
 
     def _forget(self, shard: int) -> None:
@@ -141,7 +142,7 @@
     def _take_approval(self, recovery: ShardRecovery) -> None:
         if not recovery.is_braked or self._recovery.dry_run:
             return
-        approval = decode_approval(self._cluster.mirror.value(keys.approval(recovery.shard)))
+        approval = self.notes.approval(recovery.shard)
         if (
             approval is not None
             and approval.token == recovery.term
@@ -156,7 +157,8 @@
         stored = self._cluster.mirror.value(key)
         is_braked = recovery.is_braked and not self._recovery.dry_run
         wanted = encode_braked(recovery) if is_braked else None
-        if stored == wanted:
+        self.notes.braked(shard)
+        if stored == wanted or (wanted is None and self.notes.is_foreign(key)):
             return
         version = self._cluster.mirror.version(key)
         if wanted is None:
--- a/tests/test_recovery_dry_run.py
+++ b/tests/test_recovery_dry_run.py
@@ -8,7 +8,10 @@
 import tomli_w
 
 from crossmill.cli import BAD_USAGE, main
+from crossmill.recovery import keys
+from crossmill.recovery.records import StoredNotes
 from crossmill.recovery.settings import RecoverySettings
+from crossmill.state.mirror import Mirror
 from crossmill.wire.checks import load_object
 from crossmill.wire.recovery import APPROVE_PATH, RECOVERY_PATH, Approval, approval_body
 
@@ -103,3 +106,52 @@
     recovery.write_text("[recovery]\ndry_run = true\n")
     assert main(["check", "--config", str(config), "--recovery", str(recovery)]) == 0
     assert "dry run" in capsys.readouterr().out
+
+
+def test_what_a_later_version_stored_is_left_alone_and_said_so(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    later = {
+        keys.braked(0): {"shard": 0, "token": 1, "digest": "ab", "zones": {}},
+        keys.approval(0): {"token": 1, "digest": "ab", "until": 1e12, "by": "somebody"},
+        keys.RECORD + "0/by-zone/7": {"shard": 0},
+        keys.record(0, 7): {"shard": 0, "token": 7, "zones": {}},
+    }
+
+    async def story(region: RecoveryRegion) -> None:
+        for key, value in later.items():
+            region.state.put(key, value)
+        await _restart_with_differences(region)
+        label = next(iter(region.nodes))
+        response = await region.request(label, "GET", RECOVERY_PATH)
+        assert response.status == 200
+        assert load_object(response.body)["braked"] == []
+        approval = approval_body(Approval(0, "ab"))
+        assert (await region.request(label, "POST", APPROVE_PATH, approval)).status == 409
+        stored = {key: region.state.keys[key][0] for key in later}
+        assert stored == later
+        await region.until(region.steady, 60.0)
+
+    with caplog.at_level("WARNING"):
+        simulate_recovery(story, recovery_settings(), is_unplanned)
+    said = [record.getMessage() for record in caplog.records]
+    for key in (keys.braked(0), keys.RECORD + "0/by-zone/7"):
+        assert any(key in message for message in said), key
+
+
+@pytest.mark.parametrize(
+    ("value", "is_read"),
+    [
+        ({"token": 1, "digest": "ab", "until": 5}, True),
+        ({"token": 1, "digest": "ab", "until": 5.0, "by": "somebody"}, False),
+        ({"token": 1, "digest": "ab"}, False),
+        ({"token": "1", "digest": "ab", "until": 5.0}, False),
+        ([1, "ab", 5.0], False),
+    ],
+)
+def test_an_approval_counts_only_in_the_form_of_this_version(value: object, is_read: bool) -> None:
+    mirror = Mirror()
+    mirror.written(keys.approval(0), value, 1)
+    notes = StoredNotes(mirror)
+    assert (notes.approval(0) is not None) is is_read
+    assert notes.is_foreign(keys.approval(0)) is not is_read
