A machine's boot counts once, however often its record is written

Found by reading: a machine that had booted slowly and was moved or retired long after counted as a recent boot again, once eight others had come up in between, and put the bounds up. Its test fails without the change.

--- a/crossmill/fleet/boot_times.py
+++ b/crossmill/fleet/boot_times.py
@@ -31,7 +31,6 @@
 class _Boot(NamedTuple):
     """A machine that came up."""
 
-    machine: str
     rented: float
     took_s: float
 
@@ -45,6 +44,8 @@
         # by type: when each machine that still boots was rented
         self._booting: dict[str, dict[str, float]] = {}
         self._type_of: dict[str, str] = {}
+        # machines whose boot was noted: their records are written again when they move or retire
+        self._noted: set[str] = set()
         mirror.listen(self._on_key)
 
     def _on_key(self, key: str, value: Any, version: int) -> None:
@@ -58,13 +59,15 @@
         else:
             self._type_of[machine] = value["type"]
             self._booting.setdefault(value["type"], {})[machine] = value["at"]
-        if value is not None and value.get("boot_s") is not None:
-            self._note(machine, value)
+        if value is None:
+            self._noted.discard(machine)
+        elif value.get("boot_s") is not None and machine not in self._noted:
+            self._noted.add(machine)
+            self._note(value)
 
-    def _note(self, machine: str, value: dict[str, Any]) -> None:
+    def _note(self, value: dict[str, Any]) -> None:
         boots = self._boots.setdefault(value["type"], deque(maxlen=KEPT_BOOTS))
-        if all(boot.machine != machine for boot in boots):
-            boots.append(_Boot(machine, value["at"], value["boot_s"]))
+        boots.append(_Boot(value["at"], value["boot_s"]))
 
     def is_expected(self, machine: Machine, kind: MachineType, wall: float) -> bool:
         """Whether the machine, which is not up yet, counts as supply. Of those that are late
--- a/tests/test_boot_times.py
+++ b/tests/test_boot_times.py
@@ -79,6 +79,18 @@
     assert boots.failed("n-1", 4.0)
 
 
+def test_a_boot_counts_once_however_often_the_record_is_written() -> None:
+    boots = Boots()
+    boots.write("n-0", boot_s=4 * BOOT_S)
+    for number in range(2, 10):
+        boots.write(f"n-{number}", rented=5.0, boot_s=BOOT_S)
+    # the slow one moves to another shard, or is retired, long after
+    boots.write("n-0", boot_s=4 * BOOT_S)
+    boots.write("n-1")
+    assert not boots.expected("n-1", 3.0)
+    assert boots.failed("n-1", 4.0)
+
+
 def test_records_of_earlier_versions_say_nothing_of_boots() -> None:
     boots = Boots()
     value = {"type": "g4", "zone": "north", "spot": False, "shard": 0, "at": 0.0}
