--- a/crossmill/cluster/cluster_state.py
+++ b/crossmill/cluster/cluster_state.py
@@ -8,8 +8,8 @@
 from ..wire.cloud import MachineType
 from . import keys
 from .dependencies import DependencyGraph
-from .feature_level import Level, decode_level
 from .layout import ChunkRange, PlanLayout
+from .level import Level, decode_level
 from .model import ACTIVE, Chunk, Job, Machine, Row, Shard
 from .records import decode_chunk, decode_job
 
--- a/crossmill/cluster/feature_level.py
+++ b/crossmill/cluster/feature_level.py
@@ -6,7 +6,6 @@
 could not read; the level is never lowered."""
 
 import logging
-from typing import TYPE_CHECKING, Any, NamedTuple
 
 import curio
 
@@ -16,10 +15,9 @@
 from ..state.writer import Intent, Writer, WriteRank, WriteResult
 from ..wire.state import Put, Txn
 from . import keys
-
-if TYPE_CHECKING:
-    from .cluster_state import ClusterState
-    from .membership import Membership
+from .cluster_state import ClusterState
+from .level import Level, encode_level
+from .membership import Membership
 
 log = logging.getLogger(__name__)
 
@@ -27,28 +25,6 @@
 DEPENDENCIES = 1
 
 
-class Level(NamedTuple):
-    """The raised level, with the sizes of chunks that stored plans have from then on."""
-
-    number: int
-    legacy_tasks: int
-    segment_tasks: int
-
-
-def encode_level(level: Level) -> dict[str, Any]:
-    """The level's stored record."""
-    return {
-        "level": level.number,
-        "legacy_tasks": level.legacy_tasks,
-        "segment_tasks": level.segment_tasks,
-    }
-
-
-def decode_level(value: dict[str, Any]) -> Level:
-    """The level from its stored record."""
-    return Level(value["level"], value["legacy_tasks"], value["segment_tasks"])
-
-
 class FeatureLevel:
     """Notes this controller's version and, while it leads, raises the level."""
 
@@ -56,10 +32,10 @@
         self,
         settings: Settings,
         clock: Clock,
-        cluster: "ClusterState",
+        cluster: ClusterState,
         follower: Follower,
         writer: Writer,
-        membership: "Membership",
+        membership: Membership,
     ) -> None:
         self._settings = settings
         self._clock = clock
--- a/tests/test_dependencies.py
+++ b/tests/test_dependencies.py
@@ -6,7 +6,7 @@
 
 from crossmill.cluster import keys
 from crossmill.cluster.dependencies import DependencyGraph
-from crossmill.cluster.feature_level import Level, encode_level
+from crossmill.cluster.level import Level, encode_level
 from crossmill.cluster.model import ACTIVE, CANCELLED, DONE, Job
 from crossmill.cluster.records import encode_end, encode_job
 from crossmill.net.server import Response
--- a/tests/test_derivation.py
+++ b/tests/test_derivation.py
@@ -13,7 +13,7 @@
 
 from crossmill.cluster import keys
 from crossmill.cluster.cluster_state import ClusterState
-from crossmill.cluster.feature_level import Level, encode_level
+from crossmill.cluster.level import Level, encode_level
 from crossmill.cluster.model import ACTIVE, CANCELLED, DONE, Job
 from crossmill.cluster.records import encode_archived, encode_end, encode_job
 from crossmill.state.client import StateClient
--- a/tests/test_unseen_changes.py
+++ b/tests/test_unseen_changes.py
@@ -9,7 +9,7 @@
 import pytest
 
 from crossmill.cluster import keys
-from crossmill.cluster.feature_level import Level, encode_level
+from crossmill.cluster.level import Level, encode_level
 from crossmill.cluster.model import CANCELLED, DONE
 from crossmill.cluster.records import encode_end
 from crossmill.state.client import StateClient
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -7,8 +7,8 @@
 import pytest
 
 from crossmill.cluster import keys
-from crossmill.cluster.feature_level import Level, encode_level
 from crossmill.cluster.layout import PlanLayout
+from crossmill.cluster.level import Level, encode_level
 from crossmill.cluster.records import decode_job, encode_chunk, encode_end, encode_job
 from crossmill.settings import BadSettings, StateLimits, parse
 from crossmill.state.writer import Intent, WriteResult
