Review: a state service that can be slow for one client; cases end in order on SIGTERM

A case whose time is over left its controllers running. The state service stand-in has an address for each client.

--- a/review/standins/case.py
+++ b/review/standins/case.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import os
+import signal
 import traceback
 from collections.abc import Awaitable, Callable, Sequence
 from pathlib import Path
@@ -23,7 +24,17 @@
         play: Plays the case and returns its exit code.
         extra: Further arguments of the controllers' command.
     """
-    return asyncio.run(_run(folder, play, extra))
+    return asyncio.run(_run_until_ended(folder, play, extra))
+
+
+async def _run_until_ended(folder: Path, play: Play, extra: Sequence[str]) -> int:
+    """Run a case; SIGTERM ends it in order, so that no process is left."""
+    case = asyncio.ensure_future(_run(folder, play, extra))
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, case.cancel)
+    try:
+        return await case
+    except asyncio.CancelledError:
+        return COULD_NOT_RUN
 
 
 async def _run(folder: Path, play: Play, extra: Sequence[str]) -> int:
--- a/review/standins/region.py
+++ b/review/standins/region.py
@@ -134,22 +134,21 @@
 
     async def start(self) -> None:
         """Start the stand-ins and the controllers, and wait until all controllers are healthy."""
-        await self.state.server.start()
         await self.cloud.server.start()
         self._state_loop = asyncio.create_task(self.state.run())
         for node in self.nodes:
-            self._write_settings(node)
+            self._write_settings(node, await self.state.serve(node.label))
             self.start_node(node.label)
         for node in self.nodes:
             await self.wait_healthy(node.label)
 
-    def _write_settings(self, node: _Node) -> None:
+    def _write_settings(self, node: _Node, state: str) -> None:
         others = [other for other in self.nodes if other is not node]
         text = SETTINGS.format(
             **node._asdict(),
             members="".join(MEMBER.format(label=o.label, zone=o.zone, peer=o.peer) for o in others),
             cloud=self.cloud.server.address,
-            state=self.state.server.address,
+            state=state,
             teams="".join(TEAM.format(name=name) for name in TEAMS),
         )
         self._config(node.label).write_text(text, encoding="utf-8")
@@ -206,7 +205,7 @@
                 process.wait()
         for worker in self.cloud.workers:
             worker.stop()
-        self.state.server.close()
+        self.state.close()
         self.cloud.server.close()
         keep = os.environ.get("KEEP_LOGS")
         if keep:
--- a/review/standins/state.py
+++ b/review/standins/state.py
@@ -5,6 +5,7 @@
 import time
 from collections import deque
 from collections.abc import Callable
+from functools import partial
 from http import HTTPStatus
 from typing import Any, NamedTuple
 
@@ -61,18 +62,21 @@
 
     Attributes:
         is_out: Whether every request gets 503; open watches wait.
-        hold_until: The monotonic time before which no answer is sent: the service is slow.
-        on_apply: Called with the changes of each transaction as soon as it is applied.
+        hold_until: The monotonic time before which a client gets no answer, by client: the service
+            is slow.
+        on_apply: Called with the client and the changes of each transaction as soon as it is
+            applied.
     """
 
     def __init__(self, limits: Limits | None = None) -> None:
         self.limits = limits or Limits()
-        self.server = Server(self._handle)
+        # each client has an address of its own, so that the service can be slow for one of them
+        self.servers: dict[str, Server] = {}
         self.keys: dict[str, _Entry] = {}
         self.revision = 0
         self.is_out = False
-        self.hold_until = 0.0
-        self.on_apply: Callable[[dict[str, Any]], None] | None = None
+        self.hold_until: dict[str, float] = {}
+        self.on_apply: Callable[[str, dict[str, Any]], None] | None = None
         self._changes: deque[_Change] = deque(maxlen=KEPT_CHANGES)
         self._leases: dict[int, tuple[float, float]] = {}
         self._next_lease = 1
@@ -80,6 +84,17 @@
         self._requests = _Bucket(self.limits.rps)
         self._writes = _Bucket(self.limits.write_rps)
 
+    async def serve(self, client: str) -> str:
+        """Serve a client on an address of its own; return the address."""
+        self.servers[client] = Server(partial(self._handle, client))
+        await self.servers[client].start()
+        return self.servers[client].address
+
+    def close(self) -> None:
+        """Close all connections."""
+        for server in self.servers.values():
+            server.close()
+
     async def run(self) -> None:
         """End leases that were not renewed in time."""
         while True:
@@ -120,13 +135,13 @@
         async with self._changed:
             self._changed.notify_all()
 
-    async def _handle(self, request: Request) -> Reply:
+    async def _handle(self, client: str, request: Request) -> Reply:
         await asyncio.sleep(LATENCY_S)
-        reply = await self._answer(request)
-        await asyncio.sleep(max(0.0, self.hold_until - time.monotonic()))
+        reply = await self._answer(client, request)
+        await asyncio.sleep(max(0.0, self.hold_until.get(client, 0.0) - time.monotonic()))
         return reply
 
-    async def _answer(self, request: Request) -> Reply:
+    async def _answer(self, client: str, request: Request) -> Reply:
         refusal = self._refusal()
         if refusal is not None:
             return Reply(refusal)
@@ -136,7 +151,7 @@
             case "/keys":
                 return self._list(request)
             case "/txn":
-                return await self._txn(request.body)
+                return await self._txn(client, request.body)
             case "/changes":
                 return await self._watch(request)
         return self._get(request.path.removeprefix("/keys/"))
@@ -171,7 +186,7 @@
         body = {"rows": rows, "hasNext": len(rows) < len(keys), "ledgerRev": self.revision}
         return Reply(HTTPStatus.OK, body)
 
-    async def _txn(self, body: dict[str, Any]) -> Reply:
+    async def _txn(self, client: str, body: dict[str, Any]) -> Reply:
         when, apply = body["when"], body["apply"]
         if not self._writes.take(len(apply)):
             return Reply(HTTPStatus.TOO_MANY_REQUESTS)
@@ -193,7 +208,7 @@
             changes[key] = op.get("data")
             self._set(key, op.get("data"), op.get("tenure"))
         if self.on_apply is not None:
-            self.on_apply(changes)
+            self.on_apply(client, changes)
         await self._notify()
         return Reply(HTTPStatus.OK, {"ledgerRev": revision})
 
