Scheduling: log lines that explain why a job waits

For a job that waits while machines have room, nothing told apart whether the machine counts as faulty, the job has failed there, the job is suspected, the team is at its limit, or the demand forecast counts room that placement does not use. A job that has waited for a worker lease is now reported with the machines that fit, by what excludes them, beside those whose room the forecast counts; judging a machine faulty or a job suspect is logged when it happens. The reasons why a machine gets no tasks are one module, which placement and the report ask. No decision changes.

--- a/crossmill/fleet/forecast.py
+++ b/crossmill/fleet/forecast.py
@@ -69,6 +69,11 @@
         jobs.sort(key=self.queue_rank)
         return jobs
 
+    def counted_machines(self, shard: int) -> set[str]:
+        """Return the IDs of the shard's machines whose free capacity the forecast counts."""
+        capacities = self.capacity.shard_capacities(shard, self._clock.wall_time())
+        return {capacity.machine for capacity in capacities}
+
     # -- capacity plans --------------------------------------------------------------
 
     def plan(self, shard: int) -> CapacityPlan:
--- a/crossmill/jobs/failures.py
+++ b/crossmill/jobs/failures.py
@@ -4,12 +4,16 @@
 records outcomes; placement and machine maintenance query them.
 """
 
+import logging
+
 from ..cluster.cluster_state import ClusterState
 from ..cluster.model import Job
 from ..net.clock import Clock
 from ..settings import Settings
 from ..workers.attempt_outcomes import AttemptOutcome, EndReason
 
+log = logging.getLogger(__name__)
+
 # a job that failed on this many machines is suspected to be the cause of its failures
 SUSPECT_MACHINES = 2
 # a job that failed on this many machines and never succeeded is considered the cause
@@ -54,6 +58,16 @@
         """Return the job's failures, or None if none of its tasks has ended yet."""
         return self._by_job.get(job_id)
 
+    def is_suspect(self, job_id: str) -> bool:
+        """Return whether the job itself may be the cause of its failures."""
+        entry = self._by_job.get(job_id)
+        return entry is not None and entry.is_suspect
+
+    def has_failed_on(self, job_id: str, machine_id: str) -> bool:
+        """Return whether the job is not placed on the machine because a task of it failed there."""
+        entry = self._by_job.get(job_id)
+        return entry is not None and machine_id in entry.machines
+
     def is_faulty(self, machine_id: str) -> bool:
         """Return whether enough jobs failed on the machine to consider the machine faulty."""
         return len(self._by_machine.get(machine_id, ())) >= FAULTY_MACHINE_JOBS
@@ -70,6 +84,7 @@
 
     def _record_failure(self, job: Job, entry: JobFailures, outcome: AttemptOutcome) -> None:
         machine = outcome.attempt.machine
+        was_suspect, was_faulty = entry.is_suspect, self.is_faulty(machine)
         entry.failure_count += 1
         entry.machines.add(machine)
         # a job that fails on several machines is probably the cause itself: it is retried with
@@ -81,6 +96,11 @@
         else:
             for suspected in entry.machines:
                 self._by_machine.get(suspected, set()).discard(job.id)
+        if entry.is_suspect and not was_suspect:
+            log.info("job suspected job=%s machines=%d", job.id, len(entry.machines))
+        if self.is_faulty(machine) and not was_faulty:
+            jobs = ",".join(sorted(self._by_machine[machine]))
+            log.info("machine judged faulty machine=%s jobs=%s", machine, jobs)
 
     def _backoff_s(self, entry: JobFailures) -> float:
         factor: int = 2 ** min(entry.failure_count, MAX_BACKOFF_DOUBLINGS)
--- a/crossmill/jobs/placement.py
+++ b/crossmill/jobs/placement.py
@@ -15,7 +15,7 @@
 from .context import SchedulingContext
 from .failures import JobFailures, TaskFailures
 from .machine_drain import MachineDrain
-from .machine_transfer import MachineTransfer
+from .machine_eligibility import MachineEligibility
 from .plan_writer import PlanEdits, get_or_create_edit
 from .team_quotas import LIMIT_TOLERANCE, ResourceUsage, TeamQuotas, UsageByTeam
 
@@ -39,7 +39,7 @@
         quotas: TeamQuotas,
         selection: CapacitySelection,
         machine_drain: MachineDrain,
-        machine_transfer: MachineTransfer,
+        eligibility: MachineEligibility,
         failures: TaskFailures,
     ) -> None:
         self._settings = context.settings
@@ -50,7 +50,7 @@
         self._quotas = quotas
         self._selection = selection
         self._machine_drain = machine_drain
-        self._machine_transfer = machine_transfer
+        self._eligibility = eligibility
         self._failures = failures
         self._capacity_cache = context.forecast.capacity.new_cache()
         # ID of the job with which the next round begins, by shard
@@ -105,27 +105,13 @@
         start = next((i for i, job in enumerate(queue) if job.id == resume_at), 0)
         return queue[start:] + queue[:start]
 
-    def _is_schedulable(self, machine: Machine, now: float) -> bool:
-        """Return whether tasks may be placed on the machine."""
-        view = self._heartbeats.find_view(machine.id)
-        return (
-            view is not None
-            and not machine.retirement_reason
-            and view.is_fresh(now, self._settings.heartbeat_timeout_s)
-            and view.termination_at is None
-            and not self._failures.is_faulty(machine.id)
-            and not self._machine_drain.is_draining(machine.id)
-            and not self._machine_transfer.has_planned_transfer(machine.id)
-            and not self._heartbeats.is_transferring(machine.id)
-        )
-
     def _schedulable_capacities(self, machines: list[Machine]) -> list[FreeCapacity]:
         now = self._clock.now()
         schedulable = [
             (machine, machine_type)
             for machine in machines
             if (machine_type := self._cluster.catalog.get(machine.type)) is not None
-            and self._is_schedulable(machine, now)
+            and self._eligibility.exclusion(machine, now) is None
         ]
         return self._forecast.capacity.cached_capacities(self._capacity_cache, schedulable)
 
--- a/crossmill/jobs/scheduling_loop.py
+++ b/crossmill/jobs/scheduling_loop.py
@@ -28,6 +28,7 @@
 from .context import SchedulingContext
 from .failures import TaskFailures
 from .machine_drain import MachineDrain
+from .machine_eligibility import MachineEligibility
 from .machine_maintenance import MachineMaintenance
 from .machine_transfer import MachineTransfer
 from .outcome_batch import ChunkOutcomes, collect_outcomes, select_batches
@@ -36,6 +37,7 @@
 from .plan_writer import PlanEdits, PlanWriter, get_or_create_edit
 from .preemption import Preemption
 from .team_quotas import TeamQuotas
+from .waiting_report import WaitingReport
 
 log = logging.getLogger(__name__)
 
@@ -87,14 +89,18 @@
         self._maintenance = MachineMaintenance(
             context, membership, expiry_proof, machine_drain, self._failures
         )
+        eligibility = MachineEligibility(
+            context, machine_drain, self._machine_transfer, self._failures
+        )
         self._placement = TaskPlacement(
             context,
             self._quotas,
             CapacitySelection(context, preemption),
             machine_drain,
-            self._machine_transfer,
+            eligibility,
             self._failures,
         )
+        self._waiting_report = WaitingReport(context, eligibility, self._failures)
         self._wake = wake
 
     async def run(self) -> None:
@@ -143,6 +149,7 @@
         writes += [_RoundWrite(intent, []) for intent in (*maintenance, *transfers.values())]
         await self._submit(writes, transfers)
         await self._send_durable_starts(writes)
+        self._waiting_report.report(shard, machines)
 
     def _place(
         self, shard: int, ownership: ShardOwnership, machines: list[Machine], edits: PlanEdits
--- a/crossmill/settings/timing.py
+++ b/crossmill/settings/timing.py
@@ -159,6 +159,11 @@
         """The maximum share of a service's replicas on one machine while others have capacity."""
         return 0.5
 
+    @property
+    def waiting_report_interval_s(self) -> float:
+        """The interval between log lines that explain why a job waits, and the wait before them."""
+        return self.worker_lease_s
+
     @property
     def min_useful_runtime_s(self) -> float:
         """The run time before which stopping a task wastes its start and image fetch."""
