--- a/crossmill/settings/timing.py
+++ b/crossmill/settings/timing.py
@@ -154,6 +154,15 @@
         """The maximum delay before a job that fails on every machine is retried."""
         return 3 * self.worker_lease_s
 
+    @property
+    def failure_memory_s(self) -> float:
+        """The time for which a task's failure counts against the machine where it occurred.
+
+        No job may wait for 90 s while a machine has room (the operators' pages), so a machine that
+        was judged by mistake must be in use again before that.
+        """
+        return 4 * self.worker_lease_s
+
     @property
     def max_replica_share_per_machine(self) -> float:
         """The maximum share of a service's replicas on one machine while others have capacity."""
--- a/tests/simulated_region.py
+++ b/tests/simulated_region.py
@@ -72,6 +72,9 @@
         # returns the fault of a request to the state service, if any, from the controller's label,
         # the method and the path
         self.transaction_fault: Callable[[str, str, str], TransactionFault | None] = lambda *_: None
+        # returns the seconds after which a started task exits with `error` by itself, or None if it
+        # does not, from its worker, job ID and index
+        self.fails_after_s: Callable[[Worker, str, int], float | None] = lambda *_: None
         # predicate on worker and controller label: whether they reach each other
         self.can_reach: Callable[[Worker, str], bool] = lambda worker, label: label in self.nodes
 
--- a/tests/simulated_worker.py
+++ b/tests/simulated_worker.py
@@ -114,9 +114,14 @@
             self.session += 1
             self.tasks.clear()
             self.lease_renewed_at = now
-        for (job, _), task in self.tasks.items():
+        for (job, index), task in self.tasks.items():
+            if task.state != "running":
+                continue
+            failure_s = self.region.fails_after_s(self, job, index)
             run_s = checker.jobs[job].run_s
-            if task.state == "running" and run_s is not None and now - task.since >= run_s:
+            if failure_s is not None and now - task.since >= failure_s:
+                task.state, task.cause = "exited", "error"
+            elif run_s is not None and now - task.since >= run_s:
                 task.state, task.cause = "exited", "done"
 
     async def run(self) -> None:
--- a/tests/test_controller_outages.py
+++ b/tests/test_controller_outages.py
@@ -196,8 +196,10 @@
 def test_jobs_that_fail_on_three_machines_make_none_of_them_faulty() -> None:
     """Until the jobs also fail on other machines, the first machine counts as faulty."""
     settings, clock = make_settings(), FakeClock()
-    failures = TaskFailures(settings, clock, ClusterState(Mirror(), settings))
+    cluster = ClusterState(Mirror(), settings)
+    failures = TaskFailures(settings, clock, cluster)
     jobs = [Job(f"wk-{n:06d}", spec=make_spec(nameId=f"wk-{n:06d}")) for n in range(2)]
+    cluster.jobs.update((job.id, job) for job in jobs)
 
     def fail(machine: str) -> None:
         for job in jobs:
--- /dev/null
+++ b/tests/test_failing_tasks.py
@@ -0,0 +1,69 @@
+"""Tasks that fail: what is excluded ends, and neither a machine nor a job at fault stops others."""
+
+import curio
+
+from .simulated_region import Region, simulate
+from .simulated_worker import Worker
+
+# "no job is left waiting for 90 s while a machine that fits has room" (the operators' pages)
+MAX_WAIT_S = 90.0
+SERVICE, GOOD_JOB = "wk-000001", "wk-000100"
+BAD_JOBS = ("wk-000002", "wk-000003")
+
+
+def _fail_jobs(region: Region, jobs: tuple[str, ...], after_s: float = 1.0) -> None:
+    """Let the tasks of these jobs fail on every machine, as jobs submitted with a mistake do."""
+    region.fails_after_s = lambda worker, job, index: after_s if job in jobs else None
+
+
+def _fail_machine(region: Region, machine: str, after_s: float = 1.0) -> None:
+    """Let every task but the service's fail on the machine."""
+
+    def fails_after_s(worker: Worker, job: str, index: int) -> float | None:
+        return after_s if worker.machine == machine and job != SERVICE else None
+
+    region.fails_after_s = fails_after_s
+
+
+async def _start_service(region: Region, **fields: object) -> None:
+    """Start a service of one replica on one of the region's machines."""
+    assert await region.submit("node-0", SERVICE, None, sacks=1, crew="blue", **fields) == 201
+    await region.wait_until(lambda: bool(region.workers_running(SERVICE)))
+
+
+async def _fail_two_jobs(region: Region) -> None:
+    """Let two jobs with a mistake fail on the only machine."""
+    _fail_jobs(region, BAD_JOBS)
+    for job in BAD_JOBS:
+        assert await region.submit("node-0", job, 20.0, crew="blue", sacks=1) == 201
+    await curio.sleep(4.0)
+    assert all(any(s[1] == job for s in region.checker.starts) for job in BAD_JOBS)
+
+
+def test_a_good_job_runs_on_a_machine_where_cancelled_jobs_with_a_mistake_failed() -> None:
+    """Guards against the failure of review/1: a replica's machine was excluded for good."""
+
+    async def scenario(region: Region) -> None:
+        await region.start_region(machines=1)
+        await _start_service(region)
+        await _fail_two_jobs(region)
+        for job in BAD_JOBS:
+            assert await region.cancel_until_confirmed("node-0", job, 10.0)
+        assert await region.submit("node-0", GOOD_JOB, 5.0, crew="blue", sacks=1) == 201
+        await region.wait_until(lambda: region.has_finished(GOOD_JOB, 1), MAX_WAIT_S)
+        assert region.workers_running(SERVICE)
+
+    simulate(scenario)
+
+
+def test_a_good_job_runs_on_a_machine_where_jobs_with_a_mistake_are_not_cancelled() -> None:
+    """The judgement of the machine ends by time while the jobs that led to it still wait."""
+
+    async def scenario(region: Region) -> None:
+        await region.start_region(machines=1)
+        await _start_service(region)
+        await _fail_two_jobs(region)
+        assert await region.submit("node-0", GOOD_JOB, 5.0, crew="blue", sacks=1) == 201
+        await region.wait_until(lambda: region.has_finished(GOOD_JOB, 1), MAX_WAIT_S)
+
+    simulate(scenario)
