Failures: a faulty machine is cordoned in its record, which forecast and next owner heed

The forecast, which the leader computes from stored records, counted its room (counted=1 beside machines=faulty:1 in the log), so nothing was rented in its place; and the next owner knew nothing of the judgement.

While a machine counts as faulty and is not empty, its record says until when it is cordoned, four worker leases at most. The forecast leaves it out, so that other machines are rented; the next owner and machine transfer heed it. The owner ends a cordon early when the failures stop to count. A write when a machine is judged and one when the judgement is withdrawn are all that it costs.

Two tests of tests/test_failing_tasks.py failed before.

--- a/crossmill/cluster/model.py
+++ b/crossmill/cluster/model.py
@@ -150,7 +150,8 @@
     """A rented machine: its stored record, the attempts planned onto it and their usage.
 
     `rented_at` is in wall-clock time. `retirement_reason` is the reason why the machine is to be
-    released, or empty. `is_up` is set once the machine has sent a heartbeat.
+    released, or empty. `is_up` is set once the machine has sent a heartbeat. Until the wall-clock
+    time `cordoned_until` the machine counts as faulty and gets no tasks.
     """
 
     id: str
@@ -167,6 +168,7 @@
     version: int = 0
     # seconds from the rental to the first heartbeat that the shard's owner received, if known
     boot_s: float | None = None
+    cordoned_until: float = 0.0
     used_cpus: float = 0.0
     used_gpus: float = 0.0
     used_memory_gb: float = 0.0
@@ -176,6 +178,10 @@
     # the number of changes of usage and images, used to invalidate values cached elsewhere
     change_count: int = 0
 
+    def is_cordoned(self, wall_time: float) -> bool:
+        """Return whether the machine counts as faulty, so that no task may be placed on it."""
+        return wall_time < self.cordoned_until
+
 
 class ShardAssignment(NamedTuple):
     """The shard that a machine is transferred to, and the machine's new fencing token."""
--- a/crossmill/cluster/records.py
+++ b/crossmill/cluster/records.py
@@ -146,6 +146,7 @@
     is_up: bool | None = None,
     assignment: ShardAssignment | None = None,
     boot_s: float | None = None,
+    cordoned_until: float | None = None,
 ) -> dict[str, Any]:
     """Encode a machine's record with the given changes; None keeps a field unchanged."""
     shard, token = assignment or (machine.shard, machine.token)
@@ -161,6 +162,9 @@
     }
     if boot_s is not None or machine.boot_s is not None:
         record["boot_s"] = machine.boot_s if boot_s is None else boot_s
+    until = machine.cordoned_until if cordoned_until is None else cordoned_until
+    if until:
+        record["cordoned_until"] = until
     return record
 
 
@@ -178,6 +182,7 @@
         value.get("token", 0),
         version,
         value.get("boot_s"),
+        value.get("cordoned_until", 0.0),
     )
 
 
--- a/crossmill/fleet/capacity.py
+++ b/crossmill/fleet/capacity.py
@@ -203,7 +203,11 @@
         return capacity
 
     def shard_capacities(self, shard: int, wall_time: float) -> list[FreeCapacity]:
-        """Return the free capacity of the shard's machines that are up or expected to come up."""
+        """Return the free capacity that tasks may use on the shard's machines, booting ones too.
+
+        Cordoned machines are left out: placement does not use them, so other ones have to be
+        rented.
+        """
         machines = [
             (machine, machine_type)
             for machine in self._cluster.machines.by_shard[shard].values()
@@ -221,9 +225,9 @@
         ]
 
     def _expected_type(self, machine: Machine, wall_time: float) -> MachineType | None:
-        """Return the machine's type if the machine is up or is expected to come up."""
+        """Return the machine's type if tasks may be expected to start on it, else None."""
         machine_type = self._cluster.catalog.get(machine.type)
-        if machine_type is None or machine.retirement_reason:
+        if machine_type is None or machine.retirement_reason or machine.is_cordoned(wall_time):
             return None
         if not machine.is_up and not self._boot_times.is_expected(machine, machine_type, wall_time):
             return None
--- a/crossmill/jobs/machine_eligibility.py
+++ b/crossmill/jobs/machine_eligibility.py
@@ -22,7 +22,7 @@
     NO_HEARTBEAT = "no-heartbeat"
     # the cloud has announced that it will terminate the machine
     TERMINATION_NOTICE = "termination-notice"
-    # tasks of several jobs failed on it
+    # tasks of several jobs failed on it, as this owner or an earlier one saw
     FAULTY = "faulty"
     # its replicas are being moved to other machines
     DRAINING = "draining"
@@ -41,6 +41,7 @@
         failures: TaskFailures,
     ) -> None:
         self._settings = context.settings
+        self._clock = context.clock
         self._heartbeats = context.heartbeats
         self._machine_drain = machine_drain
         self._machine_transfer = machine_transfer
@@ -53,7 +54,7 @@
         """
         if machine.retirement_reason:
             return MachineExclusion.RETIRING
-        if self._failures.is_faulty(machine.id):
+        if self._failures.is_faulty(machine.id) or machine.is_cordoned(self._clock.wall_time()):
             return MachineExclusion.FAULTY
         return self._worker_exclusion(machine, now) or self._movement(machine)
 
--- a/crossmill/jobs/machine_maintenance.py
+++ b/crossmill/jobs/machine_maintenance.py
@@ -22,6 +22,7 @@
 from ..workers.views import WorkerView
 from .context import SchedulingContext
 from .failures import TaskFailures
+from .machine_cordon import MachineCordon
 from .machine_drain import MachineDrain
 
 log = logging.getLogger(__name__)
@@ -62,6 +63,7 @@
         self._expiry_proof = expiry_proof
         self._machine_drain = machine_drain
         self._failures = failures
+        self._cordon = MachineCordon(context, failures)
         # times of the last maintenance checks and spare machine forecasts, in seconds, by shard
         self._checked_at: dict[int, float] = {}
         self._spare_checked_at: dict[int, float] = {}
@@ -84,21 +86,40 @@
         unreachable_zones = self._unreachable_zones(shard, machines, now)
         spare = self._spare_machines(shard, machines, now)
         for machine in machines:
+            if machine.retirement_reason:
+                continue
             timeout_s = self._settings.worker_lease_expiry_s
             if machine.zone in unreachable_zones:
                 # if many machines send no heartbeats, the cause is a network partition or a fault
                 # of this controller, not of the machines. In a partitioned zone, a peer may keep
                 # the workers alive
                 timeout_s += self._settings.partition_keepalive_s
-            if machine.retirement_reason or now - ownership.acquired_at < timeout_s:
-                continue
-            reason = self._retire_reason(machine, now, timeout_s, spare)
-            if reason is not None and self._may_retire(machine, reason):
-                log.info("machine retired machine=%s reason=%s", machine.id, reason)
-                value = encode_machine(machine, reason, True)
+            value = None
+            if now - ownership.acquired_at >= timeout_s:
+                value = self._retired(machine, now, timeout_s, spare)
+            if value is None:
+                value = self._cordoned(machine)
+            if value is not None:
                 intents.append(self._intent(shard, ownership, machine, value))
         return intents
 
+    def _retired(
+        self, machine: Machine, now: float, timeout_s: float, spare: set[str]
+    ) -> dict[str, Any] | None:
+        """Return the record that retires the machine, or None if it is kept."""
+        reason = self._retire_reason(machine, now, timeout_s, spare)
+        if reason is None or not self._may_retire(machine, reason):
+            return None
+        log.info("machine retired machine=%s reason=%s", machine.id, reason)
+        return encode_machine(machine, reason, True)
+
+    def _cordoned(self, machine: Machine) -> dict[str, Any] | None:
+        """Return the record with the machine's cordon begun or ended; None for no change."""
+        cordoned_until = self._cordon.change(machine)
+        if cordoned_until is None:
+            return None
+        return encode_machine(machine, cordoned_until=cordoned_until)
+
     def _may_retire(self, machine: Machine, reason: RetireReason) -> bool:
         gate = self._heartbeats.gate
         return gate is None or gate.may_retire(machine, reason)
@@ -195,7 +216,7 @@
             return self._reason_without_heartbeat(machine, view, machine_type)
         if not view.is_fresh(now, timeout_s):
             return RetireReason.SILENT
-        if self._failures.is_faulty(machine.id):
+        if self._failures.is_faulty(machine.id) or machine.is_cordoned(self._clock.wall_time()):
             return RetireReason.FAULTY if not machine.attempts else None
         return self._reason_when_idle(machine, view, now, spare)
 
--- a/tests/test_failing_tasks.py
+++ b/tests/test_failing_tasks.py
@@ -2,6 +2,8 @@
 
 import curio
 
+from crossmill.cluster import keys
+
 from .simulated_region import Region, simulate
 from .simulated_worker import Worker
 
@@ -25,9 +27,11 @@
     region.fails_after_s = fails_after_s
 
 
-async def _start_service(region: Region, **fields: object) -> None:
-    """Start a service of one replica on one of the region's machines."""
-    assert await region.submit("node-0", SERVICE, None, sacks=1, crew="blue", **fields) == 201
+async def _start_service(region: Region) -> None:
+    """Start a region whose only machine runs a service of one replica."""
+    await region.start_region(machines=0)
+    await region.add_worker("n-0", shard=region.nodes["node-0"].settings.shard_of_team("blue"))
+    assert await region.submit("node-0", SERVICE, None, sacks=1, crew="blue") == 201
     await region.wait_until(lambda: bool(region.workers_running(SERVICE)))
 
 
@@ -44,7 +48,6 @@
     """Guards against the failure of review/1: a replica's machine was excluded for good."""
 
     async def scenario(region: Region) -> None:
-        await region.start_region(machines=1)
         await _start_service(region)
         await _fail_two_jobs(region)
         for job in BAD_JOBS:
@@ -60,10 +63,59 @@
     """The judgement of the machine ends by time while the jobs that led to it still wait."""
 
     async def scenario(region: Region) -> None:
-        await region.start_region(machines=1)
         await _start_service(region)
         await _fail_two_jobs(region)
         assert await region.submit("node-0", GOOD_JOB, 5.0, crew="blue", sacks=1) == 201
         await region.wait_until(lambda: region.has_finished(GOOD_JOB, 1), MAX_WAIT_S)
 
     simulate(scenario)
+
+
+def test_jobs_run_on_another_machine_while_a_faulty_one_runs_a_replica() -> None:
+    """Guards against a forecast that counts the room of a machine that placement does not use."""
+
+    async def scenario(region: Region) -> None:
+        await _start_service(region)
+        await region.run_provisioners()
+        _fail_machine(region, "n-0")
+        jobs = [f"wk-{n:06d}" for n in range(200, 206)]
+        for job in jobs:
+            assert await region.submit("node-0", job, 5.0, crew="blue", sacks=1) == 201
+            await curio.sleep(2.0)
+        for job in jobs:
+            await region.wait_until(lambda job=job: region.has_finished(job, 1), MAX_WAIT_S)
+        # the judgement takes a failure of two jobs; those that started meanwhile fail too
+        failed = [start for start in region.checker.starts if start[3] == "n-0"]
+        assert len(failed) <= 1 + 4
+        assert [w.machine for w in region.workers_running(SERVICE)] == ["n-0"]
+
+    simulate(scenario)
+
+
+def test_the_next_owner_places_nothing_on_a_cordoned_machine() -> None:
+    """Guards against a judgement that only the owner which made it knows of."""
+
+    async def scenario(region: Region) -> None:
+        await _start_service(region)
+        _fail_machine(region, "n-0", after_s=0.5)
+        for job in BAD_JOBS:
+            assert await region.submit("node-0", job, 5.0, crew="blue", sacks=1) == 201
+        shard = region.nodes["node-0"].settings.shard_of_team("blue")
+
+        def cordoned_until() -> float:
+            record = region.state.keys[keys.machine("n-0")][0]
+            return float(record.get("cordoned_until", 0.0))
+
+        await region.wait_until(lambda: cordoned_until() > region.clock.wall_time())
+        until = cordoned_until()
+        starts = len(region.checker.starts)
+        await region.kill(region.owners()[shard])
+        label = next(iter(region.nodes))
+        assert await region.submit(label, GOOD_JOB, 5.0, crew="blue", sacks=1) == 201
+        await region.wait_until(lambda: region.owners().get(shard) in region.nodes)
+        await curio.sleep(max(0.0, until - region.clock.wall_time() - 1.0))
+        assert len(region.checker.starts) == starts
+        region.fails_after_s = lambda *_: None
+        await region.wait_until(lambda: region.has_finished(GOOD_JOB, 1), MAX_WAIT_S)
+
+    simulate(scenario)
