--- a/tests/test_failing_tasks.py
+++ b/tests/test_failing_tasks.py
@@ -35,6 +35,10 @@
     await region.wait_until(lambda: bool(region.workers_running(SERVICE)))
 
 
+async def _wait_until_done(region: Region, job: str) -> None:
+    await region.wait_until(lambda: region.has_finished(job, 1), MAX_WAIT_S)
+
+
 async def _fail_two_jobs(region: Region) -> None:
     """Let two jobs with a mistake fail on the only machine."""
     _fail_jobs(region, BAD_JOBS)
@@ -53,7 +57,7 @@
         for job in BAD_JOBS:
             assert await region.cancel_until_confirmed("node-0", job, 10.0)
         assert await region.submit("node-0", GOOD_JOB, 5.0, crew="blue", sacks=1) == 201
-        await region.wait_until(lambda: region.has_finished(GOOD_JOB, 1), MAX_WAIT_S)
+        await _wait_until_done(region, GOOD_JOB)
         assert region.workers_running(SERVICE)
 
     simulate(scenario)
@@ -66,7 +70,7 @@
         await _start_service(region)
         await _fail_two_jobs(region)
         assert await region.submit("node-0", GOOD_JOB, 5.0, crew="blue", sacks=1) == 201
-        await region.wait_until(lambda: region.has_finished(GOOD_JOB, 1), MAX_WAIT_S)
+        await _wait_until_done(region, GOOD_JOB)
 
     simulate(scenario)
 
@@ -83,7 +87,7 @@
             assert await region.submit("node-0", job, 5.0, crew="blue", sacks=1) == 201
             await curio.sleep(2.0)
         for job in jobs:
-            await region.wait_until(lambda job=job: region.has_finished(job, 1), MAX_WAIT_S)
+            await _wait_until_done(region, job)
         # the judgement takes a failure of two jobs; those that started meanwhile fail too
         failed = [start for start in region.checker.starts if start[3] == "n-0"]
         assert len(failed) <= 1 + 4
@@ -116,6 +120,6 @@
         await curio.sleep(max(0.0, until - region.clock.wall_time() - 1.0))
         assert len(region.checker.starts) == starts
         region.fails_after_s = lambda *_: None
-        await region.wait_until(lambda: region.has_finished(GOOD_JOB, 1), MAX_WAIT_S)
+        await _wait_until_done(region, GOOD_JOB)
 
     simulate(scenario)
