Failures: plans record where a job failed, and its machines are avoided for a bounded time

Cause: the owner excluded each machine on which a task of the job had failed for good, and only in its memory. The forecast counted the room of that machine, so no other was rented, and the next owner forgot the failures. The forecast also counted all tasks of a job at fault, of which one at a time is placed.

The forecast reads the same: it rents a machine in place of the avoided ones, keeps those if no other can be had, and counts one task of a suspected job.

--- a/crossmill/cluster/job_index.py
+++ b/crossmill/cluster/job_index.py
@@ -92,6 +92,7 @@
             staged=job.staged,
             done_tasks=job.done_tasks,
             planned_tasks=job.planned_tasks,
+            failed_at=job.failed_at,
         )
         self[job.id] = plan_only
         self.without_record[job.id] = plan_only
--- a/crossmill/cluster/model.py
+++ b/crossmill/cluster/model.py
@@ -24,6 +24,12 @@
         return end
 
 
+# a job that failed on this many machines is suspected to be the cause of its failures
+SUSPECT_MACHINES = 2
+# a job that failed on this many machines and never succeeded is considered the cause
+JOB_AT_FAULT_MACHINES = 3
+NO_MACHINES: frozenset[str] = frozenset()
+
 # aliases, because the ends are compared in many places
 ACTIVE, DONE, CANCELLED = JobEnd.ACTIVE, JobEnd.DONE, JobEnd.CANCELLED
 
@@ -61,7 +67,8 @@
     """The plan of consecutive tasks of a job, starting at the index `first_task`.
 
     `done_bitmap` has a bit for each task that is done, and `attempts` holds the planned attempts
-    by task index.
+    by task index. `failed_at` holds the wall-clock time of the last failure of a task on each
+    machine, by machine ID, for the machines where tasks failed last.
     """
 
     next_attempt_number: int = 1
@@ -69,6 +76,7 @@
     attempts: dict[int, PlannedAttempt] = field(default_factory=dict)
     version: int = 0
     first_task: int = 0
+    failed_at: dict[str, float] = field(default_factory=dict)
 
 
 @dataclass(slots=True, eq=False)
@@ -99,6 +107,8 @@
     # totals over all chunks, kept up to date because each scheduling round reads them for all jobs
     done_tasks: int = 0
     planned_tasks: int = 0
+    # wall-clock times of the last failure on each machine over all chunks, by machine ID
+    failed_at: dict[str, float] = field(default_factory=dict)
 
     @property
     def has_record(self) -> bool:
@@ -144,6 +154,38 @@
             return 0
         return self.spec.tasks - self.done_task_count() - self.planned_task_count()
 
+    @property
+    def has_succeeded(self) -> bool:
+        """Whether any task has shown that the job can run."""
+        return self.done_task_count() > 0
+
+    @property
+    def is_suspect(self) -> bool:
+        """Whether the job itself may be the cause of its failures."""
+        return len(self.failed_at) >= SUSPECT_MACHINES and not self.has_succeeded
+
+    @property
+    def is_at_fault(self) -> bool:
+        """Whether the job is considered the cause, so that its failures blame no machine."""
+        return len(self.failed_at) >= JOB_AT_FAULT_MACHINES and not self.has_succeeded
+
+    def avoided_machines(self, since: float) -> frozenset[str]:
+        """Return the IDs of the machines where the job failed after the wall-clock time `since`.
+
+        A job at fault would avoid one machine after the other, so it avoids none.
+        """
+        if not self.failed_at or self.is_at_fault:
+            return NO_MACHINES
+        return frozenset(machine_id for machine_id, at in self.failed_at.items() if at > since)
+
+    def placeable_task_count(self) -> int:
+        """Return how many waiting tasks may be placed now, as far as the job's failures decide.
+
+        Of a job that may itself be the cause, one task is tried at a time.
+        """
+        tasks = self.waiting_task_count()
+        return max(0, min(tasks, 1 - self.planned_task_count())) if self.is_suspect else tasks
+
 
 @dataclass(slots=True, eq=False)
 class Machine:
--- a/crossmill/cluster/plan_index.py
+++ b/crossmill/cluster/plan_index.py
@@ -87,12 +87,23 @@
             job.chunks.pop(name, None)
         else:
             job.chunks[name] = new_chunk
+        if (old_chunk and old_chunk.failed_at) or (new_chunk and new_chunk.failed_at):
+            job.failed_at = _failures_of(job)
 
 
 def _done_count(chunk: PlanChunk | None) -> int:
     return chunk.done_bitmap.bit_count() if chunk else 0
 
 
+def _failures_of(job: Job) -> dict[str, float]:
+    """Return the time of the job's last failure on each machine over all chunks in effect."""
+    failed_at: dict[str, float] = {}
+    for chunk in job.chunks.values():
+        for machine_id, at in chunk.failed_at.items():
+            failed_at[machine_id] = max(at, failed_at.get(machine_id, at))
+    return failed_at
+
+
 def _segments_of(chunks: dict[str, PlanChunk], legacy: ChunkRange) -> list[tuple[str, PlanChunk]]:
     return [
         (name, chunk)
--- a/crossmill/cluster/records.py
+++ b/crossmill/cluster/records.py
@@ -131,13 +131,17 @@
         [attempt.index, attempt.number, attempt.machine, attempt.session]
         for attempt in chunk.attempts.values()
     ]
-    return {"next": chunk.next_attempt_number, "done": f"{chunk.done_bitmap:x}", "rows": rows}
+    value = {"next": chunk.next_attempt_number, "done": f"{chunk.done_bitmap:x}", "rows": rows}
+    if chunk.failed_at:
+        value["failed"] = [[machine, round(at, 1)] for machine, at in chunk.failed_at.items()]
+    return value
 
 
 def decode_chunk(job_id: str, value: dict[str, Any], version: int, first: int) -> PlanChunk:
     """Decode a chunk of a job's plan whose first task index is `first`."""
     attempts = {row[0]: PlannedAttempt(job_id, *row) for row in value["rows"]}
-    return PlanChunk(value["next"], int(value["done"], 16), attempts, version, first)
+    failed_at = {row[0]: row[1] for row in value.get("failed", ())}
+    return PlanChunk(value["next"], int(value["done"], 16), attempts, version, first, failed_at)
 
 
 def encode_machine(
--- a/crossmill/fleet/forecast.py
+++ b/crossmill/fleet/forecast.py
@@ -124,15 +124,17 @@
         return demands
 
     def _waiting_demand(self, job: Job, wall_time: float) -> TaskDemand | None:
-        spec = job.spec
-        if spec is None:
+        spec, tasks = job.spec, job.placeable_task_count()
+        if spec is None or tasks <= 0:
             return None
         position = self._pipelines.position(job)
         zones = ZoneAllowance(spec, self._cluster.machines.task_counts_by_zone(job))
         task_s = self.estimates.task_s(spec.job_class, spec.estimate_s)
         # without a deadline the budget end only orders the queue, and no option is too slow
         budget_s = position.budget_end - wall_time if position.has_deadline else inf
-        return TaskDemand(spec, job.waiting_task_count(), zones, budget_s, task_s)
+        demand = TaskDemand(spec, tasks, zones, budget_s, task_s)
+        demand.excluded_machines = job.avoided_machines(wall_time - self._settings.failure_memory_s)
+        return demand
 
     def _slots_freed_in_time(self, demand: TaskDemand, running: int) -> int:
         """Estimate how many slots running arrays free until the demand's last task must start.
@@ -175,7 +177,8 @@
         capacities = self.capacity.shard_capacities(shard, wall_time)
         unplaced: list[TaskDemand] = []
         for demand in self._waiting_demands(shard, wall_time):
-            assignments = assign_tasks(demand.spec, demand.tasks, capacities, demand.zones)
+            usable = demand.usable(capacities)
+            assignments = assign_tasks(demand.spec, demand.tasks, usable, demand.zones)
             placed = sum(assignment.tasks for assignment in assignments)
             remaining = demand.tasks - placed - demand.covered_by_running
             if remaining > 0 and self._cluster.jobs[demand.spec.id].ready_at < ready_before:
--- a/crossmill/jobs/capacity_selection.py
+++ b/crossmill/jobs/capacity_selection.py
@@ -59,6 +59,7 @@
 
     def __init__(self, context: SchedulingContext, preemption: Preemption) -> None:
         self._settings = context.settings
+        self._clock = context.clock
         self._cluster = context.cluster
         self._preemption = preemption
         # attempts to be stopped, chosen in this round, and task shapes that fit on no machine for
@@ -85,12 +86,12 @@
         preemption are placed in a later round.
         """
         job, spec = request.job, request.spec
-        free = self._available_to(job, failures, self._fitting(spec, capacities))
+        free = self._available_to(job, self._fitting(spec, capacities))
         if spec.is_gang and not self._fits_whole_gang(request, free):
             return []
         request.may_preempt = self._may_preempt(request, failures)
         if request.may_preempt:
-            preemptible = self._available_to(job, failures, capacities)
+            preemptible = self._available_to(job, capacities)
             return self._assign_or_preempt(request, free, preemptible)
         return self._assign_or_preempt(request, free, free) if free else []
 
@@ -113,11 +114,10 @@
             self._shapes_without_capacity.add(shape)
         return fitting
 
-    def _available_to(
-        self, job: Job, failures: JobFailures | None, capacities: list[FreeCapacity]
-    ) -> list[FreeCapacity]:
-        """Return the capacities not reserved for other jobs, where the job has not failed."""
-        excluded = failures.machines if failures is not None else ()
+    def _available_to(self, job: Job, capacities: list[FreeCapacity]) -> list[FreeCapacity]:
+        """Return the capacities that are not reserved for other jobs and that the job may use."""
+        failures_since = self._clock.wall_time() - self._settings.failure_memory_s
+        excluded = job.avoided_machines(failures_since)
         return [
             capacity
             for capacity in capacities
--- a/crossmill/jobs/failures.py
+++ b/crossmill/jobs/failures.py
@@ -1,57 +1,50 @@
-"""Task failures: decides which jobs are retried with backoff and which machines are faulty.
+"""Task failures: delays the retries of failing jobs, and decides which machines are faulty.
 
-Owns the failures recorded since this process started; they are not stored. The scheduling loop
-records outcomes; placement and machine maintenance query them.
+Owns the failures recorded since this process started, which are not stored: the retry backoff of
+each job, and by which jobs each machine is judged. The plans record on which machines a job failed
+(`Job.failed_at`), and the records of machines until when they are cordoned: these every controller
+knows. The scheduling loop records outcomes; placement and machine maintenance query them.
 """
 
 import logging
 
 from ..cluster.cluster_state import ClusterState
-from ..cluster.model import CANCELLED, Job
+from ..cluster.model import CANCELLED, SUSPECT_MACHINES, Job, Machine
 from ..net.clock import Clock
 from ..settings import Settings
 from ..workers.attempt_outcomes import AttemptOutcome, EndReason
+from .context import SchedulingContext
 
 log = logging.getLogger(__name__)
 
-# a job that failed on this many machines is suspected to be the cause of its failures
-SUSPECT_MACHINES = 2
-# a job that failed on this many machines and never succeeded is considered the cause
-JOB_AT_FAULT_MACHINES = 3
 # a machine is faulty if this many jobs failed on it lately that are not the cause themselves
 FAULTY_MACHINE_JOBS = 2
+# the value of `Machine.cordoned_until` that ends a cordon
+NOT_CORDONED = 0.0
 # bounds the exponent of the retry backoff
 MAX_BACKOFF_DOUBLINGS = 8
 
 
 class JobFailures:
-    """Failures of the tasks of one job."""
+    """The number of a job's failures, and the delay of its retry."""
 
-    __slots__ = ("failure_count", "has_succeeded", "machines", "not_before")
+    __slots__ = ("failure_count", "not_before")
 
     def __init__(self) -> None:
-        # IDs of the machines on which tasks of the job failed
-        self.machines: set[str] = set()
         self.failure_count = 0
-        self.has_succeeded = False
         # the earliest time for placing the job's next task, in seconds on the controller's clock
         self.not_before = 0.0
 
-    @property
-    def is_suspect(self) -> bool:
-        """Whether the job itself may be the cause, so that one task is tried at a time."""
-        return len(self.machines) >= SUSPECT_MACHINES and not self.has_succeeded
-
-    @property
-    def is_at_fault(self) -> bool:
-        """Whether the job is considered the cause, so that its failures blame no machine."""
-        return len(self.machines) >= JOB_AT_FAULT_MACHINES and not self.has_succeeded
-
 
 class TaskFailures:
     """Task failures by job and by machine since this process started."""
 
-    def __init__(self, settings: Settings, clock: Clock, cluster: ClusterState) -> None:
+    def __init__(
+        self,
+        settings: Settings,
+        clock: Clock,
+        cluster: ClusterState,
+    ) -> None:
         self._settings = settings
         self._clock = clock
         self._cluster = cluster
@@ -64,16 +57,6 @@
         """Return the job's failures, or None if none of its tasks has ended yet."""
         return self._by_job.get(job_id)
 
-    def is_suspect(self, job_id: str) -> bool:
-        """Return whether the job itself may be the cause of its failures."""
-        entry = self._by_job.get(job_id)
-        return entry is not None and entry.is_suspect
-
-    def has_failed_on(self, job_id: str, machine_id: str) -> bool:
-        """Return whether the job is not placed on the machine because a task of it failed there."""
-        entry = self._by_job.get(job_id)
-        return entry is not None and machine_id in entry.machines
-
     def is_faulty(self, machine_id: str) -> bool:
         """Return whether enough jobs failed on the machine to consider the machine faulty.
 
@@ -94,33 +77,33 @@
         Users cancel jobs that were submitted with a mistake. A cancelled job of which no task ever
         succeeded is therefore taken for the cause of its failures.
         """
-        job, entry = self._cluster.jobs.get(job_id), self._by_job.get(job_id)
-        if job is None or (entry is not None and entry.is_at_fault):
+        job = self._cluster.jobs.get(job_id)
+        if job is None or job.is_at_fault:
             return False
-        return job.end != CANCELLED or (entry is not None and entry.has_succeeded)
+        return job.end != CANCELLED or job.has_succeeded
 
     def record(self, job: Job, outcome: AttemptOutcome) -> None:
         """Record that an attempt of the job has ended."""
         entry = self._by_job.setdefault(job.id, JobFailures())
-        machine = outcome.attempt.machine
         if outcome.reason == EndReason.DONE:
-            entry.has_succeeded = True
-            self._by_machine.pop(machine, None)
-        elif outcome.reason in (EndReason.ERROR, EndReason.TASK_UNKNOWN):
+            self._by_machine.pop(outcome.attempt.machine, None)
+        elif outcome.reason.is_failure:
             self._record_failure(job, entry, outcome)
 
     def _record_failure(self, job: Job, entry: JobFailures, outcome: AttemptOutcome) -> None:
         machine = outcome.attempt.machine
-        was_suspect, was_faulty = entry.is_suspect, self.is_faulty(machine)
+        was_faulty = self.is_faulty(machine)
         entry.failure_count += 1
-        entry.machines.add(machine)
         self._by_machine.setdefault(machine, {})[job.id] = self._clock.now()
+        # the plan does not record this failure yet
+        machine_count = len({*job.failed_at, machine})
         # a job that fails on several machines is probably the cause itself: it is retried with
         # exponential backoff
-        if len(entry.machines) >= SUSPECT_MACHINES or outcome.reason == EndReason.TASK_UNKNOWN:
+        if machine_count >= SUSPECT_MACHINES or outcome.reason == EndReason.TASK_UNKNOWN:
             entry.not_before = self._clock.now() + self._backoff_s(entry)
-        if entry.is_suspect and not was_suspect:
-            log.info("job suspected job=%s machines=%d", job.id, len(entry.machines))
+        is_suspect = machine_count >= SUSPECT_MACHINES and not job.has_succeeded
+        if is_suspect and machine_count > len(job.failed_at):
+            log.info("job suspected job=%s machines=%d", job.id, machine_count)
         if self.is_faulty(machine) and not was_faulty:
             jobs = ",".join(sorted(self._blaming_jobs(self._by_machine[machine])))
             log.info("machine judged faulty machine=%s jobs=%s", machine, jobs)
@@ -149,3 +132,43 @@
             for machine_id, failed_at in self._by_machine.items()
             if max(failed_at.values()) > since
         }
+
+
+class MachineCordon:
+    """The decision when to cordon a faulty machine, and when to end a cordon before its time.
+
+    A cordon is a time in the machine's record until which no task is placed on the machine and no
+    forecast counts its room. Machine maintenance writes the changes. The object owns the IDs of the
+    machines that this process has cordoned.
+    """
+
+    def __init__(self, context: SchedulingContext, failures: TaskFailures) -> None:
+        self._settings = context.settings
+        self._clock = context.clock
+        self._cluster = context.cluster
+        self._failures = failures
+        self._cordoned: set[str] = set()
+
+    def change(self, machine: Machine) -> float | None:
+        """Return the wall-clock time until which to cordon the machine; None for no change.
+
+        A cordon ends by itself. It is ended before only by the process that wrote it: another owner
+        does not know by which failures the machine was judged.
+        """
+        wall_time = self._clock.wall_time()
+        is_cordoned = machine.is_cordoned(wall_time)
+        if self._failures.is_faulty(machine.id):
+            return None if is_cordoned else self._begin(machine, wall_time)
+        if machine.id not in self._cordoned:
+            return None
+        self._cordoned.discard(machine.id)
+        if not is_cordoned:
+            return None
+        log.info("machine uncordoned machine=%s", machine.id)
+        return NOT_CORDONED
+
+    def _begin(self, machine: Machine, wall_time: float) -> float:
+        log.info("machine cordoned machine=%s tasks=%d", machine.id, len(machine.attempts))
+        self._cordoned &= self._cluster.machines.keys()
+        self._cordoned.add(machine.id)
+        return wall_time + self._settings.failure_memory_s
--- a/crossmill/jobs/machine_maintenance.py
+++ b/crossmill/jobs/machine_maintenance.py
@@ -21,8 +21,7 @@
 from ..wire.state import Put, Txn
 from ..workers.views import WorkerView
 from .context import SchedulingContext
-from .failures import TaskFailures
-from .machine_cordon import MachineCordon
+from .failures import MachineCordon, TaskFailures
 from .machine_drain import MachineDrain
 
 log = logging.getLogger(__name__)
--- a/crossmill/jobs/machine_transfer.py
+++ b/crossmill/jobs/machine_transfer.py
@@ -222,7 +222,7 @@
         machine_type = self._cluster.catalog.get(machine.type)
         if machine_type is None or machine.retirement_reason or not machine.is_up:
             return False
-        if machine.is_cordoned(self._clock.wall_time()):
+        if machine.is_cordoned(self._clock.wall_time()) or machine.id in demand.excluded_machines:
             return False
         if bool(machine.attempts) is not is_busy or demand.zones.remaining(machine.zone) <= 0:
             return False
--- a/crossmill/jobs/placement.py
+++ b/crossmill/jobs/placement.py
@@ -1,11 +1,13 @@
-"""Placement of waiting tasks on machines, in queue order.
+"""Placement of waiting tasks on eligible machines, in queue order.
 
 The scheduling loop calls it once per round and shard. It owns the queue position at which the next
 round continues after a round exceeded its time budget. Its decisions are added to the round's plan
-edits.
+edits. Each reason why a machine is not eligible ends: docs/safety.md ("Exclusions of machines and
+jobs") says with what.
 """
 
 import logging
+from enum import StrEnum
 
 from ..cluster.model import Job, Machine, PlannedAttempt
 from ..cluster.ownership import ShardOwnership
@@ -15,13 +17,75 @@
 from .context import SchedulingContext
 from .failures import JobFailures, TaskFailures
 from .machine_drain import MachineDrain
-from .machine_eligibility import MachineEligibility
+from .machine_transfer import MachineTransfer
 from .plan_writer import PlanEdits, get_or_create_edit
 from .team_quotas import LIMIT_TOLERANCE, ResourceUsage, TeamQuotas, UsageByTeam
 
 log = logging.getLogger(__name__)
 
 
+class MachineExclusion(StrEnum):
+    """The reason why a machine gets no tasks at present."""
+
+    # its record marks it as retiring
+    RETIRING = "retiring"
+    # no recent heartbeat with this owner's token was received
+    NO_HEARTBEAT = "no-heartbeat"
+    # the cloud has announced that it will terminate the machine
+    TERMINATION_NOTICE = "termination-notice"
+    # tasks of several jobs failed on it, as this owner or an earlier one saw
+    FAULTY = "faulty"
+    # its replicas are being moved to other machines
+    DRAINING = "draining"
+    # it is being transferred to another shard
+    TRANSFERRING = "transferring"
+
+
+class MachineEligibility:
+    """The decision whether tasks may be placed on a machine now."""
+
+    def __init__(
+        self,
+        context: SchedulingContext,
+        machine_drain: MachineDrain,
+        machine_transfer: MachineTransfer,
+        failures: TaskFailures,
+    ) -> None:
+        self._settings = context.settings
+        self._clock = context.clock
+        self._heartbeats = context.heartbeats
+        self._machine_drain = machine_drain
+        self._machine_transfer = machine_transfer
+        self._failures = failures
+
+    def exclusion(self, machine: Machine, now: float) -> MachineExclusion | None:
+        """Return why no task may be placed on the machine, or None if tasks may be placed.
+
+        `now` is in seconds of the controller's monotonic clock.
+        """
+        if machine.retirement_reason:
+            return MachineExclusion.RETIRING
+        if self._failures.is_faulty(machine.id) or machine.is_cordoned(self._clock.wall_time()):
+            return MachineExclusion.FAULTY
+        return self._worker_exclusion(machine, now) or self._movement(machine)
+
+    def _worker_exclusion(self, machine: Machine, now: float) -> MachineExclusion | None:
+        """Return the exclusion that follows from the worker's heartbeats."""
+        view = self._heartbeats.find_view(machine.id)
+        if view is None or not view.is_fresh(now, self._settings.heartbeat_timeout_s):
+            return MachineExclusion.NO_HEARTBEAT
+        return None if view.termination_at is None else MachineExclusion.TERMINATION_NOTICE
+
+    def _movement(self, machine: Machine) -> MachineExclusion | None:
+        """Return the exclusion of a machine whose tasks, or which itself, is being moved."""
+        if self._machine_drain.is_draining(machine.id):
+            return MachineExclusion.DRAINING
+        is_transferring = self._machine_transfer.has_planned_transfer(
+            machine.id
+        ) or self._heartbeats.is_transferring(machine.id)
+        return MachineExclusion.TRANSFERRING if is_transferring else None
+
+
 def _assigned_machines(assignments: list[TaskAssignment]) -> list[str]:
     """Return the machine ID for each assigned task."""
     return [capacity.machine for capacity, task_count in assignments for _ in range(task_count)]
@@ -138,12 +202,9 @@
         self, job: Job, spec: JobSpec, failures: JobFailures | None, usage: ResourceUsage
     ) -> int:
         """Return the number of tasks that team limits and earlier failures allow to place now."""
-        tasks = min(job.waiting_task_count(), self._tasks_within_limit(spec, usage))
-        if failures is None:
-            return tasks
-        if failures.not_before > self._clock.now():
+        if failures is not None and failures.not_before > self._clock.now():
             return 0
-        return min(tasks, 1 - job.planned_task_count()) if failures.is_suspect else tasks
+        return min(job.placeable_task_count(), self._tasks_within_limit(spec, usage))
 
     def _tasks_within_limit(self, spec: JobSpec, usage: ResourceUsage) -> int:
         """Return the number of further tasks of the job that the team's limits allow."""
--- a/crossmill/jobs/plan_migration.py
+++ b/crossmill/jobs/plan_migration.py
@@ -110,7 +110,7 @@
         """Return the segments into which the legacy chunk is split, by name.
 
         Each segment starts with the next attempt number of the whole chunk, so that no attempt
-        number is reused.
+        number is reused. The first one gets the recorded failures, which count for the whole job.
         """
         layout = self._cluster.layout
         copies: dict[str, PlanChunk] = {}
@@ -124,8 +124,9 @@
                 for task_index, attempt in legacy.attempts.items()
                 if segment.first <= task_index < segment.end
             }
+            failed_at = {} if copies else dict(legacy.failed_at)
             copies[segment.name] = PlanChunk(
-                legacy.next_attempt_number, done, attempts, 0, segment.first
+                legacy.next_attempt_number, done, attempts, 0, segment.first, failed_at
             )
             index = segment.end
         return copies
--- a/crossmill/jobs/plan_writer.py
+++ b/crossmill/jobs/plan_writer.py
@@ -3,8 +3,11 @@
 Called by the scheduling loop with a round's edits; owns no state.
 """
 
+from dataclasses import replace
 from typing import Any
 
+import orjson
+
 from ..cluster import keys
 from ..cluster.cluster_state import ClusterState
 from ..cluster.layout import ChunkRange
@@ -20,6 +23,9 @@
 from ..workers.attempt_outcomes import AttemptOutcome, EndReason
 from .plan_migration import PlanMigration
 
+# machines with failures that a chunk records; more than make a job count as the cause
+MAX_FAILED_MACHINES = 4
+
 
 class PlanEdit:
     """A round's changes to one chunk of a job's plan, with the versions they are based on.
@@ -91,7 +97,10 @@
         chunk_range = self._cluster.layout.parse(edit.chunk_name)
         new_chunk = (
             PlanChunk(
-                old_chunk.next_attempt_number, old_chunk.done_bitmap, dict(old_chunk.attempts)
+                old_chunk.next_attempt_number,
+                old_chunk.done_bitmap,
+                dict(old_chunk.attempts),
+                failed_at=dict(old_chunk.failed_at),
             )
             if old_chunk
             else PlanChunk()
@@ -106,7 +115,7 @@
         for attempt in edit.starts:
             new_chunk.attempts[attempt.index] = attempt
             new_chunk.next_attempt_number = attempt.number + 1
-        txn.puts.append(Put(key, encode_chunk(new_chunk)))
+        txn.puts.append(Put(key, self._encode_within_limit(new_chunk)))
         is_finished = spec is not None and self._is_finished(edit, spec, new_chunk)
         if spec is not None and is_finished:
             txn.conditions[keys.job(job.id)] = edit.job_version
@@ -114,6 +123,13 @@
         rank = WriteRank.PLACEMENT if edit.starts or is_finished else WriteRank.OUTCOME
         return shard_intent(self._membership, shard, ownership, rank, txn)
 
+    def _encode_within_limit(self, chunk: PlanChunk) -> dict[str, Any]:
+        """Encode the chunk, without its failures if it would exceed the limit of a value."""
+        value = encode_chunk(chunk)
+        if chunk.failed_at and len(orjson.dumps(value)) > self._cluster.limits.max_record_bytes:
+            value = encode_chunk(replace(chunk, failed_at={}))
+        return value
+
     def job_end_intents(self, shard: int, ownership: ShardOwnership) -> list[WriteIntent]:
         """Return the writes that end jobs whose last chunks were finished at the same time.
 
@@ -175,6 +191,16 @@
             del new_chunk.attempts[index]
             if outcome.reason == EndReason.DONE:
                 new_chunk.done_bitmap |= 1 << (index - chunk_range.first)
+                new_chunk.failed_at.pop(outcome.attempt.machine, None)
+            elif outcome.reason.is_failure:
+                self._record_failure(new_chunk.failed_at, outcome.attempt.machine)
+
+    def _record_failure(self, failed_at: dict[str, float], machine_id: str) -> None:
+        """Record a failure on the machine; only the newest failures are kept."""
+        failed_at.pop(machine_id, None)
+        failed_at[machine_id] = self._clock.wall_time()
+        while len(failed_at) > MAX_FAILED_MACHINES:
+            del failed_at[next(iter(failed_at))]
 
     def _is_finished(self, edit: PlanEdit, spec: JobSpec, new_chunk: PlanChunk) -> bool:
         """Return whether the new chunk completes the job's last tasks; a service never finishes."""
--- a/crossmill/jobs/scheduling_loop.py
+++ b/crossmill/jobs/scheduling_loop.py
@@ -7,6 +7,7 @@
 """
 
 import logging
+from typing import TYPE_CHECKING
 
 import curio
 
@@ -28,16 +29,17 @@
 from .context import SchedulingContext
 from .failures import TaskFailures
 from .machine_drain import MachineDrain
-from .machine_eligibility import MachineEligibility
 from .machine_maintenance import MachineMaintenance
 from .machine_transfer import MachineTransfer
 from .outcome_batch import ChunkOutcomes, collect_outcomes, select_batches
-from .placement import TaskPlacement
+from .placement import MachineEligibility, TaskPlacement
 from .plan_migration import PlanMigration
 from .plan_writer import PlanEdits, PlanWriter, get_or_create_edit
 from .preemption import Preemption
 from .team_quotas import TeamQuotas
-from .waiting_report import WaitingReport
+
+if TYPE_CHECKING:
+    from .waiting_report import WaitingReport
 
 log = logging.getLogger(__name__)
 
@@ -89,7 +91,8 @@
         self._maintenance = MachineMaintenance(
             context, membership, expiry_proof, machine_drain, self._failures
         )
-        eligibility = MachineEligibility(
+        self._context = context
+        self._eligibility = MachineEligibility(
             context, machine_drain, self._machine_transfer, self._failures
         )
         self._placement = TaskPlacement(
@@ -97,10 +100,11 @@
             self._quotas,
             CapacitySelection(context, preemption),
             machine_drain,
-            eligibility,
+            self._eligibility,
             self._failures,
         )
-        self._waiting_report = WaitingReport(context, eligibility, self._failures)
+        self._started_at = clock.now()
+        self._waiting_report: WaitingReport | None = None
         self._wake = wake
 
     async def run(self) -> None:
@@ -149,7 +153,7 @@
         writes += [_RoundWrite(intent, []) for intent in (*maintenance, *transfers.values())]
         await self._submit(writes, transfers)
         await self._send_durable_starts(writes)
-        self._waiting_report.report(shard, machines)
+        self._report_waiting_jobs(shard, machines)
 
     def _place(
         self, shard: int, ownership: ShardOwnership, machines: list[Machine], edits: PlanEdits
@@ -165,6 +169,17 @@
         stops = list(self._machine_transfer.choose_machines(shard))
         return stops + self._placement.place(shard, ownership, machines, edits)
 
+    def _report_waiting_jobs(self, shard: int, machines: list[Machine]) -> None:
+        """Log why jobs wait; the report is loaded late, as each import at the start delays it."""
+        if self._waiting_report is None:
+            started_for_s = self._context.clock.now() - self._started_at
+            if started_for_s < self._settings.waiting_report_interval_s:
+                return
+            from .waiting_report import WaitingReport
+
+            self._waiting_report = WaitingReport(self._context, self._eligibility)
+        self._waiting_report.report(shard, machines)
+
     def _plan_writes(
         self, shard: int, ownership: ShardOwnership, edits: PlanEdits
     ) -> list[_RoundWrite]:
--- a/crossmill/jobs/waiting_report.py
+++ b/crossmill/jobs/waiting_report.py
@@ -15,8 +15,7 @@
 from ..planning.free_capacity import ZoneAllowance, is_allowed
 from ..wire.users import JobSpec
 from .context import SchedulingContext
-from .failures import TaskFailures
-from .machine_eligibility import MachineEligibility
+from .placement import MachineEligibility
 
 log = logging.getLogger(__name__)
 
@@ -38,14 +37,12 @@
         self,
         context: SchedulingContext,
         eligibility: MachineEligibility,
-        failures: TaskFailures,
     ) -> None:
         self._settings = context.settings
         self._clock = context.clock
         self._cluster = context.cluster
         self._forecast = context.forecast
         self._eligibility = eligibility
-        self._failures = failures
         # times of the last reports in seconds, by shard
         self._reported_at: dict[int, float] = {}
         # progress of the waiting jobs by shard and job ID
@@ -90,7 +87,7 @@
             waited_s,
             ",".join(f"{state}:{number}" for state, number in sorted(states.items())) or "none",
             sum(machine.id in counted for machine in fitting),
-            self._failures.is_suspect(job.id),
+            job.is_suspect,
         )
 
     def _fitting_machines(self, job: Job, spec: JobSpec, machines: list[Machine]) -> list[Machine]:
@@ -119,4 +116,6 @@
         exclusion = self._eligibility.exclusion(machine, self._clock.now())
         if exclusion is not None:
             return exclusion
-        return "failed-here" if self._failures.has_failed_on(job.id, machine.id) else "eligible"
+        failures_since = self._clock.wall_time() - self._settings.failure_memory_s
+        avoided = job.avoided_machines(failures_since)
+        return "failed-here" if machine.id in avoided else "eligible"
--- a/crossmill/planning/demand.py
+++ b/crossmill/planning/demand.py
@@ -44,11 +44,13 @@
         covered_by_running: Number of the tasks that can use slots that running tasks free early
             enough.
         is_spot_only: Whether only spot machines are requested for the tasks.
+        excluded_machines: IDs of the machines that the tasks avoid, since the job failed there.
     """
 
     __slots__ = (
         "budget_s",
         "covered_by_running",
+        "excluded_machines",
         "is_spot_only",
         "spec",
         "task_s",
@@ -71,6 +73,13 @@
         self.task_s = task_s
         self.covered_by_running = 0
         self.is_spot_only = False
+        self.excluded_machines: frozenset[str] = frozenset()
+
+    def usable(self, capacities: list[FreeCapacity]) -> list[FreeCapacity]:
+        """Return the capacities that the tasks may use."""
+        if not self.excluded_machines:
+            return capacities
+        return [c for c in capacities if c.machine not in self.excluded_machines]
 
 
 class MachineSourceKey(NamedTuple):
@@ -213,6 +222,10 @@
         remaining -= _assign(demand, remaining, self._capacities)
         remaining = self._request(demand, remaining, self._sources)
         self._plan.unplaced_tasks += max(0, remaining)
+        if remaining > 0 and demand.excluded_machines:
+            # no other machine can be had: these are kept until the job may use them again
+            excluded = [c for c in self._capacities if c.machine in demand.excluded_machines]
+            assign_tasks(demand.spec, remaining, excluded, demand.zones)
 
     def finish(self) -> CapacityPlan:
         """Return the plan, including the machines that no demand uses."""
@@ -227,7 +240,7 @@
         if tasks <= 0:
             return 0
         assignments = assign_tasks_alongside_gpu_tasks(
-            demand.spec, tasks, self._capacities, demand.zones
+            demand.spec, tasks, demand.usable(self._capacities), demand.zones
         )
         return sum(assignment.tasks for assignment in assignments)
 
@@ -315,7 +328,7 @@
     """Assign up to the given number of tasks to the machines; return how many fit."""
     if tasks <= 0:
         return 0
-    assignments = assign_tasks(demand.spec, tasks, capacities, demand.zones)
+    assignments = assign_tasks(demand.spec, tasks, demand.usable(capacities), demand.zones)
     return sum(assignment.tasks for assignment in assignments)
 
 
--- a/crossmill/workers/attempt_outcomes.py
+++ b/crossmill/workers/attempt_outcomes.py
@@ -51,6 +51,11 @@
     # the cloud has confirmed that the machine is released
     RELEASED = "released"
 
+    @property
+    def is_failure(self) -> bool:
+        """Whether the machine or the job is the cause of the end."""
+        return self in (EndReason.ERROR, EndReason.TASK_UNKNOWN)
+
 
 class StopReason(StrEnum):
     """The reason why a running attempt is stopped."""
--- a/tests/test_failing_tasks.py
+++ b/tests/test_failing_tasks.py
@@ -28,11 +28,15 @@
 
 
 async def _start_service(region: Region) -> None:
-    """Start a region whose only machine runs a service of one replica."""
+    """Start a region whose only machine runs a service of one replica.
+
+    Each shard is then with its preferred owner, so that no hand-over falls into the scenario.
+    """
     await region.start_region(machines=0)
     await region.add_worker("n-0", shard=region.nodes["node-0"].settings.shard_of_team("blue"))
     assert await region.submit("node-0", SERVICE, None, sacks=1, crew="blue") == 201
     await region.wait_until(lambda: bool(region.workers_running(SERVICE)))
+    await curio.sleep(2 * region.worker_lease_s)
 
 
 async def _wait_until_done(region: Region, job: str) -> None:
@@ -123,3 +127,93 @@
         await _wait_until_done(region, GOOD_JOB)
 
     simulate(scenario)
+
+
+def _fail_once(region: Region, jobs: tuple[str, ...]) -> None:
+    """Let the first attempt of each of these jobs fail."""
+
+    def fails_after_s(worker: Worker, job: str, index: int) -> float | None:
+        is_first = sum(start[1] == job for start in region.checker.starts) <= 1
+        return 1.0 if job in jobs and is_first else None
+
+    region.fails_after_s = fails_after_s
+
+
+def test_a_job_that_failed_once_runs_on_the_only_machine() -> None:
+    """Guards against a job that avoids for good the only machine, whose room the forecast counts.
+
+    The cloud has no other machine. A second job of the same shape runs at once.
+    """
+
+    async def scenario(region: Region) -> None:
+        await _start_service(region)
+        _fail_once(region, (GOOD_JOB,))
+        assert await region.submit("node-0", GOOD_JOB, 5.0, crew="blue", sacks=1) == 201
+        await region.wait_until(lambda: bool(region.workers_running(GOOD_JOB)))
+        await curio.sleep(2.0)
+        assert await region.submit("node-0", "wk-000101", 5.0, crew="blue", sacks=1) == 201
+        await _wait_until_done(region, "wk-000101")
+        assert not region.has_finished(GOOD_JOB, 1)
+        await _wait_until_done(region, GOOD_JOB)
+
+    simulate(scenario)
+
+
+def test_a_machine_is_rented_for_a_job_that_fails_on_the_only_one() -> None:
+    """Guards against a forecast that counts the room of a machine that the job avoids."""
+
+    async def scenario(region: Region) -> None:
+        await _start_service(region)
+        await region.run_provisioners()
+        _fail_machine(region, "n-0")
+        assert await region.submit("node-0", GOOD_JOB, 5.0, crew="blue", sacks=1) == 201
+        await _wait_until_done(region, GOOD_JOB)
+        first = next(start for start in region.checker.starts if start[1] == GOOD_JOB)
+        assert first[3] == "n-0"
+
+    simulate(scenario)
+
+
+def test_the_next_owner_knows_on_which_machines_a_job_failed() -> None:
+    """Guards against failures that only the owner which saw them knows of."""
+
+    async def scenario(region: Region) -> None:
+        await _start_service(region)
+        shard = region.nodes["node-0"].settings.shard_of_team("blue")
+        _fail_jobs(region, (GOOD_JOB,))
+        assert await region.submit("node-0", GOOD_JOB, 5.0, crew="blue", sacks=1) == 201
+        await region.wait_until(lambda: bool(region.workers_running(GOOD_JOB)))
+        failed_at = region.clock.now()
+        await curio.sleep(2.0)
+        await region.kill(region.owners()[shard])
+        memory_s = next(iter(region.nodes.values())).settings.failure_memory_s
+        await region.wait_until(lambda: region.owners().get(shard) in region.nodes)
+        await curio.sleep(failed_at + memory_s - 1.0 - region.clock.now())
+        assert sum(start[1] == GOOD_JOB for start in region.checker.starts) == 1
+        region.fails_after_s = lambda *_: None
+        await _wait_until_done(region, GOOD_JOB)
+
+    simulate(scenario)
+
+
+def test_a_job_at_fault_rents_few_machines_and_uses_one_at_a_time() -> None:
+    """A job that fails everywhere neither fills the fleet nor has machine after machine rented."""
+
+    async def scenario(region: Region) -> None:
+        await _start_service(region)
+        await region.run_provisioners()
+        bad_job = BAD_JOBS[0]
+        _fail_jobs(region, (bad_job,), after_s=2.0)
+        assert await region.submit("node-0", bad_job, 20.0, crew="blue", sacks=40) == 201
+        # the first failures come from all tasks that were started before the first one was known
+        await curio.sleep(30.0)
+        rented, starts = len(region.cloud.machines), len(region.checker.starts)
+        await curio.sleep(200.0)
+        assert len(region.cloud.machines) <= rented + 2
+        assert len(region.checker.starts) - starts <= 20
+        assert region.workers_running(SERVICE)
+        assert await region.submit("node-0", GOOD_JOB, 5.0, crew="blue", sacks=1) == 201
+        await _wait_until_done(region, GOOD_JOB)
+        assert await region.cancel_until_confirmed("node-0", bad_job, 10.0)
+
+    simulate(scenario)
--- a/tests/test_planning.py
+++ b/tests/test_planning.py
@@ -164,3 +164,17 @@
 
 def test_the_stored_catalog_has_the_types_in_order() -> None:
     assert stored_catalog(TYPES)[0]["name"] == "g4"
+
+
+@pytest.mark.parametrize(("available", "requested", "spare"), [(5, 1, {"a"}), (0, 0, set())])
+def test_a_machine_that_a_job_avoids_is_replaced_or_kept_if_there_is_no_other(
+    available: int, requested: int, spare: set[str]
+) -> None:
+    spec = make_spec(sacks=1)
+    demand = TaskDemand(spec, 1, ZoneAllowance(spec, {}))
+    demand.excluded_machines = frozenset({"a"})
+    source = MachineSource(TYPES["g4"], "north", False)
+    plan = plan_capacity([demand], [idle_machine("a")], [source], lambda _: available)
+    assert sum(request.number for request in plan.machine_requests.values()) == requested
+    assert plan.spare_machines == spare
+    assert plan.unplaced_tasks == 1 - requested
