Failures: an attempt that has run for long clears a suspected job

Cause: only an exit with done counted as a success, which a replica never has. The service stayed suspected, and a suspected job gets a task only while none is planned. Arrays of long tasks waited for their first task's end.

An attempt that has run for two worker leases now counts as a success. The plan records it, for the forecast and for the next owner. A job of which nothing is done, and which failed on three machines lately, still blames none.

--- a/crossmill/cluster/job_index.py
+++ b/crossmill/cluster/job_index.py
@@ -93,6 +93,7 @@
             done_tasks=job.done_tasks,
             planned_tasks=job.planned_tasks,
             failed_at=job.failed_at,
+            has_run=job.has_run,
         )
         self[job.id] = plan_only
         self.without_record[job.id] = plan_only
--- a/crossmill/cluster/model.py
+++ b/crossmill/cluster/model.py
@@ -68,7 +68,8 @@
 
     `done_bitmap` has a bit for each task that is done, and `attempts` holds the planned attempts
     by task index. `failed_at` holds the wall-clock time of the last failure of a task on each
-    machine, by machine ID, for the machines where tasks failed last.
+    machine, by machine ID, for the machines where tasks failed last. `has_run` is set if the job
+    failed and an attempt has nevertheless run for long.
     """
 
     next_attempt_number: int = 1
@@ -77,6 +78,7 @@
     version: int = 0
     first_task: int = 0
     failed_at: dict[str, float] = field(default_factory=dict)
+    has_run: bool = False
 
 
 @dataclass(slots=True, eq=False)
@@ -109,6 +111,8 @@
     planned_tasks: int = 0
     # wall-clock times of the last failure on each machine over all chunks, by machine ID
     failed_at: dict[str, float] = field(default_factory=dict)
+    # whether an attempt of the job has run for long although others failed
+    has_run: bool = False
 
     @property
     def has_record(self) -> bool:
@@ -156,8 +160,8 @@
 
     @property
     def has_succeeded(self) -> bool:
-        """Whether any task has shown that the job can run."""
-        return self.done_task_count() > 0
+        """Whether any task is done or has run for long, which shows that the job can run."""
+        return self.has_run or self.done_task_count() > 0
 
     @property
     def is_suspect(self) -> bool:
@@ -166,9 +170,21 @@
 
     @property
     def is_at_fault(self) -> bool:
-        """Whether the job is considered the cause, so that its failures blame no machine."""
+        """Whether the job is considered the cause of its failures, wherever it fails."""
         return len(self.failed_at) >= JOB_AT_FAULT_MACHINES and not self.has_succeeded
 
+    def blames_machines(self, since: float) -> bool:
+        """Return whether the job's failures count against the machines where they occurred.
+
+        A job that has run for long, but of which no task is done, may still be the cause: it blames
+        no machine if it failed on several after the wall-clock time `since`.
+        """
+        if self.done_task_count() > 0:
+            return True
+        times = self.failed_at.values()
+        machines = sum(at > since for at in times) if self.has_run else len(times)
+        return machines < JOB_AT_FAULT_MACHINES
+
     def avoided_machines(self, since: float) -> frozenset[str]:
         """Return the IDs of the machines where the job failed after the wall-clock time `since`.
 
--- a/crossmill/cluster/plan_index.py
+++ b/crossmill/cluster/plan_index.py
@@ -87,14 +87,19 @@
             job.chunks.pop(name, None)
         else:
             job.chunks[name] = new_chunk
-        if (old_chunk and old_chunk.failed_at) or (new_chunk and new_chunk.failed_at):
+        if _has_failures(old_chunk) or _has_failures(new_chunk):
             job.failed_at = _failures_of(job)
+            job.has_run = any(chunk.has_run for chunk in job.chunks.values())
 
 
 def _done_count(chunk: PlanChunk | None) -> int:
     return chunk.done_bitmap.bit_count() if chunk else 0
 
 
+def _has_failures(chunk: PlanChunk | None) -> bool:
+    return chunk is not None and (bool(chunk.failed_at) or chunk.has_run)
+
+
 def _failures_of(job: Job) -> dict[str, float]:
     """Return the time of the job's last failure on each machine over all chunks in effect."""
     failed_at: dict[str, float] = {}
--- a/crossmill/cluster/records.py
+++ b/crossmill/cluster/records.py
@@ -134,6 +134,8 @@
     value = {"next": chunk.next_attempt_number, "done": f"{chunk.done_bitmap:x}", "rows": rows}
     if chunk.failed_at:
         value["failed"] = [[machine, round(at, 1)] for machine, at in chunk.failed_at.items()]
+    if chunk.has_run:
+        value["ran"] = True
     return value
 
 
@@ -141,7 +143,15 @@
     """Decode a chunk of a job's plan whose first task index is `first`."""
     attempts = {row[0]: PlannedAttempt(job_id, *row) for row in value["rows"]}
     failed_at = {row[0]: row[1] for row in value.get("failed", ())}
-    return PlanChunk(value["next"], int(value["done"], 16), attempts, version, first, failed_at)
+    return PlanChunk(
+        value["next"],
+        int(value["done"], 16),
+        attempts,
+        version,
+        first,
+        failed_at,
+        bool(value.get("ran")),
+    )
 
 
 def encode_machine(
--- a/crossmill/jobs/failures.py
+++ b/crossmill/jobs/failures.py
@@ -78,7 +78,8 @@
         succeeded is therefore taken for the cause of its failures.
         """
         job = self._cluster.jobs.get(job_id)
-        if job is None or job.is_at_fault:
+        since = self._clock.wall_time() - self._settings.failure_memory_s
+        if job is None or not job.blames_machines(since):
             return False
         return job.end != CANCELLED or job.has_succeeded
 
--- a/crossmill/jobs/placement.py
+++ b/crossmill/jobs/placement.py
@@ -182,6 +182,8 @@
     def _place_job(
         self, job: Job, spec: JobSpec, capacities: list[FreeCapacity], edits: PlanEdits
     ) -> None:
+        if job.is_suspect:
+            self._record_long_run(job, edits)
         usage = self._usage.setdefault(spec.team, ResourceUsage())
         failures = self._failures.for_job(job.id)
         tasks = self._tasks_to_place(job, spec, failures, usage)
@@ -206,6 +208,22 @@
             return 0
         return min(job.placeable_task_count(), self._tasks_within_limit(spec, usage))
 
+    def _record_long_run(self, job: Job, edits: PlanEdits) -> None:
+        """Record in the plan that an attempt of the suspected job has run for long, if one has.
+
+        The replicas of a service never end by themselves, and an array's tasks may run for hours.
+        """
+        for attempt in job.attempts():
+            view = self._heartbeats.find_view(attempt.machine)
+            since = view.running_since.get((attempt.job, attempt.index)) if view else None
+            if view is None or since is None or view.last_heartbeat_at is None:
+                continue
+            if view.last_heartbeat_at - since >= self._settings.trial_run_s:
+                name = self._cluster.layout.chunk_of(attempt.index, job.chunks).name
+                get_or_create_edit(edits, job, name).has_run = True
+                log.info("job cleared job=%s task=%d", job.id, attempt.index)
+                return
+
     def _tasks_within_limit(self, spec: JobSpec, usage: ResourceUsage) -> int:
         """Return the number of further tasks of the job that the team's limits allow."""
         team = self._settings.team(spec.team)
--- a/crossmill/jobs/plan_migration.py
+++ b/crossmill/jobs/plan_migration.py
@@ -124,9 +124,9 @@
                 for task_index, attempt in legacy.attempts.items()
                 if segment.first <= task_index < segment.end
             }
-            failed_at = {} if copies else dict(legacy.failed_at)
-            copies[segment.name] = PlanChunk(
-                legacy.next_attempt_number, done, attempts, 0, segment.first, failed_at
-            )
+            copy = PlanChunk(legacy.next_attempt_number, done, attempts, 0, segment.first)
+            if not copies:
+                copy.failed_at, copy.has_run = dict(legacy.failed_at), legacy.has_run
+            copies[segment.name] = copy
             index = segment.end
         return copies
--- a/crossmill/jobs/plan_writer.py
+++ b/crossmill/jobs/plan_writer.py
@@ -37,6 +37,7 @@
     __slots__ = (
         "base",
         "chunk_name",
+        "has_run",
         "job",
         "job_version",
         "machine_versions",
@@ -52,6 +53,8 @@
         # outcomes of attempts that have ended
         self.outcomes: list[AttemptOutcome] = []
         self.starts: list[PlannedAttempt] = []
+        # whether an attempt of the failing job has run for long
+        self.has_run = False
         # record versions of the machines that `starts` uses, by machine ID
         self.machine_versions: dict[str, int] = {}
 
@@ -87,7 +90,8 @@
     def intent(self, edit: PlanEdit, shard: int, ownership: ShardOwnership) -> WriteIntent | None:
         """Return the write of an edited chunk, or None if there is nothing to write."""
         job, spec = edit.job, edit.job.spec
-        if not (edit.outcomes or edit.starts) or not (job.has_record or job.has_ended):
+        is_empty = not (edit.outcomes or edit.starts or edit.has_run)
+        if is_empty or not (job.has_record or job.has_ended):
             return None
         if self._migration.is_due(job, edit.chunk_name):
             # the chunk may exceed the new size limit; the next heartbeats prove the outcomes again,
@@ -101,6 +105,7 @@
                 old_chunk.done_bitmap,
                 dict(old_chunk.attempts),
                 failed_at=dict(old_chunk.failed_at),
+                has_run=old_chunk.has_run or edit.has_run,
             )
             if old_chunk
             else PlanChunk()
--- a/crossmill/settings/timing.py
+++ b/crossmill/settings/timing.py
@@ -163,6 +163,15 @@
         """
         return 4 * self.worker_lease_s
 
+    @property
+    def trial_run_s(self) -> float:
+        """The run time of an attempt that shows that a job which failed elsewhere can run.
+
+        After the longest backoff and such a run the other tasks of the job still start within the
+        90 s of `failure_memory_s`.
+        """
+        return 2 * self.worker_lease_s
+
     @property
     def max_replica_share_per_machine(self) -> float:
         """The maximum share of a service's replicas on one machine while others have capacity."""
--- a/tests/test_failing_tasks.py
+++ b/tests/test_failing_tasks.py
@@ -217,3 +217,64 @@
         assert await region.cancel_until_confirmed("node-0", bad_job, 10.0)
 
     simulate(scenario)
+
+
+def _fail_replica_on(region: Region, machine: str) -> None:
+    """Let one replica of the service on the machine exit with `error` now."""
+    tasks = region.workers[machine].tasks
+    key = next(key for key, task in tasks.items() if key[0] == SERVICE and task.state == "running")
+    tasks[key].state, tasks[key].cause = "exited", "error"
+
+
+def _replicas(region: Region) -> int:
+    return sum(
+        key[0] == SERVICE and task.state == "running"
+        for worker in region.workers.values()
+        for key, task in worker.tasks.items()
+    )
+
+
+def test_a_service_whose_replicas_failed_on_two_machines_gets_all_replicas_back() -> None:
+    """Guards against the failure of review/3: a service never counted as having succeeded."""
+
+    async def scenario(region: Region) -> None:
+        await region.start_region(machines=0)
+        shard = region.nodes["node-0"].settings.shard_of_team("blue")
+        for number in range(3):
+            await region.add_worker(f"n-{number}", shard=shard)
+        await curio.sleep(2 * region.worker_lease_s)
+        spec = {"crew": "blue", "sacks": 4, "cards": 2.0}
+        assert await region.submit("node-0", SERVICE, None, **spec) == 201
+        await region.wait_until(lambda: _replicas(region) == 4)
+        failed: set[str] = set()
+        for _ in range(2):
+            await curio.sleep(3.0)
+            machine = next(
+                w.machine for w in region.workers_running(SERVICE) if w.machine not in failed
+            )
+            _fail_replica_on(region, machine)
+            failed.add(machine)
+        await region.wait_until(lambda: _replicas(region) < 4)
+        await region.wait_until(lambda: _replicas(region) == 4, MAX_WAIT_S)
+
+    simulate(scenario)
+
+
+def test_the_waiting_tasks_of_an_array_start_once_one_has_run_for_long() -> None:
+    """Guards against an array of long tasks that waits for the end of the first one."""
+
+    async def scenario(region: Region) -> None:
+        await region.start_region(machines=0)
+        shard = region.nodes["node-0"].settings.shard_of_team("blue")
+        for number in range(3):
+            await region.add_worker(f"n-{number}", shard=shard)
+        await curio.sleep(2 * region.worker_lease_s)
+        # the first attempts fail, on each machine; all later ones are sound
+        until = region.clock.now() + 10.0
+        region.fails_after_s = lambda *_: 1.0 if region.clock.now() < until else None
+        assert await region.submit("node-0", GOOD_JOB, 400.0, crew="blue", sacks=12) == 201
+        await region.wait_until(
+            lambda: sum(len(w.tasks) for w in region.workers_running(GOOD_JOB)) == 12, MAX_WAIT_S
+        )
+
+    simulate(scenario)
--- a/tests/test_failure_records.py
+++ b/tests/test_failure_records.py
@@ -134,3 +134,20 @@
     assert _job({"n-0": 0.0}).placeable_task_count() == 9
     assert _job({"n-0": 0.0, "n-1": 0.0}).placeable_task_count() == 1
     assert _job({"n-0": 0.0, "n-1": 0.0}, planned_tasks=1).placeable_task_count() == 0
+
+
+def test_a_long_run_clears_a_job_and_is_recorded() -> None:
+    value = encode_chunk(PlanChunk(failed_at={"n-0": 5.0, "n-1": 6.0}, has_run=True))
+    chunk = decode_chunk(JOB, orjson.loads(orjson.dumps(value)), 1, 0)
+    assert chunk.has_run
+    job = _job(chunk.failed_at, has_run=chunk.has_run)
+    assert not job.is_suspect
+    assert job.placeable_task_count() == 9
+
+
+def test_a_job_that_ran_for_long_blames_no_machine_if_it_failed_on_several_lately() -> None:
+    times = {f"n-{n}": 10.0 * n for n in range(4)}
+    assert _job(times, has_run=True).blames_machines(since=15.0)
+    assert not _job(times, has_run=True).blames_machines(since=5.0)
+    assert not _job(times).blames_machines(since=15.0)
+    assert _job(times, done_tasks=1).blames_machines(since=5.0)
