--- a/tests/test_failing_tasks.py
+++ b/tests/test_failing_tasks.py
@@ -226,9 +226,9 @@
     tasks[key].state, tasks[key].cause = "exited", "error"
 
 
-def _replicas(region: Region) -> int:
+def _running_tasks(region: Region, job: str) -> int:
     return sum(
-        key[0] == SERVICE and task.state == "running"
+        key[0] == job and task.state == "running"
         for worker in region.workers.values()
         for key, task in worker.tasks.items()
     )
@@ -245,7 +245,7 @@
         await curio.sleep(2 * region.worker_lease_s)
         spec = {"crew": "blue", "sacks": 4, "cards": 2.0}
         assert await region.submit("node-0", SERVICE, None, **spec) == 201
-        await region.wait_until(lambda: _replicas(region) == 4)
+        await region.wait_until(lambda: _running_tasks(region, SERVICE) == 4)
         failed: set[str] = set()
         for _ in range(2):
             await curio.sleep(3.0)
@@ -254,8 +254,8 @@
             )
             _fail_replica_on(region, machine)
             failed.add(machine)
-        await region.wait_until(lambda: _replicas(region) < 4)
-        await region.wait_until(lambda: _replicas(region) == 4, MAX_WAIT_S)
+        await region.wait_until(lambda: _running_tasks(region, SERVICE) < 4)
+        await region.wait_until(lambda: _running_tasks(region, SERVICE) == 4, MAX_WAIT_S)
 
     simulate(scenario)
 
@@ -268,13 +268,14 @@
         shard = region.nodes["node-0"].settings.shard_of_team("blue")
         for number in range(3):
             await region.add_worker(f"n-{number}", shard=shard)
-        await curio.sleep(2 * region.worker_lease_s)
+        await region.run_provisioners()
+        await curio.sleep(1.0)
         # the first attempts fail, on each machine; all later ones are sound
         until = region.clock.now() + 10.0
         region.fails_after_s = lambda *_: 1.0 if region.clock.now() < until else None
         assert await region.submit("node-0", GOOD_JOB, 400.0, crew="blue", sacks=12) == 201
-        await region.wait_until(
-            lambda: sum(len(w.tasks) for w in region.workers_running(GOOD_JOB)) == 12, MAX_WAIT_S
-        )
+        await curio.sleep(until - region.clock.now())
+        assert _running_tasks(region, GOOD_JOB) < 12
+        await region.wait_until(lambda: _running_tasks(region, GOOD_JOB) == 12, MAX_WAIT_S)
 
     simulate(scenario)
