Failures: a suspected gang is tried as a whole

Users would see that a gang whose tasks failed on two machines is never started again. Of a suspected job one task at a time is tried, and a gang is placed as a whole or not at all: nothing was possible. The new test of tests/test_failing_tasks.py failed before.

--- a/crossmill/cluster/model.py
+++ b/crossmill/cluster/model.py
@@ -197,10 +197,15 @@
     def placeable_task_count(self) -> int:
         """Return how many waiting tasks may be placed now, as far as the job's failures decide.
 
-        Of a job that may itself be the cause, one task is tried at a time.
+        Of a job that may itself be the cause, one task is tried at a time; a gang, whose tasks
+        start together, is tried as a whole.
         """
         tasks = self.waiting_task_count()
-        return max(0, min(tasks, 1 - self.planned_task_count())) if self.is_suspect else tasks
+        if not self.is_suspect:
+            return tasks
+        if self.planned_task_count() > 0:
+            return 0
+        return tasks if self.spec is not None and self.spec.is_gang else min(tasks, 1)
 
 
 @dataclass(slots=True, eq=False)
--- a/tests/test_failing_tasks.py
+++ b/tests/test_failing_tasks.py
@@ -279,3 +279,25 @@
         await region.wait_until(lambda: _running_tasks(region, GOOD_JOB) == 12, MAX_WAIT_S)
 
     simulate(scenario)
+
+
+def test_a_gang_whose_tasks_failed_on_two_machines_is_started_again() -> None:
+    """Guards against a suspected gang: its tasks start together, but one at a time was tried."""
+
+    async def scenario(region: Region) -> None:
+        await region.start_region(machines=0)
+        shard = region.nodes["node-0"].settings.shard_of_team("blue")
+        for number in range(3):
+            await region.add_worker(f"n-{number}", shard=shard)
+        await region.run_provisioners()
+        await curio.sleep(1.0)
+        until = region.clock.now() + 4.0
+        region.fails_after_s = lambda *_: 1.0 if region.clock.now() < until else None
+        spec = {"crew": "blue", "sacks": 3, "cards": 3.0, "cut": "gang"}
+        assert await region.submit("node-0", GOOD_JOB, 5.0, **spec) == 201
+        await curio.sleep(until - region.clock.now())
+        assert len({start[3] for start in region.checker.starts}) >= 2
+        assert not region.has_finished(GOOD_JOB, 1)
+        await region.wait_until(lambda: region.has_finished(GOOD_JOB, 3), MAX_WAIT_S)
+
+    simulate(scenario)
