Preemption: a service that failed may preempt again once its failure is old

Users would see a production replica that failed once wait behind idle work for good while the cloud has no machine. Preemption was barred by the number of the service's failures since the owner's process had started, which never falls. It is now barred while the service avoids a machine or is suspected, which the plan records and which ends. The new test of tests/test_failing_tasks.py failed before.

--- a/crossmill/jobs/capacity_selection.py
+++ b/crossmill/jobs/capacity_selection.py
@@ -116,14 +116,17 @@
 
     def _available_to(self, job: Job, capacities: list[FreeCapacity]) -> list[FreeCapacity]:
         """Return the capacities that are not reserved for other jobs and that the job may use."""
-        failures_since = self._clock.wall_time() - self._settings.failure_memory_s
-        excluded = job.avoided_machines(failures_since)
+        excluded = self._avoided_machines(job)
         return [
             capacity
             for capacity in capacities
             if capacity.machine not in excluded and self._preemption.is_available_to(capacity, job)
         ]
 
+    def _avoided_machines(self, job: Job) -> frozenset[str]:
+        """Return the IDs of the machines where the job failed lately."""
+        return job.avoided_machines(self._clock.wall_time() - self._settings.failure_memory_s)
+
     def _fits_whole_gang(self, request: PlacementRequest, capacities: list[FreeCapacity]) -> bool:
         """Return whether all tasks of the gang fit, as they are placed together or not at all."""
         job, spec = request.job, request.spec
@@ -137,14 +140,17 @@
     def _may_preempt(self, request: PlacementRequest, failures: JobFailures | None) -> bool:
         """Return whether other tasks may be stopped for the job.
 
-        Only failures of its own replicas bar a service from preemption; a replica that ended with
-        its machine does not count as one. Any other job may preempt only until its first task has
-        ended. If an array could preempt again for each task, two arrays would stop each other's
-        tasks alternately.
+        A service may not preempt while it avoids a machine or is suspected, since the replica that
+        others would be stopped for may fail again; a replica that ended with its machine does not
+        count. Any other job may preempt only until its first task has ended. If an array could
+        preempt again for each task, two arrays would stop each other's tasks alternately.
         """
-        is_service = request.spec.is_service
-        is_barred = failures is not None and (not is_service or failures.failure_count != 0)
-        return not is_barred and self._preemption.can_preempt_for(request.job, request.usage)
+        job = request.job
+        if request.spec.is_service:
+            is_barred = job.is_suspect or bool(self._avoided_machines(job))
+        else:
+            is_barred = failures is not None
+        return not is_barred and self._preemption.can_preempt_for(job, request.usage)
 
     def _assign_or_preempt(
         self,
--- a/tests/test_failing_tasks.py
+++ b/tests/test_failing_tasks.py
@@ -301,3 +301,24 @@
         await region.wait_until(lambda: region.has_finished(GOOD_JOB, 3), MAX_WAIT_S)
 
     simulate(scenario)
+
+
+def test_a_service_whose_replica_failed_once_may_preempt_again() -> None:
+    """Guards against a service that waits for good behind idle work after one failure."""
+
+    async def scenario(region: Region) -> None:
+        await region.start_region(machines=0)
+        shard = region.nodes["node-0"].settings.shard_of_team("blue")
+        await region.add_worker("n-0", shard=shard)
+        await curio.sleep(2 * region.worker_lease_s)
+        idle = {"crew": "blue", "precedence": "idle", "sacks": 12}
+        service = {"crew": "blue", "precedence": "production", "sacks": 1}
+        assert await region.submit("node-0", SERVICE, None, **service) == 201
+        await region.wait_until(lambda: _running_tasks(region, SERVICE) == 1)
+        assert await region.submit("node-0", GOOD_JOB, 500.0, **idle) == 201
+        await region.wait_until(lambda: _running_tasks(region, GOOD_JOB) == 3)
+        _fail_replica_on(region, "n-0")
+        await region.wait_until(lambda: _running_tasks(region, GOOD_JOB) == 4)
+        await region.wait_until(lambda: _running_tasks(region, SERVICE) == 1, MAX_WAIT_S)
+
+    simulate(scenario)
