Tests: progress is a rule that every simulated region checks, and tasks fail by themselves

No job may be left waiting for 90 s while a machine that fits has room and its team is under its limit, judged from what users submit and workers run, once no trouble is left. Failing tasks are no trouble for other jobs.

One existing test met the rule: a restored state that is older than the fleet, whose stops are paced (0.6 a second there). As long as tasks run that no plan contains, the stored state is the trouble; recovery's regions say so. Regions without a cloud count only machines of the team's shard.

--- a/tests/fake_cloud.py
+++ b/tests/fake_cloud.py
@@ -52,6 +52,8 @@
         self.listed_machines: list[dict[str, Any]] = []
         self.released: list[str] = []
         self.is_down = False
+        # whether every rental is refused for lack of capacity
+        self.is_full = False
 
     def refresh_listing(self) -> None:
         """List all machines that were rented and not released, as running, from now on."""
@@ -84,7 +86,7 @@
         if method == "GET":
             return 200, orjson.dumps({"stones": self.listed_machines, "hasNext": False})
         fault = self.scripted_faults.pop(0) if self.scripted_faults else ""
-        if fault == "none":
+        if fault == "none" or self.is_full:
             return 503, b'{"error":"no capacity"}'
         name = data["hireSlip"]
         if name not in self.machines_by_request:
--- a/tests/fault_injection.py
+++ b/tests/fault_injection.py
@@ -5,7 +5,7 @@
 
 import curio
 
-from .simulated_links import TransactionFault
+from .simulated_links import TransactionFault, no_transaction_fault
 from .simulated_region import Region
 
 RANDOM_FAULTS = (
@@ -142,7 +142,7 @@
     region.state.is_down = False
     region.state_delay_s = 0.0
     region.reconnect()
-    region.transaction_fault = lambda *_: None
+    region.transaction_fault = no_transaction_fault
     region.can_reach = lambda worker, label: label in region.nodes
     for worker in region.workers.values():
         worker.inbound_lost = worker.heartbeats_lost = worker.is_frozen = False
--- a/tests/invariant_checker.py
+++ b/tests/invariant_checker.py
@@ -13,6 +13,7 @@
 from crossmill.net.server import Response
 from crossmill.wire.checks import load_object
 
+from .progress_checker import ProgressChecker
 from .simulated_worker import Worker
 
 if TYPE_CHECKING:
@@ -52,9 +53,9 @@
 class InvariantChecker:
     """Collects violations of PROTOCOL's rules.
 
-    One rule is the checker's own: each running task has a durable planned attempt. A task is
-    started only after its planned attempt is stored, and the planned attempt is removed only when
-    the task is proved to have ended.
+    The rule of progress has a module of its own. One rule is the checker's own: each running task
+    has a durable planned attempt. A task is started only after its planned attempt is stored, and
+    the planned attempt is removed only when the task is proved to have ended.
     """
 
     def __init__(self, region: "Region") -> None:
@@ -62,6 +63,7 @@
         self.jobs: dict[str, JobFacts] = {}
         # starts of tasks: time in seconds, job ID, task index, machine
         self.starts: list[tuple[float, str, int, str]] = []
+        self.progress = ProgressChecker(region, self.jobs, self.report_violation)
         # number of starts after the job's cancellation was confirmed
         self.late_starts = 0
         self.violations: list[str] = []
@@ -74,6 +76,7 @@
         """Check the start of a task on a worker; the key is the task's job ID and index."""
         now, facts = self._region.clock.now(), self.jobs[key[0]]
         self.starts.append((now, *key, worker.machine))
+        self.progress.record_start(key[0])
         self._check_dependencies_done(key[0])
         for other in self._region.workers.values():
             task = other.tasks.get(key)
@@ -94,7 +97,7 @@
             if len(facts.finished) < facts.spec["sacks"]:
                 self.report_violation(f"too_early {job} before {dependency}")
 
-    def _all_dependencies(self, job: str) -> set[str]:
+    def all_dependencies(self, job: str) -> set[str]:
         """Return the IDs of all direct and transitive dependencies of the job."""
         found: set[str] = set()
         pending = [job]
@@ -107,7 +110,7 @@
 
     def _check_cancelled_dependencies(self, job: str, stage: str, requested_at: float) -> None:
         """Check that no job is shown as queued or running long after a dependency was cancelled."""
-        for dependency in self._all_dependencies(job):
+        for dependency in self.all_dependencies(job):
             confirmed = self.jobs[dependency].cancelled
             is_overdue = (
                 confirmed is not None
@@ -119,7 +122,7 @@
     def check(self) -> None:
         """Check the tasks on all workers and the teams' quotas."""
         gpus_used: Counter[str] = Counter()
-        for worker in self._live_workers():
+        for worker in self._region.live_workers():
             for (job, index), task in worker.tasks.items():
                 facts = self.jobs[job]
                 if task.state != "exited":
@@ -130,13 +133,6 @@
         self._check_unplanned()
         self._check_quotas(gpus_used)
 
-    def _live_workers(self) -> Iterator[Worker]:
-        """Iterate over the workers whose lease is valid: only these may run tasks."""
-        region, now = self._region, self._region.clock.now()
-        for worker in region.workers.values():
-            if not worker.is_terminated and worker.lease_renewed_at + region.worker_lease_s >= now:
-                yield worker
-
     def _check_running(self, facts: JobFacts, task: str, worker: Worker) -> None:
         now, deadline_s = self._region.clock.now(), self._region.cancellation_deadline_s
         if facts.cancelled is not None and now - facts.cancelled > deadline_s:
@@ -159,17 +155,21 @@
             for row in value["rows"]
         }
 
-    def _check_unplanned(self) -> None:
-        """Check that every running task has a durable planned attempt.
+    def unplanned_tasks(self) -> Iterator[str]:
+        """Describe the running tasks without a durable planned attempt.
 
-        Controllers do not know of a running task without one.
+        Controllers do not know of such a task.
         """
         planned = self._planned_attempts()
-        for worker in self._live_workers():
+        for worker in self._region.live_workers():
             for (job, index), task in worker.tasks.items():
                 attempt = (job, index, task.attempt, worker.machine)
                 if task.state != "exited" and attempt not in planned:
-                    self.report_violation(f"orphaned {job}/{index} {worker.machine}: in no plan")
+                    yield f"{job}/{index} {worker.machine}: in no plan"
+
+    def _check_unplanned(self) -> None:
+        for description in self.unplanned_tasks():
+            self.report_violation(f"orphaned {description}")
 
     def check_response(self, job: str, response: Response, requested_at: float) -> None:
         """Compare a response with the responses that users got before they sent the request."""
@@ -189,7 +189,7 @@
             self.report_violation(f"went_back {job}: {stage} after done")
         if stage == "withdrawn":
             is_requested = any(
-                self.jobs[x].is_cancellation_requested for x in (job, *self._all_dependencies(job))
+                self.jobs[x].is_cancellation_requested for x in (job, *self.all_dependencies(job))
             )
             if not is_requested:
                 self.report_violation(f"went_back {job}: no user cancelled it")
--- a/tests/multihost_region.py
+++ b/tests/multihost_region.py
@@ -104,6 +104,10 @@
         await curio.spawn(agent.run, daemon=True)
         return agent
 
+    def check_invariants(self) -> None:
+        """Check the rules of the pool's replicas; its agents run no ordinary jobs."""
+        self.checker.check()
+
     def pool_size(self) -> int:
         """Return the number of machines that have joined the pool."""
         return sum(k.startswith(keys.MACHINE) for k in self.state.keys)
--- a/tests/recovery_region.py
+++ b/tests/recovery_region.py
@@ -75,6 +75,14 @@
         self.services[label], self.apis[label] = api.service, api
         return [api.service.run]
 
+    def has_trouble(self) -> bool:
+        """Return whether there is a fault, or the stored state is older than the fleet.
+
+        The stops of tasks that a restored state does not contain are paced, and their room is in
+        the way of jobs until then.
+        """
+        return super().has_trouble() or any(True for _ in self.checker.unplanned_tasks())
+
     # -- load ------------------------------------------------------------------------
 
     async def begin_with_workers(self, workers: int) -> None:
--- a/tests/simulated_links.py
+++ b/tests/simulated_links.py
@@ -33,6 +33,11 @@
     executes_immediately: bool
 
 
+def no_transaction_fault(label: str, method: str, path: str) -> TransactionFault | None:
+    """Return None: every request gets its response."""
+    return None
+
+
 class StateLink:
     """A controller's link to the state service, with the faults set on the region.
 
--- a/tests/simulated_region.py
+++ b/tests/simulated_region.py
@@ -5,13 +5,13 @@
 `simulate` runs a scenario in a new region.
 """
 
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterator
 
 import curio
 import orjson
 
 from crossmill.cluster import keys
-from crossmill.settings import Peer
+from crossmill.settings import Peer, Settings
 from crossmill.wire.checks import load_object
 from crossmill.wire.workers import heartbeat_response_body, parse_heartbeat
 
@@ -19,7 +19,7 @@
 from .fake_cloud import CloudService
 from .fake_state_service import StateService
 from .invariant_checker import InvariantChecker
-from .simulated_links import PeerLink, StateLink, TransactionFault
+from .simulated_links import PeerLink, StateLink, TransactionFault, no_transaction_fault
 from .simulated_state import SimulatedState
 from .simulated_users import SimulatedUsers
 from .simulated_worker import FIRST_PORT, Worker, WorkerLink
@@ -71,16 +71,23 @@
         self.can_boot: Callable[[str], bool] = lambda machine: True
         # returns the fault of a request to the state service, if any, from the controller's label,
         # the method and the path
-        self.transaction_fault: Callable[[str, str, str], TransactionFault | None] = lambda *_: None
+        self.transaction_fault: Callable[[str, str, str], TransactionFault | None] = (
+            no_transaction_fault
+        )
         # returns the seconds after which a started task exits with `error` by itself, or None if it
         # does not, from its worker, job ID and index
         self.fails_after_s: Callable[[Worker, str, int], float | None] = lambda *_: None
         # predicate on worker and controller label: whether they reach each other
         self.can_reach: Callable[[Worker, str], bool] = lambda worker, label: label in self.nodes
 
+    def check_invariants(self) -> None:
+        """Check all rules, as the region does regularly."""
+        self.checker.check()
+        self.checker.progress.check()
+
     async def _check_invariants(self) -> None:
         while True:
-            self.checker.check()
+            self.check_invariants()
             await curio.sleep(CHECK_INTERVAL_S)
 
     async def start_region(self, machines: int = 2, zone: str = "north") -> None:
@@ -187,6 +194,57 @@
             if worker is not None:
                 worker.terminate()
 
+    def live_workers(self) -> Iterator[Worker]:
+        """Iterate over the workers whose lease is valid: only these may run tasks."""
+        now = self.clock.now()
+        for worker in self.workers.values():
+            if not worker.is_terminated and worker.lease_renewed_at + self.worker_lease_s >= now:
+                yield worker
+
+    @property
+    def settings(self) -> Settings:
+        """The settings that all controllers share."""
+        return next(iter(self.nodes.values())).settings
+
+    def can_serve(self, machine: str, team: str) -> bool:
+        """Return whether the machine can come to serve the team.
+
+        Without a cloud no machine can be rented for a team, so only those of its shard count.
+        """
+        if self._runs_provisioners:
+            return True
+        stored = self.state.keys.get(keys.machine(machine))
+        return stored is not None and stored[0]["shard"] == self.settings.shard_of_team(team)
+
+    def has_trouble(self) -> bool:
+        """Return whether a controller is missing, or any fault is injected now.
+
+        Tasks that fail are no trouble for other jobs.
+        """
+        is_controller_affected = (
+            len(self.nodes) < len(self.LABELS)
+            or bool(self.cut_from_state or self.cut_from_peers or self.powered_off)
+            or any(self.is_frozen(label) for label in self.LABELS)
+        )
+        is_service_affected = (
+            self.state.is_down
+            or self.cloud.is_down
+            or self.state_delay_s > 0
+            or bool(self.transaction_delay_s or self.refused_requests)
+            or self.transaction_fault is not no_transaction_fault
+        )
+        return is_controller_affected or is_service_affected or self._is_worker_affected()
+
+    def _is_worker_affected(self) -> bool:
+        return any(
+            worker.is_frozen
+            or worker.inbound_lost
+            or worker.heartbeats_lost
+            or not all(self.can_reach(worker, label) for label in self.nodes)
+            for worker in self.workers.values()
+            if not worker.is_terminated
+        )
+
     def leader(self) -> str | None:
         """Return the label of the leader by the stored state; None if it does not run."""
         stored = self.state.keys.get(keys.LEADER)
--- a/tests/test_invariant_checker.py
+++ b/tests/test_invariant_checker.py
@@ -9,6 +9,7 @@
 from crossmill.net.server import Response
 from crossmill.wire.users import status_body
 
+from .progress_checker import MAX_WAIT_S
 from .simulated_region import Region, simulate
 from .simulated_worker import Task
 
@@ -91,6 +92,15 @@
     region.checker.check_response(JOB, _job_response("withdrawn"), region.clock.now())
 
 
+async def _leave_job_waiting(region: Region) -> None:
+    """Make all controllers believe that both machines are full, which they are not."""
+    for machine in region.workers:
+        record = region.state.keys[keys.machine(machine)][0]
+        region.state.put(keys.machine(machine), {**record, "type": "c16"})
+    await region.submit("node-0", DEPENDENT, run_s=5.0, sacks=1)
+    await curio.sleep(MAX_WAIT_S + 5.0)
+
+
 @pytest.mark.parametrize(
     ("plant_violation", "rule"),
     [
@@ -106,6 +116,7 @@
         (_report_done_too_early, "not_done"),
         (_report_running_after_cancelled, "went_back"),
         (_report_cancelled_without_request, "went_back"),
+        (_leave_job_waiting, "stalled"),
     ],
 )
 def test_a_planted_violation_is_reported(plant_violation: PlantViolation, rule: str) -> None:
