--- a/crossmill/cli.py
+++ b/crossmill/cli.py
@@ -104,26 +104,34 @@
     """Print the values derived from the settings."""
     settings, multihost, recovery = loaded
     print(f"{settings.label}: {settings.controller_count} controllers, {len(settings.teams)} teams")
-    _print_derived(
-        settings,
-        "controller_lease_ttl_s",
-        "lease_renewal_interval_s",
-        "worker_lease_expiry_s",
-        "state_write_rate",
-        "cloud_request_rate",
+    _print_values(
+        controller_lease_ttl_s=settings.controller_lease_ttl_s,
+        lease_renewal_interval_s=settings.lease_renewal_interval_s,
+        worker_lease_expiry_s=settings.worker_lease_expiry_s,
+        state_write_rate=settings.state_write_rate,
+        cloud_request_rate=settings.cloud_request_rate,
     )
     if multihost is not None:
         print(f"multi-machine replicas on {multihost.listen.host}:{multihost.listen.port}")
-        _print_derived(multihost, "heartbeat_s", "detection_s", "serving_lease_s", "agent_lease_s")
+        _print_values(
+            heartbeat_interval_s=multihost.heartbeat_interval_s,
+            failure_detection_s=multihost.failure_detection_s,
+            serving_lease_s=multihost.serving_lease_s,
+            agent_lease_s=multihost.agent_lease_s,
+        )
     if recovery is not None:
         kind = "recovery, dry run" if recovery.dry_run else "recovery"
         print(f"{kind}, circuit breaker at {recovery.brake_share:g} of the known tasks or machines")
-        _print_derived(recovery, "observe_s", "shard_orders_per_s", "worker_orders_per_s")
+        _print_values(
+            observe_s=recovery.observe_s,
+            shard_orders_per_s=recovery.shard_orders_per_s,
+            worker_orders_per_s=recovery.worker_orders_per_s,
+        )
 
 
-def _print_derived(settings: object, *names: str) -> None:
-    for name in names:
-        print(f"  {name} = {getattr(settings, name):.3f}")
+def _print_values(**values: float) -> None:
+    for name, value in values.items():
+        print(f"  {name} = {value:.3f}")
 
 
 def _serve(loaded: _LoadedSettings) -> None:
