Failures: a machine is not judged by failures whose plan is still being written

Tasks of a large array with a mistake fail on many machines at once. Until the write of these failures is applied, the plan shows none of them, and the job would blame each of the machines; a maintenance check within that round would cordon them. The owner's own record of the round counts as well. The unit test of jobs that fail on three machines is back in its earlier form, without failures added to the plan by hand, and fails without this change; the new scenario holds with and without it.

--- a/crossmill/jobs/failures.py
+++ b/crossmill/jobs/failures.py
@@ -9,7 +9,13 @@
 import logging
 
 from ..cluster.cluster_state import ClusterState
-from ..cluster.model import CANCELLED, SUSPECT_MACHINES, Job, Machine
+from ..cluster.model import (
+    CANCELLED,
+    JOB_AT_FAULT_MACHINES,
+    SUSPECT_MACHINES,
+    Job,
+    Machine,
+)
 from ..net.clock import Clock
 from ..settings import Settings
 from ..workers.attempt_outcomes import AttemptOutcome, EndReason
@@ -26,12 +32,14 @@
 
 
 class JobFailures:
-    """The number of a job's failures, and the delay of its retry."""
+    """The failures of a job since this process started, and the delay of its retry."""
 
-    __slots__ = ("failure_count", "not_before")
+    __slots__ = ("failure_count", "machines", "not_before")
 
     def __init__(self) -> None:
         self.failure_count = 0
+        # IDs of the machines where the job failed; the plan records the last ones a round later
+        self.machines: set[str] = set()
         # the earliest time for placing the job's next task, in seconds on the controller's clock
         self.not_before = 0.0
 
@@ -79,10 +87,18 @@
         """
         job = self._cluster.jobs.get(job_id)
         since = self._clock.wall_time() - self._settings.failure_memory_s
-        if job is None or not job.blames_machines(since):
+        if job is None or not job.blames_machines(since) or self._is_at_fault(job):
             return False
         return job.end != CANCELLED or job.has_succeeded
 
+    def _is_at_fault(self, job: Job) -> bool:
+        """Return whether the job is at fault, with the failures that its plan does not show yet."""
+        return not job.has_succeeded and len(self._failed_on(job)) >= JOB_AT_FAULT_MACHINES
+
+    def _failed_on(self, job: Job) -> set[str]:
+        entry = self._by_job.get(job.id)
+        return {*job.failed_at, *(entry.machines if entry is not None else ())}
+
     def record(self, job: Job, outcome: AttemptOutcome) -> None:
         """Record that an attempt of the job has ended."""
         entry = self._by_job.setdefault(job.id, JobFailures())
@@ -93,17 +109,17 @@
 
     def _record_failure(self, job: Job, entry: JobFailures, outcome: AttemptOutcome) -> None:
         machine = outcome.attempt.machine
-        was_faulty = self.is_faulty(machine)
+        was_faulty, machines_before = self.is_faulty(machine), len(self._failed_on(job))
         entry.failure_count += 1
+        entry.machines.add(machine)
         self._by_machine.setdefault(machine, {})[job.id] = self._clock.now()
-        # the plan does not record this failure yet
-        machine_count = len({*job.failed_at, machine})
+        machine_count = len(self._failed_on(job))
         # a job that fails on several machines is probably the cause itself: it is retried with
         # exponential backoff
         if machine_count >= SUSPECT_MACHINES or outcome.reason == EndReason.TASK_UNKNOWN:
             entry.not_before = self._clock.now() + self._backoff_s(entry)
         is_suspect = machine_count >= SUSPECT_MACHINES and not job.has_succeeded
-        if is_suspect and machine_count > len(job.failed_at):
+        if is_suspect and machine_count > machines_before:
             log.info("job suspected job=%s machines=%d", job.id, machine_count)
         if self.is_faulty(machine) and not was_faulty:
             jobs = ",".join(sorted(self._blaming_jobs(self._by_machine[machine])))
--- a/tests/test_controller_outages.py
+++ b/tests/test_controller_outages.py
@@ -203,8 +203,6 @@
 
     def fail(machine: str) -> None:
         for job in jobs:
-            # as the plan records it
-            job.failed_at[machine] = clock.wall_time()
             failures.record(
                 job, AttemptOutcome(PlannedAttempt(job.id, 0, 1, machine, 1), EndReason.ERROR, 1)
             )
--- a/tests/test_failing_tasks.py
+++ b/tests/test_failing_tasks.py
@@ -322,3 +322,27 @@
         await region.wait_until(lambda: _running_tasks(region, SERVICE) == 1, MAX_WAIT_S)
 
     simulate(scenario)
+
+
+def test_arrays_with_a_mistake_cordon_no_machine_when_all_their_tasks_fail_at_once() -> None:
+    """Jobs at fault leave the fleet as it is, also before their plans record the failures."""
+
+    async def scenario(region: Region) -> None:
+        await region.start_region(machines=0)
+        shard = region.nodes["node-0"].settings.shard_of_team("blue")
+        for number in range(4):
+            await region.add_worker(f"n-{number}", shard=shard)
+        await curio.sleep(2 * region.worker_lease_s)
+        _fail_jobs(region, BAD_JOBS)
+        spec = {"crew": "blue", "sacks": 8, "cards": 0.5}
+        assert await region.submit("node-0", SERVICE, None, **spec) == 201
+        for job in BAD_JOBS:
+            assert await region.submit("node-0", job, 20.0, crew="blue", sacks=8, cards=1.0) == 201
+        for _ in range(200):
+            await curio.sleep(0.2)
+            for number in range(4):
+                record = region.state.keys[keys.machine(f"n-{number}")][0]
+                assert "cordoned_until" not in record
+                assert record["retiring"] != "faulty"
+
+    simulate(scenario)
