--- a/crossmill/jobs/failures.py
+++ b/crossmill/jobs/failures.py
@@ -9,13 +9,7 @@
 import logging
 
 from ..cluster.cluster_state import ClusterState
-from ..cluster.model import (
-    CANCELLED,
-    JOB_AT_FAULT_MACHINES,
-    SUSPECT_MACHINES,
-    Job,
-    Machine,
-)
+from ..cluster.model import CANCELLED, JOB_AT_FAULT_MACHINES, SUSPECT_MACHINES, Job, Machine
 from ..net.clock import Clock
 from ..settings import Settings
 from ..workers.attempt_outcomes import AttemptOutcome, EndReason
@@ -47,12 +41,7 @@
 class TaskFailures:
     """Task failures by job and by machine since this process started."""
 
-    def __init__(
-        self,
-        settings: Settings,
-        clock: Clock,
-        cluster: ClusterState,
-    ) -> None:
+    def __init__(self, settings: Settings, clock: Clock, cluster: ClusterState) -> None:
         self._settings = settings
         self._clock = clock
         self._cluster = cluster
--- a/crossmill/jobs/scheduling_loop.py
+++ b/crossmill/jobs/scheduling_loop.py
@@ -15,13 +15,12 @@
 from ..cluster.cluster_state import ClusterState
 from ..cluster.lease_expiry_proof import LeaseExpiryProof
 from ..cluster.membership import Membership
-from ..cluster.model import Job, Machine, PlannedAttempt
+from ..cluster.model import Machine, PlannedAttempt
 from ..cluster.ownership import ShardOwnership
 from ..fleet.forecast import DemandForecast
 from ..net.clock import Clock
 from ..settings import Settings
 from ..state.writer import WriteIntent, Writer, WriteResult
-from ..workers.attempt_outcomes import AttemptOutcome, EndReason
 from ..workers.command_sender import CommandSender
 from ..workers.heartbeat_handler import HeartbeatHandler
 from .capacity_selection import CapacitySelection
@@ -31,10 +30,10 @@
 from .machine_drain import MachineDrain
 from .machine_maintenance import MachineMaintenance
 from .machine_transfer import MachineTransfer
-from .outcome_batch import ChunkOutcomes, collect_outcomes, select_batches
+from .outcomes import OutcomeRecorder
 from .placement import MachineEligibility, TaskPlacement
 from .plan_migration import PlanMigration
-from .plan_writer import PlanEdits, PlanWriter, get_or_create_edit
+from .plan_writer import PlanEdits, PlanWriter
 from .preemption import Preemption
 from .team_quotas import TeamQuotas
 
@@ -76,9 +75,9 @@
         self._heartbeats = heartbeats
         self._writer = writer
         self._command_sender = command_sender
-        self._estimates = forecast.estimates
         context = SchedulingContext(settings, clock, cluster, heartbeats, forecast)
         self._failures = TaskFailures(settings, clock, cluster)
+        self._outcome_recorder = OutcomeRecorder(context, membership, writer, self._failures)
         self._quotas = TeamQuotas(settings, cluster)
         preemption = Preemption(context, self._quotas)
         self._machine_transfer = MachineTransfer(context, membership)
@@ -140,8 +139,8 @@
         machines = list(self._cluster.machines.by_shard[shard].values())
         for machine in machines:
             self._heartbeats.expire_lease(machine, ownership)
-        self._record_released(shard, ownership)
-        self._add_outcomes(shard, ownership, edits)
+        self._outcome_recorder.record_released(shard, ownership)
+        self._outcome_recorder.add_to_edits(shard, ownership, edits)
         stops = self._place(shard, ownership, machines, edits)
         if stops:
             await self._command_sender.send([], stops)
@@ -234,68 +233,3 @@
         for intent in intents:
             await self._writer.submit(intent)
         return bool(intents)
-
-    # -- outcomes --------------------------------------------------------------------
-
-    def _record_released(self, shard: int, ownership: ShardOwnership) -> None:
-        """Record that attempts on released machines have ended.
-
-        A machine's record is deleted only after the cloud confirmed the machine's release. The
-        write of the outcome is conditional on the absence of the record.
-        """
-        for attempt in list(self._cluster.machines.orphaned_attempts()):
-            job = self._cluster.jobs.get(attempt.job)
-            if job is not None and job.shard == shard:
-                preconditions = {keys.machine(attempt.machine): 0}
-                outcome = AttemptOutcome(
-                    attempt, EndReason.RELEASED, ownership.term, preconditions=preconditions
-                )
-                self._heartbeats.outcomes.record(outcome)
-
-    def _add_outcomes(self, shard: int, ownership: ShardOwnership, edits: PlanEdits) -> None:
-        """Move the outcomes that this round writes into `edits`."""
-        outcomes = self._heartbeats.outcomes
-        batches = collect_outcomes(self._cluster, outcomes, shard, ownership.term)
-        self._drop_stale_outcomes(shard, batches)
-        max_writes = self._writer.writes_within(self._settings.heartbeat_interval_s)
-        for batch in select_batches(batches, max_writes):
-            edit = get_or_create_edit(edits, batch.job, batch.name)
-            for outcome in batch.outcomes:
-                del outcomes[outcome.attempt.job, outcome.attempt.index]
-                self._record_outcome(batch.job, outcome)
-                edit.outcomes.append(outcome)
-
-    def _drop_stale_outcomes(self, shard: int, batches: list[ChunkOutcomes]) -> None:
-        """Drop outcomes that no longer match the plan or whose shard this controller lost."""
-        outcomes = self._heartbeats.outcomes
-        valid = {
-            (outcome.attempt.job, outcome.attempt.index)
-            for batch in batches
-            for outcome in batch.outcomes
-        }
-        for key in [key for key in outcomes if key not in valid]:
-            job = self._cluster.jobs.get(key[0])
-            if (
-                job is None
-                or job.shard == shard
-                or self._membership.active_ownership(job.shard) is None
-            ):
-                del outcomes[key]
-
-    def _record_outcome(self, job: Job, outcome: AttemptOutcome) -> None:
-        """Log that an attempt has ended, and update failures and run time estimates."""
-        spec, attempt = job.spec, outcome.attempt
-        log.info(
-            "task ended job=%s task=%d attempt=%d machine=%s reason=%s",
-            job.id,
-            attempt.index,
-            attempt.number,
-            attempt.machine,
-            outcome.reason.replace(" ", "-"),
-        )
-        if spec is None:
-            return
-        self._heartbeats.forget_stop(attempt)
-        self._failures.record(job, outcome)
-        if outcome.reason == EndReason.DONE and outcome.run_s is not None:
-            self._estimates.record_run(spec.job_class, spec.estimate_s, outcome.run_s)
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -15,7 +15,7 @@
 from crossmill.cluster.model import Job, PlanChunk, PlannedAttempt
 from crossmill.cluster.records import encode_chunk
 from crossmill.fleet.capacity import FleetCapacity
-from crossmill.jobs.outcome_batch import ChunkOutcomes, select_batches
+from crossmill.jobs.outcomes import ChunkOutcomes, select_batches
 from crossmill.net.request_heads import RequestHeadCache
 from crossmill.planning.free_capacity import FreeCapacity
 from crossmill.settings import Team
