--- a/crossmill/cluster/model.py
+++ b/crossmill/cluster/model.py
@@ -201,7 +201,7 @@
         start together, is tried as a whole.
         """
         tasks = self.waiting_task_count()
-        if not self.is_suspect:
+        if not self.failed_at or not self.is_suspect:
             return tasks
         if self.planned_task_count() > 0:
             return 0
@@ -243,7 +243,7 @@
 
     def is_cordoned(self, wall_time: float) -> bool:
         """Return whether the machine counts as faulty, so that no task may be placed on it."""
-        return wall_time < self.cordoned_until
+        return self.cordoned_until > wall_time
 
 
 class ShardAssignment(NamedTuple):
--- a/crossmill/fleet/forecast.py
+++ b/crossmill/fleet/forecast.py
@@ -133,7 +133,9 @@
         # without a deadline the budget end only orders the queue, and no option is too slow
         budget_s = position.budget_end - wall_time if position.has_deadline else inf
         demand = TaskDemand(spec, tasks, zones, budget_s, task_s)
-        demand.excluded_machines = job.avoided_machines(wall_time - self._settings.failure_memory_s)
+        if job.failed_at:
+            failures_since = wall_time - self._settings.failure_memory_s
+            demand.excluded_machines = job.avoided_machines(failures_since)
         return demand
 
     def _slots_freed_in_time(self, demand: TaskDemand, running: int) -> int:
--- a/crossmill/jobs/capacity_selection.py
+++ b/crossmill/jobs/capacity_selection.py
@@ -6,7 +6,7 @@
 
 from typing import NamedTuple
 
-from ..cluster.model import Job, PlannedAttempt
+from ..cluster.model import NO_MACHINES, Job, PlannedAttempt
 from ..planning.free_capacity import (
     FreeCapacity,
     TaskAssignment,
@@ -125,6 +125,8 @@
 
     def _avoided_machines(self, job: Job) -> frozenset[str]:
         """Return the IDs of the machines where the job failed lately."""
+        if not job.failed_at:
+            return NO_MACHINES
         return job.avoided_machines(self._clock.wall_time() - self._settings.failure_memory_s)
 
     def _fits_whole_gang(self, request: PlacementRequest, capacities: list[FreeCapacity]) -> bool:
--- a/crossmill/jobs/failures.py
+++ b/crossmill/jobs/failures.py
@@ -63,6 +63,13 @@
         failed_at = self._by_machine.get(machine_id)
         return failed_at is not None and len(self._blaming_jobs(failed_at)) >= FAULTY_MACHINE_JOBS
 
+    def is_unusable(self, machine: Machine) -> bool:
+        """Return whether the machine is faulty, as this owner judges or an earlier one recorded."""
+        # the record is checked first for any cordon, as this is called for each machine and round
+        if machine.cordoned_until and machine.is_cordoned(self._clock.wall_time()):
+            return True
+        return self.is_faulty(machine.id)
+
     def _blaming_jobs(self, failed_at: dict[str, float]) -> list[str]:
         """Return the jobs whose failures count against the machine."""
         since = self._clock.now() - self._settings.failure_memory_s
@@ -161,12 +168,13 @@
         A cordon ends by itself. It is ended before only by the process that wrote it: another owner
         does not know by which failures the machine was judged.
         """
+        is_faulty = self._failures.is_faulty(machine.id)
+        if not is_faulty and machine.id not in self._cordoned:
+            return None
         wall_time = self._clock.wall_time()
         is_cordoned = machine.is_cordoned(wall_time)
-        if self._failures.is_faulty(machine.id):
+        if is_faulty:
             return None if is_cordoned else self._begin(machine, wall_time)
-        if machine.id not in self._cordoned:
-            return None
         self._cordoned.discard(machine.id)
         if not is_cordoned:
             return None
--- a/crossmill/jobs/machine_maintenance.py
+++ b/crossmill/jobs/machine_maintenance.py
@@ -215,7 +215,7 @@
             return self._reason_without_heartbeat(machine, view, machine_type)
         if not view.is_fresh(now, timeout_s):
             return RetireReason.SILENT
-        if self._failures.is_faulty(machine.id) or machine.is_cordoned(self._clock.wall_time()):
+        if self._failures.is_unusable(machine):
             return RetireReason.FAULTY if not machine.attempts else None
         return self._reason_when_idle(machine, view, now, spare)
 
--- a/crossmill/jobs/placement.py
+++ b/crossmill/jobs/placement.py
@@ -52,7 +52,6 @@
         failures: TaskFailures,
     ) -> None:
         self._settings = context.settings
-        self._clock = context.clock
         self._heartbeats = context.heartbeats
         self._machine_drain = machine_drain
         self._machine_transfer = machine_transfer
@@ -65,25 +64,21 @@
         """
         if machine.retirement_reason:
             return MachineExclusion.RETIRING
-        if self._failures.is_faulty(machine.id) or machine.is_cordoned(self._clock.wall_time()):
-            return MachineExclusion.FAULTY
-        return self._worker_exclusion(machine, now) or self._movement(machine)
-
-    def _worker_exclusion(self, machine: Machine, now: float) -> MachineExclusion | None:
-        """Return the exclusion that follows from the worker's heartbeats."""
         view = self._heartbeats.find_view(machine.id)
         if view is None or not view.is_fresh(now, self._settings.heartbeat_timeout_s):
             return MachineExclusion.NO_HEARTBEAT
-        return None if view.termination_at is None else MachineExclusion.TERMINATION_NOTICE
-
-    def _movement(self, machine: Machine) -> MachineExclusion | None:
-        """Return the exclusion of a machine whose tasks, or which itself, is being moved."""
+        if view.termination_at is not None:
+            return MachineExclusion.TERMINATION_NOTICE
+        if self._failures.is_unusable(machine):
+            return MachineExclusion.FAULTY
         if self._machine_drain.is_draining(machine.id):
             return MachineExclusion.DRAINING
-        is_transferring = self._machine_transfer.has_planned_transfer(
+        return MachineExclusion.TRANSFERRING if self._is_transferring(machine) else None
+
+    def _is_transferring(self, machine: Machine) -> bool:
+        return self._machine_transfer.has_planned_transfer(
             machine.id
         ) or self._heartbeats.is_transferring(machine.id)
-        return MachineExclusion.TRANSFERRING if is_transferring else None
 
 
 def _assigned_machines(assignments: list[TaskAssignment]) -> list[str]:
@@ -182,7 +177,7 @@
     def _place_job(
         self, job: Job, spec: JobSpec, capacities: list[FreeCapacity], edits: PlanEdits
     ) -> None:
-        if job.is_suspect:
+        if job.failed_at and job.is_suspect:
             self._record_long_run(job, edits)
         usage = self._usage.setdefault(spec.team, ResourceUsage())
         failures = self._failures.for_job(job.id)
