Logs: who answers workers, on what basis, what was read, and which stops an answer omits

New or longer lines, one an event and none for each report: shard acquired (term), shard ready (term, revision), heartbeat authority (basis and age of the last read, when the basis changes), worker confirmed token, job cancelled (revision), and stops of ended jobs omitted, for the answer to a worker that has not confirmed the token.

No decision changes: heartbeat_authority names its basis, with the same conditions as before.

--- a/crossmill/cluster/membership.py
+++ b/crossmill/cluster/membership.py
@@ -22,7 +22,13 @@
 from .lease_extensions import LeaseExtensions
 from .model import ControllerRecord
 from .owner_selection import AcquisitionPolicy, OwnerSelection
-from .ownership import HeartbeatAuthority, OwnedShards, ShardOwnership
+from .ownership import (
+    HeartbeatAuthority,
+    OwnedShards,
+    ResponseBasis,
+    ResponseBasisLog,
+    ShardOwnership,
+)
 from .reachability import WorkerReachability
 from .records import encode_controller
 from .shard_acquisition import NextToken, ShardAcquisition
@@ -102,6 +108,7 @@
             settings, clock, self._cluster, lease_extensions, self.owner_selection
         )
         self._leadership = Leadership(self._cluster, self._policy, self.ownership_writer)
+        self._basis_log = ResponseBasisLog()
         # tokens that the shard's next token must exceed, by shard; workers may have seen them
         self._token_floors: dict[int, int] = {}
 
@@ -120,8 +127,7 @@
         controller may not know that a job was cancelled.
         """
         ownership = self.active_ownership(shard)
-        is_current = self._watcher.is_current_within(self._settings.controller_lease_ttl_s)
-        return ownership if is_current else None
+        return ownership if self._is_current_for_commands() else None
 
     def heartbeat_authority(self, shard: int) -> HeartbeatAuthority | None:
         """Return the authority to respond to heartbeats of the shard's workers, or None.
@@ -134,13 +140,25 @@
         ownership = self._ready_ownership(shard)
         if ownership is None:
             return None
-        if not self._watcher.is_current_within(self._settings.max_lease_extension_s):
+        basis = self._response_basis()
+        self._basis_log.update(shard, ownership.token, basis, self._watcher.read_age_s())
+        if not basis.has_authority:
             return None
+        return HeartbeatAuthority(ownership, may_command=basis is ResponseBasis.LEASE)
+
+    def _response_basis(self) -> ResponseBasis:
+        """Return why the workers of a shard that is ready may be responded to, or why not."""
+        if not self._watcher.is_current_within(self._settings.max_lease_extension_s):
+            return ResponseBasis.OLD_READ
         if self._controller_lease.is_held():
-            may_command = self.command_ownership(shard) is not None
-            return HeartbeatAuthority(ownership, may_command)
+            if self._is_current_for_commands():
+                return ResponseBasis.LEASE
+            return ResponseBasis.LEASE_WITH_OLD_READ
         is_extended = self._lease_extensions.is_extended()
-        return HeartbeatAuthority(ownership, may_command=False) if is_extended else None
+        return ResponseBasis.EXTENSION if is_extended else ResponseBasis.NO_LEASE
+
+    def _is_current_for_commands(self) -> bool:
+        return self._watcher.is_current_within(self._settings.controller_lease_ttl_s)
 
     def write_authority(self, shard: int, token: int) -> Authority:
         """Return whether a write that was decided under this shard token may be sent now."""
@@ -270,7 +288,13 @@
         for shard, ownership in list(self.ownerships.items()):
             if not ownership.is_ready and await self.ownership_writer.sync():
                 ownership.is_ready = True
-                log.info("shard ready shard=%d token=%d", shard, ownership.token)
+                log.info(
+                    "shard ready shard=%d token=%d term=%d revision=%d",
+                    shard,
+                    ownership.token,
+                    ownership.term,
+                    self._cluster.mirror.revision,
+                )
 
     async def _release_misplaced(self) -> None:
         """Release at most one shard that another controller should own.
--- a/crossmill/cluster/ownership.py
+++ b/crossmill/cluster/ownership.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable, Iterator, Mapping
 from contextlib import contextmanager
 from dataclasses import dataclass
+from enum import Enum
 from types import MappingProxyType
 from typing import NamedTuple
 
@@ -47,6 +48,49 @@
     may_command: bool
 
 
+class ResponseBasis(Enum):
+    """Why the owner of a shard may respond to its workers, or why not; the values are logged."""
+
+    # the controller lease, and a read recent enough for commands
+    LEASE = "lease"
+    # the controller lease alone: the last read is too old for commands
+    LEASE_WITH_OLD_READ = "lease-old-read"
+    # lease extensions of all peers
+    EXTENSION = "lease-extension"
+    # no response: a cancellation may have been confirmed too long ago without being read
+    OLD_READ = "none-old-read"
+    # no response: neither the controller lease nor extensions of all peers
+    NO_LEASE = "none-no-lease"
+
+    @property
+    def has_authority(self) -> bool:
+        """Whether the controller may respond to workers."""
+        return self not in (ResponseBasis.OLD_READ, ResponseBasis.NO_LEASE)
+
+
+class ResponseBasisLog:
+    """Logs each change of the basis on which a shard's workers are responded to."""
+
+    __slots__ = ("_logged",)
+
+    def __init__(self) -> None:
+        # the token and basis of the newest log line, by shard
+        self._logged: dict[int, tuple[int, ResponseBasis]] = {}
+
+    def update(self, shard: int, token: int, basis: ResponseBasis, read_age_s: float) -> None:
+        """Log the basis if it or the token differs from those of the shard's newest log line."""
+        if self._logged.get(shard) == (token, basis):
+            return
+        self._logged[shard] = (token, basis)
+        log.info(
+            "heartbeat authority shard=%d token=%d basis=%s read_age_s=%.2f",
+            shard,
+            token,
+            basis.value,
+            read_age_s,
+        )
+
+
 class OwnedShards:
     """The shards that this controller owns or is acquiring."""
 
--- a/crossmill/cluster/shard_acquisition.py
+++ b/crossmill/cluster/shard_acquisition.py
@@ -88,8 +88,9 @@
             await self._writer.sync()
             return False
         version = self._cluster.mirror.version(key)
-        self._shards.add(shard, self._new_ownership(shard, token, version, epoch))
-        log.info("shard acquired shard=%d token=%d", shard, token)
+        ownership = self._new_ownership(shard, token, version, epoch)
+        self._shards.add(shard, ownership)
+        log.info("shard acquired shard=%d token=%d term=%d", shard, token, ownership.term)
         return True
 
     def _new_ownership(self, shard: int, token: int, version: int, epoch: int) -> ShardOwnership:
--- a/crossmill/jobs/cancellation.py
+++ b/crossmill/jobs/cancellation.py
@@ -69,7 +69,8 @@
             return UNAVAILABLE
         if not await self._commit(job.id, spec, {keys.job(job.id): version, **preconditions}):
             return None
-        log.info("job cancelled job=%s", job.id)
+        revision = self._cluster.mirror.version(keys.job(job.id))
+        log.info("job cancelled job=%s revision=%d", job.id, revision)
         return Response(200, wire.status_body(job.id, CANCELLED))
 
     async def _preconditions(self, job: Job) -> dict[str, int] | None:
--- a/crossmill/state/watcher.py
+++ b/crossmill/state/watcher.py
@@ -5,6 +5,7 @@
 """
 
 import logging
+import math
 from collections.abc import Awaitable, Callable
 
 import curio
@@ -125,15 +126,17 @@
     def _record_current_at(self, sent_at: float) -> None:
         self.current_at = max(sent_at, self.current_at or sent_at)
 
+    def read_age_s(self) -> float:
+        """Return the seconds since `current_at`; infinite before the first read."""
+        return math.inf if self.current_at is None else self._clock.now() - self.current_at
+
     def is_current_within(self, span_s: float) -> bool:
         """Return whether everything durable `span_s` seconds ago is known.
 
         The check allows for clock drift. A renewed lease is no proof, because renewals may succeed
         while reads fail.
         """
-        if self.current_at is None:
-            return False
-        return self._clock.now() - self.current_at <= span_s * (1 - self._clock_drift)
+        return self.read_age_s() <= span_s * (1 - self._clock_drift)
 
     async def step(self, wait_s: float) -> None:
         """Apply the changes since the mirror's revision, waiting up to `wait_s` for the first.
--- a/crossmill/wire/workers.py
+++ b/crossmill/wire/workers.py
@@ -136,6 +136,11 @@
     attempt: int
     grace_s: float = 0.0
 
+    @property
+    def job(self) -> str:
+        """The task's job ID."""
+        return self.task.rpartition("/")[0]
+
 
 # parses one task of a heartbeat from the values of its wire fields
 TaskStatusReader = Callable[[Any, Any, Any, Any, Any], TaskStatus]
--- a/crossmill/workers/heartbeat_handler.py
+++ b/crossmill/workers/heartbeat_handler.py
@@ -27,6 +27,7 @@
     MAX_COMMANDS,
     Command,
     CommandKind,
+    TaskState,
     WorkerHeartbeat,
     cached_task_status_reader,
 )
@@ -162,6 +163,7 @@
         view.last_response_at = self._clock.now()
         view.has_been_sent_response = True
         if verdict is HeartbeatVerdict.UNCONFIRMED_TOKEN:
+            self._log_omitted_stops(heartbeat, token)
             return HeartbeatResponse(HttpStatus.OK, token)
         commands = self.reconciler.apply_heartbeat(machine, view, ownership, heartbeat)
         if not authority.may_command:
@@ -225,13 +227,31 @@
         return [
             command
             for command in commands
-            if command.op is CommandKind.STOP and self._has_job_ended(command.task)
+            if command.op is CommandKind.STOP and self._has_job_ended(command.job)
         ]
 
-    def _has_job_ended(self, task_name: str) -> bool:
-        job = self._cluster.jobs.get(task_name.rpartition("/")[0])
+    def _has_job_ended(self, job_id: str) -> bool:
+        job = self._cluster.jobs.get(job_id)
         return job is not None and job.has_ended
 
+    def _log_omitted_stops(self, heartbeat: WorkerHeartbeat, token: int) -> None:
+        """Log the tasks of ended jobs that a response leaves running."""
+        tasks = [
+            f"{task.job}/{task.index}"
+            for task in heartbeat.tasks
+            if task.state is not TaskState.EXITED and self._has_job_ended(task.job)
+        ]
+        if tasks:
+            log.info(
+                "stops of ended jobs omitted machine=%s token=%d reported_token=%d tasks=%d "
+                "first=%s",
+                heartbeat.machine,
+                token,
+                heartbeat.token,
+                len(tasks),
+                tasks[0],
+            )
+
     def _log_unplanned_stops(self, machine: Machine, commands: list[Command]) -> None:
         """Log and count the commands that stop a running task that no plan contains."""
         for command in commands:
--- a/crossmill/workers/views.py
+++ b/crossmill/workers/views.py
@@ -49,7 +49,8 @@
         last_heartbeat_number: The session and sequence number of the newest heartbeat that reported
             this owner's token; responses to direct commands don't count.
         last_heartbeat_at: The time at which that heartbeat was received; None before the first.
-        has_confirmed_token: Whether the worker has reported this owner's token.
+        confirmed_token: The newest token of this owner that the worker has reported; 0 before the
+            first.
         address: The worker's own address, `host:port`.
         termination_at: The time at which the cloud will terminate the machine; None without a spot
             termination notice.
@@ -61,8 +62,8 @@
 
     __slots__ = (
         "address",
+        "confirmed_token",
         "has_been_sent_response",
-        "has_confirmed_token",
         "idle_since",
         "last_heartbeat_at",
         "last_heartbeat_number",
@@ -87,7 +88,7 @@
         self.seq = -1
         self.last_heartbeat_number = (0, -1)
         self.last_heartbeat_at: float | None = None
-        self.has_confirmed_token = False
+        self.confirmed_token = 0
         self.address = ""
         self.termination_at: float | None = None
         self.tasks: dict[TaskKey, TaskStatus] = {}
@@ -128,12 +129,23 @@
             self.session_seen_at = now
         self.session = heartbeat.session
         self.seq = heartbeat.seq
-        self.has_confirmed_token = True
+        self._confirm_token(token)
         self.address = heartbeat.address
         self.termination_at = None if heartbeat.notice_s is None else now + heartbeat.notice_s
         self._apply_tasks(heartbeat.tasks, now)
         return True
 
+    def _confirm_token(self, token: int) -> None:
+        if token != self.confirmed_token:
+            self.confirmed_token = token
+            log.info(
+                "worker confirmed token machine=%s token=%d session=%d seq=%d",
+                self.machine,
+                token,
+                self.session,
+                self.seq,
+            )
+
     def _apply_tasks(self, tasks: list[TaskStatus], now: float) -> None:
         running_before = self.running_since
         for task in tasks:
@@ -152,6 +164,11 @@
             if task.state is _RUNNING
         }
 
+    @property
+    def has_confirmed_token(self) -> bool:
+        """Whether the worker has reported a token of this owner."""
+        return self.confirmed_token > 0
+
     @property
     def lease_renewed_at(self) -> float:
         """The latest time at which the worker's lease can have been renewed or begun."""
