Heartbeats: the first response under a new token stops the tasks of ended jobs

Cause: a worker that has not reported the owner's token is answered 200 without commands, since its report may be older than the ownership. The answer renews its lease all the same. If the owner ends before the worker's next report, the next owner does the same, and a chain of owners that each answer once within a lease keeps the task running for ever, though each of them has read the cancellation. The bound on answers assumed that whoever knows of a cancellation stops its tasks; only an owner that is asked twice did.

Change: the answer to a token that is not confirmed, new or raised, carries a stop for each task of the report whose job is known to have ended. Such a stop is right from any controller at any time, also in answer to an old report: the answer to a late report is dropped. Nothing else follows from such a report; starts still wait for the confirmation. Keepalives in a partitioned zone use the same function. The log line about omitted stops gives way to one about the stops that are sent.

Checks: the region's checker gets the step as a rule of its own: a response that renews a lease leaves out no stop that its sender knew to be due (stop_omitted), shown by a planted violation.

--- a/crossmill/cluster/partition_keepalive.py
+++ b/crossmill/cluster/partition_keepalive.py
@@ -11,7 +11,7 @@
 
 from ..net.clock import Clock
 from ..settings import Settings
-from ..wire.workers import Command, CommandKind, WorkerHeartbeat
+from ..wire.workers import WorkerHeartbeat
 from .cluster_state import ClusterState
 from .controller_lease import ControllerLease
 from .model import ACTIVE, Machine
@@ -137,16 +137,12 @@
         self._suspended_until: dict[str, float] = {}
         self.pending_cancellations = PendingCancellations(settings, clock)
 
-    def keep_alive(self, machine: Machine, heartbeat: WorkerHeartbeat) -> list[Command] | None:
-        """Return the commands of the response to a heartbeat, or None without permission."""
+    def keep_alive(self, machine: Machine, heartbeat: WorkerHeartbeat) -> bool:
+        """Return whether the worker may be kept alive now; if so, record that it is."""
         if not self._may_keep_alive(machine, heartbeat):
-            return None
+            return False
         self._kept_alive_at[machine.id] = self._clock.now()
-        return [
-            Command(CommandKind.STOP, f"{task.job}/{task.index}", task.attempt, 0.0)
-            for task in heartbeat.tasks
-            if task.state != "exited" and self._has_ended(task.job)
-        ]
+        return True
 
     def _may_keep_alive(self, machine: Machine, heartbeat: WorkerHeartbeat) -> bool:
         if machine.zone != self._settings.zone or not self._is_sync_recent():
@@ -167,7 +163,7 @@
         owner = self._cluster.shard_owners.get(machine.shard)
         return max(machine.token, owner.token if owner is not None else 0)
 
-    def _has_ended(self, job_id: str) -> bool:
+    def has_ended(self, job_id: str) -> bool:
         """Return whether the job has ended or is about to be cancelled."""
         if job_id in self.pending_cancellations or job_id in self._cluster.cancellation_notes:
             return True
--- a/crossmill/workers/heartbeat_handler.py
+++ b/crossmill/workers/heartbeat_handler.py
@@ -12,7 +12,7 @@
 """
 
 import logging
-from collections.abc import Collection
+from collections.abc import Callable, Collection
 from typing import TYPE_CHECKING, NamedTuple
 
 from ..cluster.cluster_state import ClusterState
@@ -27,13 +27,12 @@
     MAX_COMMANDS,
     Command,
     CommandKind,
-    TaskState,
     WorkerHeartbeat,
     cached_task_status_reader,
 )
 from .attempt_outcomes import StopReason
 from .lease_expiry import WorkerLeaseExpiry
-from .reconciliation import Reconciler
+from .reconciliation import Reconciler, stops_of_ended_jobs
 from .views import HeartbeatVerdict, WorkerView
 
 # only the type checker needs the protocol, so the program does not load it at start
@@ -59,6 +58,25 @@
     redirect: str | None = None
 
 
+def _is_stop_of_ended_job(command: Command, has_ended: Callable[[str], bool]) -> bool:
+    return command.op is CommandKind.STOP and has_ended(command.job)
+
+
+def _log_early_stops(
+    heartbeat: WorkerHeartbeat, token: int, verdict: HeartbeatVerdict, stops: list[Command]
+) -> None:
+    """Log the stops that a worker is sent before it has confirmed the owner's token."""
+    if stops and verdict is HeartbeatVerdict.UNCONFIRMED_TOKEN:
+        log.info(
+            "tasks of ended jobs stopped machine=%s token=%d reported_token=%d tasks=%d first=%s",
+            heartbeat.machine,
+            token,
+            heartbeat.token,
+            len(stops),
+            stops[0].task,
+        )
+
+
 class HeartbeatHandler:
     """Responds to heartbeats and keeps the views of the workers that sent them.
 
@@ -97,7 +115,6 @@
         # the only controller that responds to them, so this controller stops responding before
         # it sends the write.
         self._transferring: set[str] = set()
-        self._unplanned_stop_count = 0
         self.gate = gate
         membership.subscribe_lost(self._end_ownership)
 
@@ -158,22 +175,34 @@
             return self._respond_to_newer_token(machine, heartbeat)
         view = self.ensure_view(machine)
         verdict = view.apply_heartbeat(heartbeat, token, self._clock.now())
-        if verdict is HeartbeatVerdict.STALE:
-            return HeartbeatResponse(HttpStatus.OK, token)
-        view.last_response_at = self._clock.now()
-        view.has_been_sent_response = True
-        if verdict is HeartbeatVerdict.UNCONFIRMED_TOKEN:
-            self._log_omitted_stops(heartbeat, token)
-            return HeartbeatResponse(HttpStatus.OK, token)
+        if verdict is not HeartbeatVerdict.STALE:
+            view.last_response_at = self._clock.now()
+            view.has_been_sent_response = True
+        if verdict in (HeartbeatVerdict.STALE, HeartbeatVerdict.UNCONFIRMED_TOKEN):
+            # nothing else may follow from a heartbeat that may be older than the ownership, but the
+            # response renews the lease and may be the last one under this token
+            commands = stops_of_ended_jobs(heartbeat.tasks, self._has_job_ended)
+            _log_early_stops(heartbeat, token, verdict, commands)
+        else:
+            commands = self._commands(machine, view, authority, heartbeat)
+        return HeartbeatResponse(HttpStatus.OK, token, tuple(commands[:MAX_COMMANDS]))
+
+    def _commands(
+        self,
+        machine: Machine,
+        view: WorkerView,
+        authority: HeartbeatAuthority,
+        heartbeat: WorkerHeartbeat,
+    ) -> list[Command]:
+        """Return the commands for a worker that has confirmed the owner's token."""
+        ownership = authority.ownership
         commands = self.reconciler.apply_heartbeat(machine, view, ownership, heartbeat)
         if not authority.may_command:
-            commands = self._stops_of_ended_jobs(commands)
+            commands = [c for c in commands if _is_stop_of_ended_job(c, self._has_job_ended)]
         if self.gate is not None:
             commands = self.gate.filter_commands(machine, view, ownership, commands)
-        # truncate after the gate: commands that it blocks must not displace urgent commands
-        commands = commands[:MAX_COMMANDS]
-        self._log_unplanned_stops(machine, commands)
-        return HeartbeatResponse(HttpStatus.OK, token, tuple(commands))
+        self.reconciler.log_unplanned_stops(machine, commands)
+        return commands
 
     @staticmethod
     def command_token(machine: Machine, ownership: ShardOwnership) -> int:
@@ -192,8 +221,7 @@
         self, machine: Machine, heartbeat: WorkerHeartbeat
     ) -> HeartbeatResponse:
         """Keep a worker of a partitioned zone alive, or redirect it to its owner."""
-        commands = self._keepalive.keep_alive(machine, heartbeat)
-        if commands is None:
+        if not self._keepalive.keep_alive(machine, heartbeat):
             shard_owner = self._cluster.shard_owners.get(machine.shard)
             if shard_owner is None or shard_owner.owner == self._settings.label:
                 return self._redirect()
@@ -203,7 +231,8 @@
         view = self._views.get(machine.id)
         if view is not None:
             view.last_response_at = self._clock.now()
-        return HeartbeatResponse(HttpStatus.OK, heartbeat.token, tuple(commands[:MAX_COMMANDS]))
+        stops = stops_of_ended_jobs(heartbeat.tasks, self._keepalive.has_ended)
+        return HeartbeatResponse(HttpStatus.OK, heartbeat.token, tuple(stops[:MAX_COMMANDS]))
 
     def _respond_to_newer_token(
         self, machine: Machine, heartbeat: WorkerHeartbeat
@@ -218,59 +247,10 @@
             return HeartbeatResponse(HttpStatus.SERVICE_UNAVAILABLE)
         return HeartbeatResponse(HttpStatus.MISDIRECTED_REQUEST, redirect=alternative)
 
-    def _stops_of_ended_jobs(self, commands: list[Command]) -> list[Command]:
-        """Return the commands that may be sent without full authority.
-
-        Without it, a worker is only kept alive. The exception is stopping a task whose job has
-        ended, which is correct from any controller at any time.
-        """
-        return [
-            command
-            for command in commands
-            if command.op is CommandKind.STOP and self._has_job_ended(command.job)
-        ]
-
     def _has_job_ended(self, job_id: str) -> bool:
         job = self._cluster.jobs.get(job_id)
         return job is not None and job.has_ended
 
-    def _log_omitted_stops(self, heartbeat: WorkerHeartbeat, token: int) -> None:
-        """Log the tasks of ended jobs that a response leaves running."""
-        tasks = [
-            f"{task.job}/{task.index}"
-            for task in heartbeat.tasks
-            if task.state is not TaskState.EXITED and self._has_job_ended(task.job)
-        ]
-        if tasks:
-            log.info(
-                "stops of ended jobs omitted machine=%s token=%d reported_token=%d tasks=%d "
-                "first=%s",
-                heartbeat.machine,
-                token,
-                heartbeat.token,
-                len(tasks),
-                tasks[0],
-            )
-
-    def _log_unplanned_stops(self, machine: Machine, commands: list[Command]) -> None:
-        """Log and count the commands that stop a running task that no plan contains."""
-        for command in commands:
-            if command.op is not CommandKind.STOP:
-                continue
-            job, _, index = command.task.rpartition("/")
-            attempt = machine.attempts.get((job, int(index)))
-            if attempt is not None and attempt.number == command.attempt:
-                continue
-            self._unplanned_stop_count += 1
-            log.info(
-                "unplanned task stopped job=%s task=%s attempt=%d machine=%s total=%d",
-                job,
-                index,
-                command.attempt,
-                machine.id,
-                self._unplanned_stop_count,
-            )
-
     # -- transfers of machines to other shards ---------------------------------------
 
     def is_transferring(self, machine_id: str) -> bool:
--- a/crossmill/workers/reconciliation.py
+++ b/crossmill/workers/reconciliation.py
@@ -7,6 +7,7 @@
 """
 
 import logging
+from collections.abc import Callable, Iterable
 
 from ..cluster.cluster_state import ClusterState
 from ..cluster.membership import Membership
@@ -42,6 +43,25 @@
     return f"{job}/{index}"
 
 
+def stops_of_ended_jobs(
+    tasks: Iterable[TaskStatus], has_ended: Callable[[str], bool]
+) -> list[Command]:
+    """Return a stop, without time to save, for each task on a worker whose job has ended.
+
+    `has_ended` takes a job's ID. Such a stop is correct from any controller at any time, also in
+    response to a heartbeat that is older than the controller's ownership.
+    """
+    return [
+        _immediate_stop(task.job, task.index, task.attempt)
+        for task in tasks
+        if task.state is not _EXITED and has_ended(task.job)
+    ]
+
+
+def _immediate_stop(job: str, index: int, attempt: int) -> Command:
+    return Command(CommandKind.STOP, _task_name(job, index), attempt, 0.0)
+
+
 class Reconciler:
     """Derives commands and outcomes from a worker's status and the plan of its machine."""
 
@@ -55,6 +75,7 @@
         self.outcomes = AttemptOutcomes(cluster)
         self.stop_requests = StopRequests()
         self.unacknowledged_starts = UnacknowledgedStarts()
+        self._unplanned_stop_count = 0
 
     def end_ownership(self, shard: int) -> None:
         """Drop the outcomes and stop requests of a shard that this controller has lost."""
@@ -142,13 +163,31 @@
 
         Either its outcome is durable, or it must not be on this machine.
         """
-        name = _task_name(task.job, task.index)
         if task.state is not _EXITED:
-            return Command(CommandKind.STOP, name, task.attempt, 0.0)
+            return _immediate_stop(task.job, task.index, task.attempt)
         # a start that arrives after the worker has forgotten the attempt would run it a second time
         if self._can_start_arrive(machine, AttemptId(task.job, task.index, task.attempt)):
             return None
-        return Command(CommandKind.FORGET, name, task.attempt)
+        return Command(CommandKind.FORGET, _task_name(task.job, task.index), task.attempt)
+
+    def log_unplanned_stops(self, machine: Machine, commands: list[Command]) -> None:
+        """Log and count the commands that stop a running task that no plan contains."""
+        for command in commands:
+            if command.op is not CommandKind.STOP:
+                continue
+            job, _, index = command.task.rpartition("/")
+            attempt = machine.attempts.get((job, int(index)))
+            if attempt is not None and attempt.number == command.attempt:
+                continue
+            self._unplanned_stop_count += 1
+            log.info(
+                "unplanned task stopped job=%s task=%s attempt=%d machine=%s total=%d",
+                job,
+                index,
+                command.attempt,
+                machine.id,
+                self._unplanned_stop_count,
+            )
 
     def _reconcile_absent(
         self,
@@ -214,8 +253,7 @@
             return None
         job = self._cluster.jobs.get(attempt.job)
         if job is None or job.has_ended:
-            name = _task_name(attempt.job, attempt.index)
-            return Command(CommandKind.STOP, name, attempt.number, 0.0)
+            return _immediate_stop(attempt.job, attempt.index, attempt.number)
         if self.stop_requests.has(attempt):
             return None if state is _SAVING else self.stop_command(attempt)
         if view.termination_at is not None and state is _RUNNING:
--- a/tests/invariant_checker.py
+++ b/tests/invariant_checker.py
@@ -53,9 +53,11 @@
 class InvariantChecker:
     """Collects violations of PROTOCOL's rules.
 
-    The rule of progress has a module of its own. One rule is the checker's own: each running task
-    has a durable planned attempt. A task is started only after its planned attempt is stored, and
-    the planned attempt is removed only when the task is proved to have ended.
+    The rule of progress has a module of its own. Two rules are the checker's own. Each running task
+    has a durable planned attempt: a task is started only after its planned attempt is stored, and
+    the planned attempt is removed only when the task is proved to have ended. And a response that
+    renews a worker's lease contains every stop of the worker's tasks that its sender knows to be
+    due: no later response may come.
     """
 
     def __init__(self, region: "Region") -> None:
@@ -167,6 +169,43 @@
                 if task.state != "exited" and attempt not in planned:
                     yield f"{job}/{index} {worker.machine}: in no plan"
 
+    def omitted_stops(self, label: str, heartbeat: bytes, response: bytes) -> list[str]:
+        """Return the running tasks of a heartbeat that its response should stop and does not.
+
+        Called at the moment of the response: what counts is what the controller knows then.
+        """
+        body = load_object(heartbeat)
+        stopped = {
+            (order["sack"], order["turn"])
+            for order in load_object(response)["orders"]
+            if order["verb"] == "kill"
+        }
+        return [
+            task["sack"]
+            for task in body["sacks"]
+            if task["stage"] != "exited"
+            and (task["sack"], task["turn"]) not in stopped
+            and self._is_known_to_have_ended(label, body["stone"], task["sack"])
+        ]
+
+    def _is_known_to_have_ended(self, label: str, machine_id: str, task: str) -> bool:
+        """Return whether the controller knows that the task's job has ended.
+
+        For a machine that it only keeps alive, an announced cancellation counts as an end.
+        """
+        node, job_id = self._region.nodes[label], task.rpartition("/")[0]
+        job = node.cluster.jobs.get(job_id)
+        if job is not None and job.has_ended:
+            return True
+        shard = node.cluster.machines[machine_id].shard
+        is_owner = node.membership.heartbeat_authority(shard) is not None
+        return not is_owner and node.partition_protocol.keepalive.has_ended(job_id)
+
+    def check_lease_renewal(self, worker: Worker, label: str, omitted_stops: list[str]) -> None:
+        """Check a response that renewed a worker's lease: every stop known to be due is in it."""
+        for task in omitted_stops:
+            self.report_violation(f"stop_omitted {task} {worker.machine} by {label}")
+
     def _check_unplanned(self) -> None:
         for description in self.unplanned_tasks():
             self.report_violation(f"orphaned {description}")
--- a/tests/simulated_worker.py
+++ b/tests/simulated_worker.py
@@ -17,6 +17,7 @@
 if TYPE_CHECKING:
     from .simulated_region import Region
 
+STATUS_OK = 200
 # one-way delay of a message between two hosts
 MESSAGE_DELAY_S = 0.002
 # time after which a worker stops waiting for a response
@@ -138,7 +139,7 @@
             wait_s = self.region.heartbeat_interval_s
             label = labels[self.target_index]
             response = await self._send_heartbeat(label)
-            if response is None or response[0] != 200:
+            if response is None or response[0] != STATUS_OK:
                 redirect = str(response[1].get("foreman")) if response is not None else ""
                 is_redirected = redirect in labels and redirect != label
                 self.target_index = (
@@ -159,13 +160,16 @@
         if self.heartbeats_lost or not self.region.can_reach(self, label):
             return None
         status, data = self.region.deliver_worker_heartbeat(body, label)
+        checker = self.region.checker
+        omitted = checker.omitted_stops(label, body, data) if status == STATUS_OK else []
         await curio.sleep(MESSAGE_DELAY_S)
         if self.inbound_lost or self.is_frozen or not self.region.can_reach(self, label):
             await curio.sleep(RESPONSE_TIMEOUT_S)
             return None
         response = load_object(data)
         self._advance_tasks()
-        if status == 200 and session == self.session and response["warrant"] >= self.token:
+        if status == STATUS_OK and session == self.session and response["warrant"] >= self.token:
+            checker.check_lease_renewal(self, label, omitted)
             self.token, self.lease_renewed_at = response["warrant"], sent
             self._execute_commands(response["orders"])
         return status, response
@@ -177,7 +181,7 @@
             return 409, self._report()
         self.token = data["warrant"]
         self._execute_commands(data["orders"])
-        return 200, self._report()
+        return STATUS_OK, self._report()
 
     def _execute_commands(self, commands: list[dict[str, Any]]) -> None:
         for command in commands:
--- a/tests/test_invariant_checker.py
+++ b/tests/test_invariant_checker.py
@@ -8,6 +8,8 @@
 from crossmill.cluster import keys
 from crossmill.net.server import Response
 from crossmill.wire.users import status_body
+from crossmill.wire.workers import WorkerHeartbeat
+from crossmill.workers.heartbeat_handler import HeartbeatResponse
 
 from .progress_checker import MAX_WAIT_S
 from .simulated_region import Region, simulate
@@ -92,6 +94,20 @@
     region.checker.check_response(JOB, _job_response("withdrawn"), region.clock.now())
 
 
+def _without_commands(
+    handle: Callable[[WorkerHeartbeat], HeartbeatResponse],
+) -> Callable[[WorkerHeartbeat], HeartbeatResponse]:
+    return lambda heartbeat: handle(heartbeat)._replace(commands=())
+
+
+async def _omit_stops(region: Region) -> None:
+    await region.wait_until(lambda: bool(region.workers_running(JOB)))
+    for node in region.nodes.values():
+        node.heartbeats.handle = _without_commands(node.heartbeats.handle)  # type: ignore[method-assign,assignment]
+    assert await region.cancel("node-0", JOB) == 200
+    await curio.sleep(2 * region.heartbeat_interval_s)
+
+
 async def _leave_job_waiting(region: Region) -> None:
     """Make all controllers believe that both machines are full, which they are not."""
     for machine in region.workers:
@@ -116,6 +132,7 @@
         (_report_done_too_early, "not_done"),
         (_report_running_after_cancelled, "went_back"),
         (_report_cancelled_without_request, "went_back"),
+        (_omit_stops, "stop_omitted"),
         (_leave_job_waiting, "stalled"),
     ],
 )
