Heartbeats: a response contains every stop of an ended job, ahead of other commands

Stops behind 504 commands to forget exited tasks, or beyond 504 stops, were left out although the response renews the lease, and followed only with a later response of the same owner, which may not come.

Stops of tasks of ended jobs now come first and are all contained; what else there is fills up to 504. A report of 64 KiB lists at most some 1,300 tasks. PROTOCOL limits the length of a line of a response, not of the response, so one of more than 504 commands is written on several lines.

--- a/crossmill/wire/workers.py
+++ b/crossmill/wire/workers.py
@@ -222,9 +222,14 @@
 
 
 def heartbeat_response_body(token: int, commands: list[Command]) -> bytes:
-    """Encode the response to a heartbeat."""
+    """Encode the response to a heartbeat.
+
+    PROTOCOL limits the length of a line, not of a response: one of more than `MAX_COMMANDS` is
+    written on several lines.
+    """
     orders = [_encode_command(command) for command in commands]
-    return orjson.dumps({"warrant": token, "orders": orders})
+    option = orjson.OPT_INDENT_2 if len(commands) > MAX_COMMANDS else None
+    return orjson.dumps({"warrant": token, "orders": orders}, option=option)
 
 
 def commands_body(token: int, session: int, commands: list[Command]) -> bytes:
--- a/crossmill/workers/heartbeat_handler.py
+++ b/crossmill/workers/heartbeat_handler.py
@@ -48,7 +48,8 @@
     Attributes:
         status: The HTTP status.
         token: The fencing token of the commands.
-        commands: The commands for the worker, at most `MAX_COMMANDS`.
+        commands: The commands for the worker: all stops of tasks of ended jobs, and others up to
+            `MAX_COMMANDS` in all.
         redirect: The controller to which the worker should send its heartbeats instead.
     """
 
@@ -62,6 +63,21 @@
     return command.op is CommandKind.STOP and has_ended(command.job)
 
 
+def _accept(
+    token: int, commands: list[Command], has_ended: Callable[[str], bool]
+) -> HeartbeatResponse:
+    """Return a response that renews a worker's lease.
+
+    The stops of tasks of ended jobs come first and are all contained, however many there are: this
+    may be the last response before the jobs' cancellation deadline.
+    """
+    if len(commands) > MAX_COMMANDS:
+        stops = [command for command in commands if _is_stop_of_ended_job(command, has_ended)]
+        others = [c for c in commands if not _is_stop_of_ended_job(c, has_ended)]
+        commands = stops + others[: max(0, MAX_COMMANDS - len(stops))]
+    return HeartbeatResponse(HttpStatus.OK, token, tuple(commands))
+
+
 def _log_early_stops(
     heartbeat: WorkerHeartbeat, token: int, verdict: HeartbeatVerdict, stops: list[Command]
 ) -> None:
@@ -185,7 +201,7 @@
             _log_early_stops(heartbeat, token, verdict, commands)
         else:
             commands = self._commands(machine, view, authority, heartbeat)
-        return HeartbeatResponse(HttpStatus.OK, token, tuple(commands[:MAX_COMMANDS]))
+        return _accept(token, commands, self._has_job_ended)
 
     def _commands(
         self,
@@ -232,7 +248,7 @@
         if view is not None:
             view.last_response_at = self._clock.now()
         stops = stops_of_ended_jobs(heartbeat.tasks, self._keepalive.has_ended)
-        return HeartbeatResponse(HttpStatus.OK, heartbeat.token, tuple(stops[:MAX_COMMANDS]))
+        return _accept(heartbeat.token, stops, self._keepalive.has_ended)
 
     def _respond_to_newer_token(
         self, machine: Machine, heartbeat: WorkerHeartbeat
--- a/tests/test_due_stops.py
+++ b/tests/test_due_stops.py
@@ -1,12 +1,20 @@
 """Each response that renews a worker's lease stops the tasks whose jobs are known to have ended."""
 
+import orjson
 import pytest
 
 from crossmill.cluster import keys
 from crossmill.cluster.model import CANCELLED, DONE, JobEnd
 from crossmill.cluster.records import encode_end, encode_job
 from crossmill.wire.checks import load_object
-from crossmill.wire.workers import Command, CommandKind, parse_heartbeat
+from crossmill.wire.workers import (
+    MAX_COMMANDS,
+    MAX_MESSAGE_BYTES,
+    Command,
+    CommandKind,
+    heartbeat_response_body,
+    parse_heartbeat,
+)
 
 from .builders import heartbeat_body, make_spec, reported_task
 from .fake_clock import FakeClock
@@ -179,3 +187,46 @@
         assert (response.status, response.commands) == (200, (STOP,))
 
     run_settled(scenario)
+
+
+def test_stops_of_ended_jobs_are_sent_before_other_commands_that_exceed_a_response() -> None:
+    async def scenario(state: StateService, clock: FakeClock, nodes: Nodes) -> None:
+        node = await start_cancelled_task(state, clock, nodes)
+        exited = [
+            reported_task("wk-000009", index, 1, "exited", "done") for index in range(MAX_COMMANDS)
+        ]
+        commands = node.report("n-0", 1, 5, node.token(), *exited, RUNNING).commands
+        assert commands[0] == STOP
+        assert len(commands) == MAX_COMMANDS
+
+    run_scenario(scenario)
+
+
+def most_reported_tasks() -> list[dict[str, object]]:
+    """Return as many running tasks of one job as a heartbeat may report."""
+    body_bytes = len(heartbeat_body("n-0", 1, 5, 1))
+    tasks: list[dict[str, object]] = []
+    while body_bytes < MAX_MESSAGE_BYTES:
+        tasks.append(reported_task(JOB, len(tasks), 1, "running"))
+        body_bytes += len(orjson.dumps(tasks[-1])) + 1
+    return tasks[:-1]
+
+
+@pytest.mark.parametrize("is_confirmed", [False, True])
+def test_a_response_stops_every_task_of_an_ended_job_that_a_heartbeat_can_report(
+    is_confirmed: bool,
+) -> None:
+    async def scenario(state: StateService, clock: FakeClock, nodes: Nodes) -> None:
+        node = await start_cancelled_task(state, clock, nodes)
+        successor = SteppedController(state, clock, nodes)
+        await successor.boot()
+        token = successor.token() if is_confirmed else node.token()
+        tasks = most_reported_tasks()
+        response = successor.report("n-0", 1, 5, token, *tasks)
+        assert {command.task for command in response.commands} == {task["sack"] for task in tasks}
+        assert {command.op for command in response.commands} == {CommandKind.STOP}
+        body = heartbeat_response_body(response.token, list(response.commands))
+        assert len(load_object(body)["orders"]) == len(tasks)
+        assert max(len(line) for line in body.splitlines()) <= MAX_MESSAGE_BYTES
+
+    run_scenario(scenario)
