--- a/crossmill/cluster/membership.py
+++ b/crossmill/cluster/membership.py
@@ -15,12 +15,10 @@
 from ..net.clock import Clock
 from ..settings import Settings
 from ..state.writer import Authority, WriteIntent, WriteRank
-from ..wire.state import Put, Txn
+from ..wire.state import Txn
 from . import keys
-from .cluster_state import ClusterState
 from .leadership import Leadership
 from .lease_extensions import LeaseExtensions
-from .model import ControllerRecord
 from .owner_selection import AcquisitionPolicy, OwnerSelection
 from .ownership import (
     HeartbeatAuthority,
@@ -29,9 +27,8 @@
     ShardOwnership,
 )
 from .reachability import WorkerReachability
-from .records import encode_controller
 from .shard_acquisition import NextToken, ShardAcquisition
-from .state_access import OwnershipWriter, StateAccess, write_share
+from .state_access import ControllerAnnouncement, OwnershipWriter, StateAccess, write_share
 
 log = logging.getLogger(__name__)
 
@@ -43,45 +40,6 @@
 _NO_LEASE = ResponseBasis.NO_LEASE
 
 
-class ControllerAnnouncement:
-    """Writer of this controller's record: its lease, reachability, and newest note read."""
-
-    def __init__(
-        self, cluster: ClusterState, reachability: WorkerReachability, writer: OwnershipWriter
-    ) -> None:
-        self._cluster = cluster
-        self._reachability = reachability
-        self._writer = writer
-        # version of the newest cancellation note that this controller has read
-        self._newest_read_note = 0
-
-    async def publish(self) -> None:
-        """Write the record if it differs from the stored one."""
-        self._update_newest_read_note()
-        lease_id = self._writer.lease_id
-        record = ControllerRecord(
-            lease_id, self._reachability.is_unreachable, self._newest_read_note
-        )
-        if lease_id is None or self._cluster.controllers.get(self._writer.label) == record:
-            return
-        # unconditional: replaces the key of an earlier process, whatever lease it was written under
-        key = keys.controller(self._writer.label)
-        await self._writer.commit(Txn({}, [Put(key, encode_controller(record), lease_id)]))
-
-    def _update_newest_read_note(self) -> None:
-        """Update the version of the newest cancellation note that this controller has read.
-
-        Controllers that can't reach this one read the version in its record. A note that this
-        controller wrote itself may be newer than the revision it has read; until it has read that
-        revision, the note does not count.
-        """
-        read = self._cluster.mirror.revision
-        notes = (note.version for note in self._cluster.cancellation_notes.values())
-        self._newest_read_note = max(
-            (self._newest_read_note, *(version for version in notes if version <= read))
-        )
-
-
 class Membership:
     """This controller's shards, leadership, and authority to act for its shards."""
 
--- a/crossmill/cluster/state_access.py
+++ b/crossmill/cluster/state_access.py
@@ -2,7 +2,8 @@
 
 `StateAccess` is created once at the start and passed to every component that reads or writes
 durable state. `OwnershipWriter` writes a controller's claims: its record, its shards and the
-leadership. `write_share` computes the share of the write rate that this controller may use.
+leadership. `ControllerAnnouncement` keeps the record up to date. `write_share` computes the share
+of the write rate that this controller may use.
 """
 
 from typing import NamedTuple
@@ -10,9 +11,13 @@
 from ..settings import Settings
 from ..state.watcher import StateWatcher
 from ..state.writer import WriteIntent, Writer, WriteRank, WriteResult
-from ..wire.state import Txn
+from ..wire.state import Put, Txn
+from . import keys
 from .cluster_state import ClusterState
 from .controller_lease import ControllerLease
+from .model import ControllerRecord
+from .reachability import WorkerReachability
+from .records import encode_controller
 
 
 class StateAccess(NamedTuple):
@@ -67,6 +72,45 @@
         return await self._watcher.sync(self._sync_timeout_s)
 
 
+class ControllerAnnouncement:
+    """Writer of this controller's record: its lease, reachability, and newest note read."""
+
+    def __init__(
+        self, cluster: ClusterState, reachability: WorkerReachability, writer: OwnershipWriter
+    ) -> None:
+        self._cluster = cluster
+        self._reachability = reachability
+        self._writer = writer
+        # version of the newest cancellation note that this controller has read
+        self._newest_read_note = 0
+
+    async def publish(self) -> None:
+        """Write the record if it differs from the stored one."""
+        self._update_newest_read_note()
+        lease_id = self._writer.lease_id
+        record = ControllerRecord(
+            lease_id, self._reachability.is_unreachable, self._newest_read_note
+        )
+        if lease_id is None or self._cluster.controllers.get(self._writer.label) == record:
+            return
+        # unconditional: replaces the key of an earlier process, whatever lease it was written under
+        key = keys.controller(self._writer.label)
+        await self._writer.commit(Txn({}, [Put(key, encode_controller(record), lease_id)]))
+
+    def _update_newest_read_note(self) -> None:
+        """Update the version of the newest cancellation note that this controller has read.
+
+        Controllers that can't reach this one read the version in its record. A note that this
+        controller wrote itself may be newer than the revision it has read; until it has read that
+        revision, the note does not count.
+        """
+        read = self._cluster.mirror.revision
+        notes = (note.version for note in self._cluster.cancellation_notes.values())
+        self._newest_read_note = max(
+            (self._newest_read_note, *(version for version in notes if version <= read))
+        )
+
+
 def write_share(settings: Settings, cluster: ClusterState) -> float:
     """Return this controller's share of the state service's write rate, in changes per second.
 
