--- a/tests/test_due_stops.py
+++ b/tests/test_due_stops.py
@@ -1,5 +1,6 @@
 """Each response that renews a worker's lease stops the tasks whose jobs are known to have ended."""
 
+import curio
 import orjson
 import pytest
 
@@ -230,3 +231,29 @@
         assert max(len(line) for line in body.splitlines()) <= MAX_MESSAGE_BYTES
 
     run_scenario(scenario)
+
+
+def test_no_direct_command_is_sent_to_a_worker_that_has_not_confirmed_the_token() -> None:
+    async def scenario(state: StateService, clock: FakeClock, nodes: Nodes) -> None:
+        node = await start_cancelled_task(state, clock, nodes)
+        successor = SteppedController(state, clock, nodes)
+        await successor.boot()
+        successor.report("n-0", 1, 5, node.token(), RUNNING)
+        attempt = successor.cluster.machines["n-0"].attempts[JOB, 0]
+        await successor.command_sender.send([], [attempt])
+        await curio.sleep(0)
+        assert successor.worker.sent == []
+
+    run_scenario(scenario)
+
+
+def test_an_owner_does_not_stop_a_job_whose_cancellation_is_only_announced() -> None:
+    async def scenario(state: StateService, clock: FakeClock, nodes: Nodes) -> None:
+        node = await start_placed_task(state, clock, nodes)
+        successor = SteppedController(state, clock, nodes)
+        await successor.boot()
+        successor.partition_protocol.keepalive.pending_cancellations.add(JOB)
+        assert successor.report("n-0", 1, 5, node.token(), RUNNING).commands == ()
+        assert successor.report("n-0", 1, 6, successor.token(), RUNNING).commands == ()
+
+    run_scenario(scenario)
--- a/tests/test_multihost_reconciliation.py
+++ b/tests/test_multihost_reconciliation.py
@@ -6,7 +6,7 @@
 import pytest
 
 from crossmill.multihost import candidates
-from crossmill.wire.multihost import MemberReport, MemberState
+from crossmill.wire.multihost import MemberReport, MemberState, OrderKind
 
 from .fake_clock import FakeClock
 from .fake_state_service import StateService
@@ -106,3 +106,18 @@
         }
 
     run_scenario(scenario)
+
+
+def test_the_first_response_of_a_new_pool_owner_to_an_agent_contains_no_order() -> None:
+    async def scenario(state: StateService, clock: FakeClock, nodes: Nodes) -> None:
+        node, service = await booted_pool(state, clock, nodes, machines=2)
+        unplanned = MemberReport("chat/0", 0, 1, MemberState.LOADED)
+        first = make_heartbeat(node, 0, 1, unplanned)
+        response = service.heartbeats.handle(first._replace(proof=None)).response
+        assert response is not None
+        assert response.orders == ()
+        next_response = service.heartbeats.handle(make_heartbeat(node, 0, 2, unplanned)).response
+        assert next_response is not None
+        assert [order.op for order in next_response.orders] == [OrderKind.STOP]
+
+    run_scenario(scenario)
