--- a/tests/test_random_owner_chains.py
+++ b/tests/test_random_owner_chains.py
@@ -4,13 +4,13 @@
 """
 
 import random
-import sys
 from typing import Any
 
 import curio
 import pytest
 
 from .fault_injection import all_but_leases, clear_faults, every_request, wait_until_all_ended
+from .seed_runner import run_seeds
 from .simulated_region import Region, simulate
 
 SERVICES = 8
@@ -128,18 +128,5 @@
     _run_region(seed)
 
 
-def main() -> None:
-    """Run the seeds given on the command line, and print those that fail."""
-    first, count = int(sys.argv[1]), int(sys.argv[2])
-    failed = 0
-    for seed in range(first, first + count):
-        try:
-            _run_region(seed)
-        except Exception as exc:
-            failed += 1
-            print(f"seed {seed}: {type(exc).__name__} {str(exc)[:300]}", flush=True)
-    print(f"{count} seeds from {first}, {failed} failed", flush=True)
-
-
 if __name__ == "__main__":
-    main()
+    run_seeds(_run_region)
--- a/tests/test_random_task_failures.py
+++ b/tests/test_random_task_failures.py
@@ -4,7 +4,6 @@
 """
 
 import random
-import sys
 
 import curio
 import pytest
@@ -12,6 +11,7 @@
 from .failing_traffic import DENSE, SPARSE, FailingTraffic
 from .fault_injection import clear_faults
 from .progress_checker import MAX_WAIT_S
+from .seed_runner import run_seeds
 from .simulated_region import Region, simulate
 
 EVENTS = 16
@@ -70,18 +70,5 @@
     _run_region(seed)
 
 
-def main() -> None:
-    """Run the seeds given on the command line, and print those that fail."""
-    first, count = int(sys.argv[1]), int(sys.argv[2])
-    failed = 0
-    for seed in range(first, first + count):
-        try:
-            _run_region(seed)
-        except Exception as exc:
-            failed += 1
-            print(f"seed {seed}: {str(exc)[:200]}", flush=True)
-    print(f"{count} seeds from {first}, {failed} failed", flush=True)
-
-
 if __name__ == "__main__":
-    main()
+    run_seeds(_run_region)
