Logs: direct calls with their starts, refusals with their reason, and under which token attempts are forgotten

Three new events say so, one line each: `direct commands sent`, `direct commands refused` (reason token or session) and `attempts forgotten`.

No decision changes. A call to a worker is a typed value in the sender.

--- a/crossmill/workers/command_sender.py
+++ b/crossmill/workers/command_sender.py
@@ -21,6 +21,7 @@
 from ..wire.workers import (
     COMMANDS_PATH,
     MAX_COMMANDS,
+    WorkerHeartbeat,
     commands_body,
     parse_heartbeat,
 )
@@ -40,6 +41,39 @@
     stops: list[PlannedAttempt]
 
 
+class _Call(NamedTuple):
+    """A call to a worker's own address: its token, the worker's session, and the starts in it."""
+
+    machine: str
+    token: int
+    session: int
+    starts: list[PlannedAttempt]
+
+
+def _log_call(call: _Call, stop_count: int) -> None:
+    log.info(
+        "direct commands sent machine=%s token=%d session=%d stops=%d starts=%s",
+        call.machine,
+        call.token,
+        call.session,
+        stop_count,
+        ",".join(f"{start.job}/{start.index}@{start.number}" for start in call.starts),
+    )
+
+
+def _log_refusal(call: _Call, heartbeat: WorkerHeartbeat) -> None:
+    log.info(
+        "direct commands refused machine=%s reason=%s token=%d reported_token=%d session=%d "
+        "reported_session=%d",
+        call.machine,
+        "token" if heartbeat.token > call.token else "session",
+        call.token,
+        heartbeat.token,
+        call.session,
+        heartbeat.session,
+    )
+
+
 class CommandSender:
     """Sends commands to workers' own addresses.
 
@@ -107,8 +141,9 @@
         if self._heartbeats.is_transferring(machine_id):
             return
         token = self._heartbeats.command_token(machine, ownership)
-        body = commands_body(token, view.session, commands)
-        await self._request(client, machine_id, body, starts, token)
+        call = _Call(machine_id, token, view.session, starts)
+        _log_call(call, len(stops))
+        await self._request(client, call, commands_body(token, view.session, commands))
 
     def _may_send_start(self, attempt: PlannedAttempt, machine: Machine, view: WorkerView) -> bool:
         """Return whether the attempt is still planned in the worker's session and may start."""
@@ -133,42 +168,43 @@
         self._clients[address] = client
         return client
 
-    async def _request(
-        self,
-        client: HttpClient,
-        machine_id: str,
-        body: bytes,
-        starts: list[PlannedAttempt],
-        token: int,
-    ) -> None:
+    async def _request(self, client: HttpClient, call: _Call, body: bytes) -> None:
         """Send commands to a worker; without a response the starts stay unacknowledged."""
         unacknowledged = self._reconciler.unacknowledged_starts
-        recorded = unacknowledged.record(machine_id, starts, token)
+        recorded = unacknowledged.record(call.machine, call.starts, call.token)
         self._in_flight += 1
         try:
             status, data = await client.request(
                 "POST", COMMANDS_PATH, body, self._settings.heartbeat_interval_s
             )
         except ConnectionFailedError as exc:
-            log.debug("worker not reached machine=%s error=%s", machine_id, exc)
+            log.debug("worker not reached machine=%s error=%s", call.machine, exc)
         except NoResponseError as exc:
-            log.info("start unconfirmed machine=%s tasks=%d error=%s", machine_id, len(starts), exc)
+            log.info(
+                "start unconfirmed machine=%s tasks=%d error=%s",
+                call.machine,
+                len(call.starts),
+                exc,
+            )
             return
         else:
-            self._apply_response(machine_id, status, data)
+            heartbeat = self._apply_response(call.machine, status, data)
+            if heartbeat is not None and status == HttpStatus.CONFLICT:
+                _log_refusal(call, heartbeat)
             if self._on_response is not None:
                 await self._on_response()
         finally:
             self._in_flight -= 1
-        unacknowledged.discard(recorded, starts)
+        unacknowledged.discard(recorded, call.starts)
 
-    def _apply_response(self, machine_id: str, status: int, data: bytes) -> None:
-        """Apply the status that a worker's response to direct commands contains."""
+    def _apply_response(self, machine_id: str, status: int, data: bytes) -> WorkerHeartbeat | None:
+        """Apply the status that a worker's response to direct commands contains, and return it."""
         if status not in STATUSES_WITH_HEARTBEAT:
-            return
+            return None
         try:
             heartbeat = parse_heartbeat(load_object(data), self._heartbeats.read_task_status)
         except MalformedMessageError as exc:
             log.info("malformed response machine=%s error=%s", machine_id, exc)
-            return
+            return None
         self._heartbeats.apply_command_response(heartbeat)
+        return heartbeat
--- a/crossmill/workers/heartbeat_handler.py
+++ b/crossmill/workers/heartbeat_handler.py
@@ -82,21 +82,6 @@
     return HeartbeatResponse(HttpStatus.OK, token, tuple(commands))
 
 
-def _log_early_stops(
-    heartbeat: WorkerHeartbeat, token: int, verdict: HeartbeatVerdict, stops: list[Command]
-) -> None:
-    """Log the stops that a worker is sent before it has confirmed the owner's token."""
-    if stops and verdict is _UNCONFIRMED_TOKEN:
-        log.info(
-            "tasks of ended jobs stopped machine=%s token=%d reported_token=%d tasks=%d first=%s",
-            heartbeat.machine,
-            token,
-            heartbeat.token,
-            len(stops),
-            stops[0].task,
-        )
-
-
 class HeartbeatHandler:
     """Responds to heartbeats and keeps the views of the workers that sent them.
 
@@ -202,7 +187,8 @@
             # nothing else may follow from a heartbeat that may be older than the ownership, but the
             # response renews the lease and may be the last one under this token
             commands = stops_of_ended_jobs(heartbeat.tasks, self._has_job_ended)
-            _log_early_stops(heartbeat, token, verdict, commands)
+            if verdict is _UNCONFIRMED_TOKEN:
+                view.log_early_stops(heartbeat, token, commands)
         else:
             commands = self._commands(machine, view, authority, heartbeat)
         return _accept(token, commands, self._has_job_ended)
@@ -223,6 +209,7 @@
             commands = self.gate.filter_commands(machine, view, ownership, commands)
         if commands:
             self.reconciler.log_unplanned_stops(machine, commands)
+            view.log_forgets(self.command_token(machine, ownership), commands)
         return commands
 
     @staticmethod
--- a/crossmill/workers/views.py
+++ b/crossmill/workers/views.py
@@ -7,12 +7,13 @@
 import logging
 from enum import Enum
 
-from ..wire.workers import TaskKey, TaskState, TaskStatus, WorkerHeartbeat
+from ..wire.workers import Command, CommandKind, TaskKey, TaskState, TaskStatus, WorkerHeartbeat
 
 log = logging.getLogger(__name__)
 
 # looked up once: an enum member lookup takes 0.3 us in Python 3.11, here for each reported task
 _RUNNING = TaskState.RUNNING
+_FORGET = CommandKind.FORGET
 
 
 class HeartbeatVerdict(Enum):
@@ -51,6 +52,8 @@
         last_heartbeat_at: The time at which that heartbeat was received; None before the first.
         confirmed_token: The newest token of this owner that the worker has reported; 0 before the
             first.
+        early_stops_logged_under: The token of the last log line on stops before a confirmation.
+        logged_forgets: The commands to forget attempts in the last response.
         address: The worker's own address, `host:port`.
         termination_at: The time at which the cloud will terminate the machine; None without a spot
             termination notice.
@@ -63,11 +66,13 @@
     __slots__ = (
         "address",
         "confirmed_token",
+        "early_stops_logged_under",
         "has_been_sent_response",
         "idle_since",
         "last_heartbeat_at",
         "last_heartbeat_number",
         "last_response_at",
+        "logged_forgets",
         "machine",
         "machine_token",
         "running_since",
@@ -89,6 +94,8 @@
         self.last_heartbeat_number = (0, -1)
         self.last_heartbeat_at: float | None = None
         self.confirmed_token = 0
+        self.early_stops_logged_under = 0
+        self.logged_forgets: frozenset[Command] = frozenset()
         self.address = ""
         self.termination_at: float | None = None
         self.tasks: dict[TaskKey, TaskStatus] = {}
@@ -164,6 +171,34 @@
             if task.state is _RUNNING
         }
 
+    def log_early_stops(self, heartbeat: WorkerHeartbeat, token: int, stops: list[Command]) -> None:
+        """Log the stops sent before the worker has confirmed the owner's token, once per token."""
+        if stops and self.early_stops_logged_under != token:
+            self.early_stops_logged_under = token
+            log.info(
+                "tasks of ended jobs stopped machine=%s token=%d reported_token=%d tasks=%d "
+                "first=%s",
+                self.machine,
+                token,
+                heartbeat.token,
+                len(stops),
+                stops[0].task,
+            )
+
+    def log_forgets(self, token: int, commands: list[Command]) -> None:
+        """Log the attempts that the worker is told to forget, unless its last response did too."""
+        forgets = frozenset(command for command in commands if command.op is _FORGET)
+        new = forgets - self.logged_forgets
+        self.logged_forgets = forgets
+        if new:
+            log.info(
+                "attempts forgotten machine=%s token=%d reported_token=%d attempts=%s",
+                self.machine,
+                token,
+                self.confirmed_token,
+                ",".join(sorted(f"{command.task}@{command.attempt}" for command in new)),
+            )
+
     @property
     def has_confirmed_token(self) -> bool:
         """Whether the worker has reported a token of this owner."""
