--- a/tests/simulated_region.py
+++ b/tests/simulated_region.py
@@ -77,6 +77,9 @@
         # returns the seconds after which a started task exits with `error` by itself, or None if it
         # does not, from its worker, job ID and index
         self.fails_after_s: Callable[[Worker, str, int], float | None] = lambda *_: None
+        # returns the seconds after which copies of direct commands that a worker has just executed
+        # and answered arrive once more
+        self.command_copy_delays_s: Callable[[], list[float]] = list
         # predicate on worker and controller label: whether they reach each other
         self.can_reach: Callable[[Worker, str], bool] = lambda worker, label: label in self.nodes
 
--- a/tests/simulated_worker.py
+++ b/tests/simulated_worker.py
@@ -38,16 +38,24 @@
     async def request(
         self, method: str, path: str, body: bytes = b"", timeout_s: float = 2.0
     ) -> tuple[int, bytes]:
-        """Deliver commands; raise NoResponseError while the worker is frozen or unreachable."""
-        worker = self._worker
+        """Deliver commands; raise NoResponseError while the worker is frozen or unreachable.
+
+        Copies of commands that the worker has executed may arrive later.
+        """
+        worker, data = self._worker, load_object(body)
         await curio.sleep(MESSAGE_DELAY_S)
         if worker.inbound_lost or worker.is_frozen:
             if worker.is_frozen:
                 # executed when the worker resumes, if token and session still match
-                worker.delayed_commands.append(load_object(body))
+                worker.delayed_commands.append(data)
             await curio.sleep(timeout_s)
             raise NoResponseError(path)
-        return worker.handle_commands(load_object(body))
+        status, report = worker.handle_commands(data)
+        if status == STATUS_OK:
+            worker.executed_commands.append(data)
+            for delay_s in worker.region.command_copy_delays_s():
+                await curio.spawn(worker.receive_copy, data, delay_s, daemon=True)
+        return status, report
 
 
 @dataclass
@@ -85,6 +93,8 @@
         self.target_index = 0
         self.sent_heartbeats: list[bytes] = []
         self.delayed_commands: list[dict[str, Any]] = []
+        # the direct commands that were executed and answered, in their order
+        self.executed_commands: list[dict[str, Any]] = []
         # seconds until the cloud reclaims the machine, as reported to controllers, which then place
         # nothing on it; None without a notice
         self.notice_s: float | None = None
@@ -183,6 +193,16 @@
         self._execute_commands(data["orders"])
         return STATUS_OK, self._report()
 
+    async def receive_copy(self, data: dict[str, Any], delay_s: float) -> None:
+        """Receive a copy of direct commands after the given time; nobody waits for the answer."""
+        await curio.sleep(delay_s)
+        if self.is_terminated or self.inbound_lost:
+            return
+        if self.is_frozen:
+            self.delayed_commands.append(data)
+        else:
+            self.handle_commands(data)
+
     def _execute_commands(self, commands: list[dict[str, Any]]) -> None:
         for command in commands:
             self.received_commands.append((self.region.clock.now(), self.session, command))
