Fencing: a worker forgets an attempt only under a token above that of every start sent to it directly

What callers saw: a task on two machines at once, and a cancelled task running again. A direct start that was carried out and answered arrives a second time after the worker was told to forget its attempt; token and session match, so it starts once more.

Cause: a start counted as over once it was answered. PROTOCOL promises no such thing: a call to /commands is carried out as long as token and session match, and a start after `reap` starts the attempt again. The class is "what was sent once and answered can't be carried out any more". Needed is the invariant: a worker is told to forget an attempt only if it refuses, at that moment, every start of it that was ever sent.

Change: an ownership takes a block of 1,000,000 tokens from the counter. Where a report leads to a forget (or to an attempt that must not start any more), the response goes out under a token of the block above that of the newest direct start to this worker. The worker stores the token before it carries out the commands, so it refuses every earlier call from the moment it forgets. No write, and no other worker is concerned. A call that the raised token refuses on its way is sent again at once. A machine that has a single token of its own since its transfer, or a block that is used up, needs a new block for the shard; nothing is forgotten until then. A controller in a partitioned zone keeps workers alive under any token of the known owner's block that is not above the counter. An unanswered start uses the same fence, in place of a new token for the whole shard.

The checker has a rule of its own now (start_outlives_forget), checked at each forget without any copy.

Tests changed: test_an_unanswered_start_command_may_still_arrive_until_a_higher_token expects the higher token in the response, and that the shard's stays; as before, nothing is concluded until the worker reports it. test_no_keepalive_under_a_token_that_is_not_known uses a token above the owner's block, and a second test one above the counter. test_a_token_is_raised_above_the_one_that_a_worker_has_seen takes a token above the counter, which is higher now.

--- a/crossmill/cluster/cluster_state.py
+++ b/crossmill/cluster/cluster_state.py
@@ -102,6 +102,11 @@
         settings = self._settings
         return settings.state_limits if self.level is None else settings.lowest_state_limits
 
+    def token_counter(self) -> int:
+        """Return the highest fencing token that an owner or a machine may have so far."""
+        counter = self.mirror.value(keys.TOKEN)
+        return int(counter["n"]) if counter is not None else 0
+
     def write_load(self, shard: int) -> int:
         """Return the number of records of running job arrays that the shard's owner updates."""
         return sum(
--- a/crossmill/cluster/ownership.py
+++ b/crossmill/cluster/ownership.py
@@ -7,7 +7,7 @@
 import logging
 from collections.abc import Callable, Iterator, Mapping
 from contextlib import contextmanager
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from enum import Enum
 from types import MappingProxyType
 from typing import NamedTuple
@@ -20,12 +20,14 @@
     """This controller's ownership of a shard under a fencing token.
 
     Attributes:
-        token: The current fencing token.
+        token: The fencing token of the shard's key, the first of a block that no other ownership
+            or machine has. Workers are commanded under this token, or a higher one of the block.
         version: The version of the shard's key.
         acquired_at: The monotonic time at which the ownership began.
         epoch: The lease epoch in which the shard was acquired.
         term: The token under which the ownership began. It does not change when the token is
             raised. Results obtained under another term are invalid.
+        last_token: The last token of the block.
         is_ready: Whether all writes of earlier owners have been read.
     """
 
@@ -34,8 +36,13 @@
     acquired_at: float
     epoch: int
     term: int
+    last_token: int
     is_ready: bool = False
 
+    def with_token(self, token: int, version: int, last_token: int) -> "ShardOwnership":
+        """Return this ownership under another block of tokens and another version of the key."""
+        return replace(self, token=token, version=version, last_token=last_token)
+
 
 class HeartbeatAuthority(NamedTuple):
     """The authority to respond to heartbeats of a shard's workers.
--- a/crossmill/cluster/partition_keepalive.py
+++ b/crossmill/cluster/partition_keepalive.py
@@ -16,6 +16,7 @@
 from .controller_lease import ControllerLease
 from .model import ACTIVE, Machine
 from .peer_links import PeerLinks
+from .shard_acquisition import last_token_of_block
 from .state_access import StateAccess
 
 # number of entries above which expired ones are removed
@@ -149,8 +150,8 @@
             return False
         if self._clock.now() < self._suspended_until.get(machine.id, 0.0):
             return False
-        if heartbeat.token > self._known_token(machine):
-            # another controller acts for the machine and can reach it
+        if heartbeat.token > self._highest_known_token(machine):
+            # another controller has begun to act for the machine and can reach it
             return False
         return self._partition.is_partitioned()
 
@@ -159,9 +160,17 @@
         keepalive_s = self._settings.partition_keepalive_s * (1 - self._settings.clock_drift)
         return synced_at is not None and self._clock.now() <= synced_at + keepalive_s
 
-    def _known_token(self, machine: Machine) -> int:
+    def _highest_known_token(self, machine: Machine) -> int:
+        """Return the highest token under which the known owner may command the machine.
+
+        Whoever is not known has a token above the counter. An owner of an earlier version has one
+        token only, so that others may have those that follow it.
+        """
         owner = self._cluster.shard_owners.get(machine.shard)
-        return max(machine.token, owner.token if owner is not None else 0)
+        if owner is None:
+            return machine.token
+        last_token = min(last_token_of_block(owner.token), self._cluster.token_counter())
+        return max(machine.token, owner.token, last_token)
 
     def has_ended(self, job_id: str) -> bool:
         """Return whether the job has ended or is about to be cancelled."""
--- a/crossmill/cluster/shard_acquisition.py
+++ b/crossmill/cluster/shard_acquisition.py
@@ -1,8 +1,9 @@
 """Acquisition and release of shards: the writes to their keys and to the token counter.
 
 `Membership` decides when to acquire or release a shard. This module sends the writes and updates
-`OwnedShards` accordingly. Each acquisition uses the next fencing token, so that workers ignore
-commands of earlier owners.
+`OwnedShards` accordingly. Each acquisition takes the next block of fencing tokens, so that workers
+ignore commands of earlier owners. The owner commands a worker under a higher token of its block
+once the worker must refuse earlier direct calls (see `HeartbeatHandler`).
 """
 
 import logging
@@ -17,6 +18,10 @@
 
 log = logging.getLogger(__name__)
 
+# fencing tokens of an ownership; a worker takes at most one for each heartbeat, so that they last
+# for days
+TOKENS_PER_OWNERSHIP = 1_000_000
+
 
 class NextToken(NamedTuple):
     """The next fencing token, and the counter version that its write must be conditional on."""
@@ -25,6 +30,11 @@
     counter_version: int
 
 
+def last_token_of_block(first_token: int) -> int:
+    """Return the last token of the block that an acquisition takes."""
+    return first_token + TOKENS_PER_OWNERSHIP - 1
+
+
 class ShardAcquisition:
     """Operations that acquire a shard, raise its token, or release it."""
 
@@ -38,8 +48,7 @@
 
     def next_token(self, above: int = 0) -> NextToken:
         """Return the next fencing token, which is also higher than `above`."""
-        counter = self._cluster.mirror.value(keys.TOKEN) or {"n": 0}
-        token = max(int(counter["n"]), above) + 1
+        token = max(self._cluster.token_counter(), above) + 1
         return NextToken(token, self._cluster.mirror.version(keys.TOKEN))
 
     def drop_if_lost(self, shard: int, ownership: ShardOwnership) -> bool:
@@ -61,7 +70,7 @@
         return None
 
     async def acquire(self, shard: int, above: int = 0) -> bool:
-        """Acquire the shard under a new token, which is higher than `above`.
+        """Acquire the shard under a new block of tokens, which are higher than `above`.
 
         Returns:
             Whether this controller now owns the shard under the new token. If not, the mirror has
@@ -81,7 +90,7 @@
             },
             [
                 Put(key, {"owner": self._writer.label, "token": token}, self._writer.lease_id),
-                Put(keys.TOKEN, {"n": token}),
+                Put(keys.TOKEN, {"n": last_token_of_block(token)}),
             ],
         )
         if not await self._writer.commit(txn):
@@ -96,11 +105,11 @@
     def _new_ownership(self, shard: int, token: int, version: int, epoch: int) -> ShardOwnership:
         before = self._shards.ownerships.get(shard)
         if before is None or before.epoch != epoch:
-            return ShardOwnership(token, version, self._clock.now(), epoch, token)
+            return ShardOwnership(
+                token, version, self._clock.now(), epoch, token, last_token_of_block(token)
+            )
         # only the token is raised: no other controller owned the shard in between
-        return ShardOwnership(
-            token, version, before.acquired_at, epoch, before.term, is_ready=before.is_ready
-        )
+        return before.with_token(token, version, last_token_of_block(token))
 
     async def release(self, shard: int, ownership: ShardOwnership, reason: str) -> None:
         """Release the shard: drop its ownership, log the reason, and delete its key."""
--- a/crossmill/jobs/machine_transfer.py
+++ b/crossmill/jobs/machine_transfer.py
@@ -57,8 +57,8 @@
     def target_shard(self, machine: Machine) -> int | None:
         """Return the shard to which the machine may be transferred now.
 
-        None if no transfer is planned, if the machine is retiring or has a task, or if a start that
-        was sent to it may still arrive.
+        None if no transfer is planned, if the machine is retiring or has a task, or if its worker
+        may still execute a start that was sent to it.
         """
         planned = self._planned_transfers.get(machine.id)
         view = self._heartbeats.find_view(machine.id)
@@ -70,7 +70,7 @@
             or machine.retirement_reason
         ):
             return None
-        return None if self._heartbeats.has_unacknowledged_starts(machine.id) else planned.shard
+        return None if view.may_execute_direct_start else planned.shard
 
     def writes(
         self, shard: int, ownership: ShardOwnership, machines: list[Machine]
--- a/crossmill/workers/attempt_outcomes.py
+++ b/crossmill/workers/attempt_outcomes.py
@@ -1,4 +1,4 @@
-"""In-memory state of attempts: outcomes, stop requests and unacknowledged starts.
+"""In-memory state of attempts: outcomes and stop requests.
 
 Outcomes of ended attempts are kept until they are durably written. Writing an outcome removes the
 attempt from the plan, so each outcome names the proof that the attempt has ended, the term of the
@@ -6,23 +6,19 @@
 stale once that term ends: a later owner may have started the same attempt that this owner found not
 to have started.
 
-The reconciler owns the three collections. They are not stored: the next owner of the shard derives
-them again. The reconciler, the lease expiry check and the scheduling loop record outcomes, and the
-loop writes them. Preemption, drain and machine transfer request stops. The command sender records
-starts.
+The reconciler owns both collections. They are not stored: the next owner of the shard derives them
+again. The reconciler, the lease expiry check and the scheduling loop record outcomes, and the loop
+writes them. Preemption, drain and machine transfer request stops.
 """
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Mapping
 from enum import StrEnum
 from types import MappingProxyType
 from typing import NamedTuple
 
 from ..cluster.cluster_state import ClusterState
 from ..cluster.model import AttemptId, PlannedAttempt
-from ..wire.workers import TaskKey, WorkerHeartbeat
-
-# fencing tokens under which one machine's unacknowledged starts were sent, by attempt ID
-MachineStarts = dict[AttemptId, int]
+from ..wire.workers import TaskKey
 
 NO_PRECONDITIONS: Mapping[str, int] = MappingProxyType({})
 
@@ -151,63 +147,3 @@
             job = cluster.jobs.get(attempt.job)
             if job is None or job.shard == shard:
                 del self[attempt]
-
-
-class UnacknowledgedStarts:
-    """Starts sent directly to workers and not yet acknowledged, by machine.
-
-    The worker may still execute such a start until it has seen a higher token or has begun a new
-    session.
-    """
-
-    def __init__(self) -> None:
-        self._by_machine: dict[str, MachineStarts] = {}
-
-    def record(
-        self, machine_id: str, attempts: Iterable[PlannedAttempt], token: int
-    ) -> MachineStarts:
-        """Record starts that are about to be sent under this token.
-
-        Returns:
-            The collection that holds the machine's recorded starts, to be passed to `discard`.
-        """
-        starts = self._by_machine.setdefault(machine_id, {})
-        for attempt in attempts:
-            starts[attempt.id] = token
-        return starts
-
-    @staticmethod
-    def discard(starts: MachineStarts, attempts: Iterable[PlannedAttempt]) -> None:
-        """Remove acknowledged starts from the collection that `record` returned.
-
-        If `forget_machine` was called since, that collection is no longer in use. Starts that were
-        recorded later are then kept, as the response does not acknowledge them.
-        """
-        for attempt in attempts:
-            starts.pop(attempt.id, None)
-
-    def acknowledge(self, machine_id: str, heartbeat: WorkerHeartbeat) -> None:
-        """Remove the starts that the worker will refuse because it has seen a higher token."""
-        starts = self._by_machine.get(machine_id)
-        if starts:
-            for attempt, token in list(starts.items()):
-                if heartbeat.token > token:
-                    del starts[attempt]
-        if not starts:
-            self._by_machine.pop(machine_id, None)
-
-    def has_any(self, machine_id: str) -> bool:
-        """Return whether any start may still arrive at the machine."""
-        return bool(self._by_machine.get(machine_id))
-
-    def has_start(self, machine_id: str, attempt: AttemptId) -> bool:
-        """Return whether a start of the attempt may still arrive at the machine."""
-        return attempt in self._by_machine.get(machine_id, {})
-
-    def drop_start(self, machine_id: str, attempt: AttemptId) -> None:
-        """Drop the start of an attempt whose session has ended."""
-        self._by_machine.get(machine_id, {}).pop(attempt, None)
-
-    def forget_machine(self, machine_id: str) -> None:
-        """Drop all starts sent to a machine that this controller no longer owns."""
-        self._by_machine.pop(machine_id, None)
--- a/crossmill/workers/command_sender.py
+++ b/crossmill/workers/command_sender.py
@@ -1,7 +1,7 @@
 """Direct commands to workers, which avoid the delay until the next heartbeat.
 
-A worker may execute such a command late, as long as the command's token and session match. A start
-is recorded as unacknowledged until the worker responds (see `UnacknowledgedStarts`). The scheduling
+A worker may execute such a command late and repeatedly, as long as the command's token and session
+match, so the token of each start is recorded before it is sent (see `WorkerView`). The scheduling
 loop calls the sender after its writes. The sender owns the connections to the workers.
 """
 
@@ -121,29 +121,40 @@
                 await curio.spawn(self._send_to, machine_id, commands, daemon=True)
 
     async def _send_to(self, machine_id: str, attempts: MachineCommands) -> None:
-        """Send one machine's commands if this controller may still command the machine."""
+        """Send one machine's commands, and again if its worker's token was raised meanwhile."""
+        if await self._call(machine_id, attempts):
+            await self._call(machine_id, attempts)
+
+    async def _call(self, machine_id: str, attempts: MachineCommands) -> bool:
+        """Send one machine's commands if this controller may still command the machine.
+
+        Returns:
+            Whether the worker refused the commands, and its token was raised meanwhile.
+        """
         machine = self._cluster.machines.get(machine_id)
         view = self._heartbeats.find_view(machine_id)
         if machine is None or view is None:
-            return
+            return False
         ownership = self._membership.command_ownership(machine.shard)
         client = self._client(view.address)
         # an attempt that ended while its plan was being written must not be started now
         starts = [start for start in attempts.starts if self._may_send_start(start, machine, view)]
         stops = attempts.stops[:MAX_COMMANDS]
         if ownership is None or client is None or not (starts or stops):
-            return
+            return False
         if not view.has_confirmed_token:
-            return
+            return False
         starts = starts[: MAX_COMMANDS - len(stops)]
         commands = [self._reconciler.stop_command(attempt) for attempt in stops]
         commands += [self._reconciler.start_command(attempt) for attempt in starts]
         if self._heartbeats.is_transferring(machine_id):
-            return
-        token = self._heartbeats.command_token(machine, ownership)
+            return False
+        token = self._heartbeats.command_token(machine, view, ownership)
         call = _Call(machine_id, token, view.session, starts)
         _log_call(call, len(stops))
-        await self._request(client, call, commands_body(token, view.session, commands))
+        view.record_direct_starts(starts, token)
+        is_refused = await self._request(client, call, commands_body(token, view.session, commands))
+        return is_refused and view.raised_token > token
 
     def _may_send_start(self, attempt: PlannedAttempt, machine: Machine, view: WorkerView) -> bool:
         """Return whether the attempt is still planned in the worker's session and may start."""
@@ -168,10 +179,8 @@
         self._clients[address] = client
         return client
 
-    async def _request(self, client: HttpClient, call: _Call, body: bytes) -> None:
-        """Send commands to a worker; without a response the starts stay unacknowledged."""
-        unacknowledged = self._reconciler.unacknowledged_starts
-        recorded = unacknowledged.record(call.machine, call.starts, call.token)
+    async def _request(self, client: HttpClient, call: _Call, body: bytes) -> bool:
+        """Send commands to a worker, and return whether it refused them."""
         self._in_flight += 1
         try:
             status, data = await client.request(
@@ -179,6 +188,7 @@
             )
         except ConnectionFailedError as exc:
             log.debug("worker not reached machine=%s error=%s", call.machine, exc)
+            return False
         except NoResponseError as exc:
             log.info(
                 "start unconfirmed machine=%s tasks=%d error=%s",
@@ -186,16 +196,16 @@
                 len(call.starts),
                 exc,
             )
-            return
-        else:
-            heartbeat = self._apply_response(call.machine, status, data)
-            if heartbeat is not None and status == HttpStatus.CONFLICT:
-                _log_refusal(call, heartbeat)
-            if self._on_response is not None:
-                await self._on_response()
+            return False
         finally:
             self._in_flight -= 1
-        unacknowledged.discard(recorded, call.starts)
+        heartbeat = self._apply_response(call.machine, status, data)
+        if self._on_response is not None:
+            await self._on_response()
+        if heartbeat is None or status != HttpStatus.CONFLICT:
+            return False
+        _log_refusal(call, heartbeat)
+        return True
 
     def _apply_response(self, machine_id: str, status: int, data: bytes) -> WorkerHeartbeat | None:
         """Apply the status that a worker's response to direct commands contains, and return it."""
--- a/crossmill/workers/heartbeat_handler.py
+++ b/crossmill/workers/heartbeat_handler.py
@@ -44,6 +44,7 @@
 # looked up once: an enum member lookup takes 0.3 us in Python 3.11, here for each heartbeat
 _STALE = HeartbeatVerdict.STALE
 _UNCONFIRMED_TOKEN = HeartbeatVerdict.UNCONFIRMED_TOKEN
+_FORGET = CommandKind.FORGET
 
 
 class HeartbeatResponse(NamedTuple):
@@ -109,10 +110,9 @@
         self._keepalive = partition_protocol.keepalive
         self._views: dict[str, WorkerView] = {}
         self.read_task_status = cached_task_status_reader(settings.max_cached_task_statuses)
-        self.reconciler = Reconciler(settings, clock, cluster, membership)
+        self.reconciler = Reconciler(settings, clock, cluster)
         self.outcomes = self.reconciler.outcomes
         self.stop_requests = self.reconciler.stop_requests
-        self._unacknowledged_starts = self.reconciler.unacknowledged_starts
         self._lease_expiry = WorkerLeaseExpiry(
             settings, clock, partition_protocol.expiry_proof, self.outcomes
         )
@@ -153,7 +153,6 @@
     def forget_machine(self, machine_id: str) -> None:
         """Drop the state of a machine that now belongs to another shard."""
         self._views.pop(machine_id, None)
-        self._unacknowledged_starts.forget_machine(machine_id)
 
     # -- authority -------------------------------------------------------------------
 
@@ -175,11 +174,12 @@
     ) -> HeartbeatResponse:
         """Respond to a worker of an owned shard; without full authority, only keep it alive."""
         ownership = authority.ownership
-        token = self.command_token(machine, ownership)
+        first_token = self.first_token(machine, ownership)
+        view = self.ensure_view(machine)
+        token = view.command_token(first_token)
         if heartbeat.token > token:
             return self._respond_to_newer_token(machine, heartbeat)
-        view = self.ensure_view(machine)
-        verdict = view.apply_heartbeat(heartbeat, token, self._clock.now())
+        verdict = view.apply_heartbeat(heartbeat, first_token, self._clock.now())
         if verdict is not _STALE:
             view.last_response_at = self._clock.now()
             view.has_been_sent_response = True
@@ -190,33 +190,57 @@
             if verdict is _UNCONFIRMED_TOKEN:
                 view.log_early_stops(heartbeat, token, commands)
         else:
-            commands = self._commands(machine, view, authority, heartbeat)
+            commands = self._commands(machine, view, authority)
+            # the commands may need a higher token than the heartbeat's
+            token = view.command_token(first_token)
         return _accept(token, commands, self._has_job_ended)
 
     def _commands(
-        self,
-        machine: Machine,
-        view: WorkerView,
-        authority: HeartbeatAuthority,
-        heartbeat: WorkerHeartbeat,
+        self, machine: Machine, view: WorkerView, authority: HeartbeatAuthority
     ) -> list[Command]:
         """Return the commands for a worker that has confirmed the owner's token."""
         ownership = authority.ownership
-        commands = self.reconciler.apply_heartbeat(machine, view, ownership, heartbeat)
+        commands = self.reconciler.commands(machine, view, ownership)
         if not authority.may_command:
             commands = [c for c in commands if _is_stop_of_ended_job(c, self._has_job_ended)]
+        elif view.must_refuse_starts and not self._raise_token(machine, view, ownership):
+            commands = [c for c in commands if c.op is not _FORGET]
         if self.gate is not None:
             commands = self.gate.filter_commands(machine, view, ownership, commands)
         if commands:
             self.reconciler.log_unplanned_stops(machine, commands)
-            view.log_forgets(self.command_token(machine, ownership), commands)
+            view.log_forgets(self.command_token(machine, view, ownership), commands)
         return commands
 
+    def _raise_token(self, machine: Machine, view: WorkerView, ownership: ShardOwnership) -> bool:
+        """Raise the worker's token, if needed, above that of all starts sent to it directly.
+
+        The worker accepts the token of the response before it executes the response's commands, so
+        it never forgets an attempt while it would still execute a start of it.
+
+        Returns:
+            Whether the token suffices. Otherwise a higher one is requested for the whole shard.
+        """
+        first_token = self.first_token(machine, ownership)
+        token = view.direct_start_token + 1
+        if token > view.command_token(first_token):
+            # a machine's own token, which it has from its transfer, is not the first of a block
+            if first_token != ownership.token or token > ownership.last_token:
+                self._membership.request_higher_token(machine.shard)
+                return False
+            view.raised_token = token
+        view.must_refuse_starts = False
+        return True
+
     @staticmethod
-    def command_token(machine: Machine, ownership: ShardOwnership) -> int:
-        """Return the token under which the owner of a machine's shard commands the machine."""
+    def first_token(machine: Machine, ownership: ShardOwnership) -> int:
+        """Return the first token under which the owner of a machine's shard commands it."""
         return max(ownership.token, machine.token)
 
+    def command_token(self, machine: Machine, view: WorkerView, ownership: ShardOwnership) -> int:
+        """Return the token under which the owner of a machine's shard commands the machine now."""
+        return view.command_token(self.first_token(machine, ownership))
+
     def _redirect(self, owner: str | None = None) -> HeartbeatResponse:
         """Redirect a worker to its machine's owner, or to another reachable controller.
 
@@ -287,10 +311,6 @@
         """Drop the request to stop an attempt that has ended."""
         self.stop_requests.pop(attempt.id, None)
 
-    def has_unacknowledged_starts(self, machine_id: str) -> bool:
-        """Return whether a start that was sent directly to the worker may still arrive."""
-        return self._unacknowledged_starts.has_any(machine_id)
-
     def apply_command_response(self, heartbeat: WorkerHeartbeat) -> None:
         """Apply the status in a response to a direct command, which renews no lease."""
         machine = self._cluster.machines.get(heartbeat.machine)
@@ -302,9 +322,9 @@
         view = self.ensure_view(machine)
         if self.is_transferring(machine.id):
             return
-        token = self.command_token(machine, ownership)
-        if view.apply_status(heartbeat, token, self._clock.now()):
-            self.reconciler.apply_command_response(machine, view, ownership, heartbeat)
+        first_token = self.first_token(machine, ownership)
+        if view.apply_status(heartbeat, first_token, self._clock.now()):
+            self.reconciler.commands(machine, view, ownership, is_command_response=True)
 
     def expire_lease(self, machine: Machine, ownership: ShardOwnership) -> None:
         """End the machine's attempts if its worker's lease is proved to have expired."""
--- a/crossmill/workers/reconciliation.py
+++ b/crossmill/workers/reconciliation.py
@@ -2,26 +2,24 @@
 
 The comparison yields the commands that the worker needs and the outcomes of attempts that have
 ended. It does not depend on earlier commands, so commands are repeated until they take effect. The
-heartbeat handler calls the reconciler for each status. The reconciler owns the stop requests, the
-unacknowledged starts and the outcomes that are not yet written.
+heartbeat handler calls the reconciler for each status. The reconciler owns the stop requests and
+the outcomes that are not yet written.
 """
 
 import logging
 from collections.abc import Callable, Iterable
 
 from ..cluster.cluster_state import ClusterState
-from ..cluster.membership import Membership
-from ..cluster.model import AttemptId, Machine, PlannedAttempt
+from ..cluster.model import Machine, PlannedAttempt
 from ..cluster.ownership import ShardOwnership
 from ..net.clock import Clock
 from ..settings import Settings
-from ..wire.workers import Command, CommandKind, TaskState, TaskStatus, WorkerHeartbeat
+from ..wire.workers import Command, CommandKind, TaskState, TaskStatus
 from .attempt_outcomes import (
     AttemptOutcome,
     AttemptOutcomes,
     EndReason,
     StopRequests,
-    UnacknowledgedStarts,
 )
 from .views import WorkerView
 
@@ -65,16 +63,12 @@
 class Reconciler:
     """Derives commands and outcomes from a worker's status and the plan of its machine."""
 
-    def __init__(
-        self, settings: Settings, clock: Clock, cluster: ClusterState, membership: Membership
-    ) -> None:
+    def __init__(self, settings: Settings, clock: Clock, cluster: ClusterState) -> None:
         self._settings = settings
         self._clock = clock
         self._cluster = cluster
-        self._membership = membership
         self.outcomes = AttemptOutcomes(cluster)
         self.stop_requests = StopRequests()
-        self.unacknowledged_starts = UnacknowledgedStarts()
         self._unplanned_stop_count = 0
 
     def end_ownership(self, shard: int) -> None:
@@ -107,23 +101,6 @@
         name = _task_name(attempt.job, attempt.index)
         return Command(CommandKind.STOP, name, attempt.number, grace_s)
 
-    def apply_heartbeat(
-        self, machine: Machine, view: WorkerView, ownership: ShardOwnership, status: WorkerHeartbeat
-    ) -> list[Command]:
-        """Return the commands for a heartbeat whose status is already applied to the view.
-
-        Outcomes that the status shows are recorded.
-        """
-        self.unacknowledged_starts.acknowledge(machine.id, status)
-        return self.commands(machine, view, ownership)
-
-    def apply_command_response(
-        self, machine: Machine, view: WorkerView, ownership: ShardOwnership, status: WorkerHeartbeat
-    ) -> None:
-        """Record the outcomes that a response to a direct command shows."""
-        self.unacknowledged_starts.acknowledge(machine.id, status)
-        self.commands(machine, view, ownership, is_command_response=True)
-
     def commands(
         self,
         machine: Machine,
@@ -133,8 +110,10 @@
     ) -> list[Command]:
         """Return the commands that bring the worker's tasks in line with the plan.
 
-        Outcomes that the status shows are recorded. `is_command_response` states that the newest
-        status was received in response to a direct command rather than with a heartbeat.
+        Outcomes that the status shows are recorded. If the view then says `must_refuse_starts`, the
+        response must raise the worker's token, or omit the commands to forget attempts.
+        `is_command_response` states that the newest status was received in response to a direct
+        command rather than with a heartbeat.
         """
         commands: list[Command] = []
         for key, task in view.tasks.items():
@@ -146,7 +125,7 @@
             ):
                 command = self._reconcile_planned(attempt, task, view, ownership)
             else:
-                command = self._reconcile_unplanned(machine, task)
+                command = self._reconcile_unplanned(view, task)
             if command is not None:
                 commands.append(command)
         for key, attempt in machine.attempts.items():
@@ -158,7 +137,8 @@
                     commands.append(command)
         return commands
 
-    def _reconcile_unplanned(self, machine: Machine, task: TaskStatus) -> Command | None:
+    @staticmethod
+    def _reconcile_unplanned(view: WorkerView, task: TaskStatus) -> Command:
         """Return the command for an attempt that is not in the plan.
 
         Either its outcome is durable, or it must not be on this machine.
@@ -166,8 +146,8 @@
         if task.state is not _EXITED:
             return _immediate_stop(task.job, task.index, task.attempt)
         # a start that arrives after the worker has forgotten the attempt would run it a second time
-        if self._can_start_arrive(machine, AttemptId(task.job, task.index, task.attempt)):
-            return None
+        if view.may_execute_direct_start:
+            view.must_refuse_starts = True
         return Command(CommandKind.FORGET, _task_name(task.job, task.index), task.attempt)
 
     def log_unplanned_stops(self, machine: Machine, commands: list[Command]) -> None:
@@ -199,7 +179,6 @@
     ) -> Command | None:
         """Return the command for a planned attempt that the worker does not list."""
         if attempt.session < view.session:
-            self.unacknowledged_starts.drop_start(machine.id, attempt.id)
             self.outcomes.record(AttemptOutcome(attempt, EndReason.SESSION_ENDED, ownership.term))
             return None
         if (attempt.job, attempt.index) in view.tasks or attempt.session != view.session:
@@ -208,7 +187,7 @@
             return None
         if self.may_start(attempt, machine):
             return self.start_command(attempt)
-        if self._can_start_arrive(machine, attempt.id) or is_command_response:
+        if view.may_start_unwanted(attempt.id) or is_command_response:
             # the response to a direct command may have been sent while the response to the last
             # heartbeat, which may contain the start, was still in transit
             return None
@@ -216,13 +195,6 @@
         self.outcomes.record(AttemptOutcome(attempt, EndReason.NOT_STARTED, ownership.term))
         return None
 
-    def _can_start_arrive(self, machine: Machine, attempt: AttemptId) -> bool:
-        """Return whether a start of the attempt can still arrive; if so, request a higher token."""
-        if not self.unacknowledged_starts.has_start(machine.id, attempt):
-            return False
-        self._membership.request_higher_token(machine.shard)
-        return True
-
     def _is_job_known(self, attempt: PlannedAttempt) -> bool:
         """Return whether the attempt's job has a record or has ended.
 
--- a/crossmill/workers/views.py
+++ b/crossmill/workers/views.py
@@ -7,6 +7,7 @@
 import logging
 from enum import Enum
 
+from ..cluster.model import AttemptId, PlannedAttempt
 from ..wire.workers import Command, CommandKind, TaskKey, TaskState, TaskStatus, WorkerHeartbeat
 
 log = logging.getLogger(__name__)
@@ -34,14 +35,26 @@
 
     `last_response_at` and `session_seen_at` bound the worker's lease: no controller can have
     responded to the worker later than `last_response_at`, and its session cannot have begun later
-    than it was first seen. A status is accepted only if it reports this owner's token, which proves
-    that it was created after the ownership began. All times are monotonic times of this
-    controller's clock, in seconds.
+    than it was first seen. A status is accepted only if it reports a token of this owner, which
+    proves that it was created after the ownership began: from the first token of the ownership to
+    the one under which the worker is commanded now.
+
+    A start that was sent directly may arrive late, and a copy of it once more after the worker has
+    executed and answered it. The worker refuses it only after it has seen a higher token or has
+    begun a later session. So the view keeps the token of the newest such start, answered or not,
+    and the worker forgets an attempt only under a higher one.
+
+    All times are monotonic times of this controller's clock, in seconds.
 
     Attributes:
         machine: The machine's ID.
         machine_token: The machine's own token when this view was created. A different token means
             that the machine was transferred away and has returned, so a new view is needed.
+        direct_start_token: The newest token under which a start was sent directly in the worker's
+            session; 0 if none was.
+        must_refuse_starts: Whether the next response has to make the worker refuse these starts.
+        raised_token: The token to which this controller has raised the worker's alone; it is
+            irrelevant once the ownership's first token is higher.
         last_response_at: The latest time at which any controller may have responded to the worker.
         has_been_sent_response: Whether this controller itself has responded to the worker.
         session: The worker's newest session (its incarnation).
@@ -64,8 +77,10 @@
     """
 
     __slots__ = (
+        "_unwanted_since",
         "address",
         "confirmed_token",
+        "direct_start_token",
         "early_stops_logged_under",
         "has_been_sent_response",
         "idle_since",
@@ -75,6 +90,8 @@
         "logged_forgets",
         "machine",
         "machine_token",
+        "must_refuse_starts",
+        "raised_token",
         "running_since",
         "seq",
         "session",
@@ -86,6 +103,12 @@
     def __init__(self, machine: str, machine_token: int, last_response_at: float) -> None:
         self.machine = machine
         self.machine_token = machine_token
+        self.raised_token = 0
+        self.direct_start_token = 0
+        self.must_refuse_starts = False
+        # the newest token under which a start of an attempt may have been sent directly, for the
+        # attempts that the worker does not list and that are not to be started any more
+        self._unwanted_since: dict[AttemptId, int] = {}
         self.last_response_at = last_response_at
         self.has_been_sent_response = False
         self.session = 0
@@ -103,48 +126,83 @@
         self.idle_since: float | None = None
 
     def apply_heartbeat(
-        self, heartbeat: WorkerHeartbeat, token: int, now: float
+        self, heartbeat: WorkerHeartbeat, first_token: int, now: float
     ) -> HeartbeatVerdict:
         """Apply a heartbeat that the worker sent to this controller.
 
-        `token` is the token under which this controller commands the machine. Responses to direct
-        commands are passed to `apply_status` instead: a worker whose heartbeats are lost still
-        responds to commands until its lease expires.
+        `first_token` is the first token of the ownership. Responses to direct commands are passed
+        to `apply_status` instead: a worker whose heartbeats are lost still responds to commands
+        until its lease expires.
         """
         number = (heartbeat.session, heartbeat.seq)
         if number <= self.last_heartbeat_number:
             return HeartbeatVerdict.STALE
-        if heartbeat.token != token:
+        if not first_token <= heartbeat.token <= self.command_token(first_token):
             return HeartbeatVerdict.UNCONFIRMED_TOKEN
         self.last_heartbeat_number = number
         self.last_heartbeat_at = now
-        if self.apply_status(heartbeat, token, now):
+        if self.apply_status(heartbeat, first_token, now):
             return HeartbeatVerdict.ACCEPTED
         return HeartbeatVerdict.SUPERSEDED
 
-    def apply_status(self, heartbeat: WorkerHeartbeat, token: int, now: float) -> bool:
-        """Apply a status if it is the newest and reports `token`.
+    def apply_status(self, heartbeat: WorkerHeartbeat, first_token: int, now: float) -> bool:
+        """Apply a status if it is the newest and reports a token of this owner.
 
         Returns:
             Whether the status was applied.
         """
-        if heartbeat.token != token:
+        token = heartbeat.token
+        if not first_token <= token <= self.command_token(first_token):
             return False
         if (heartbeat.session, heartbeat.seq) <= (self.session, self.seq):
             return False
         if heartbeat.session > self.session:
             self.session_seen_at = now
+            self.direct_start_token = 0
+            self._unwanted_since.clear()
         self.session = heartbeat.session
         self.seq = heartbeat.seq
-        if token != self.confirmed_token:
-            self._confirm_token(token)
+        if self.confirmed_token < first_token:
+            self._log_confirmation(token)
+        self.confirmed_token = token
         self.address = heartbeat.address
         self.termination_at = None if heartbeat.notice_s is None else now + heartbeat.notice_s
         self._apply_tasks(heartbeat.tasks, now)
         return True
 
-    def _confirm_token(self, token: int) -> None:
-        self.confirmed_token = token
+    def command_token(self, first_token: int) -> int:
+        """Return the token under which the worker is commanded now.
+
+        `first_token` is the first token of the ownership.
+        """
+        return max(first_token, self.raised_token)
+
+    def record_direct_starts(self, attempts: list[PlannedAttempt], token: int) -> None:
+        """Record starts that are about to be sent directly, under the worker's newest token."""
+        if attempts:
+            self.direct_start_token = token
+        for attempt in attempts:
+            self._unwanted_since.pop(attempt.id, None)
+
+    @property
+    def may_execute_direct_start(self) -> bool:
+        """Whether the worker has not reported a token above that of the newest direct start."""
+        return 0 < self.direct_start_token >= self.confirmed_token
+
+    def may_start_unwanted(self, attempt: AttemptId) -> bool:
+        """Return whether the worker may still execute a direct start of an attempt.
+
+        No start of the attempt may be sent any more. If the worker may still execute one, the next
+        response makes it refuse them.
+        """
+        token = self._unwanted_since.setdefault(attempt, self.direct_start_token)
+        if 0 < token >= self.confirmed_token:
+            self.must_refuse_starts = True
+            return True
+        del self._unwanted_since[attempt]
+        return False
+
+    def _log_confirmation(self, token: int) -> None:
         log.info(
             "worker confirmed token machine=%s token=%d session=%d seq=%d",
             self.machine,
--- a/tests/invariant_checker.py
+++ b/tests/invariant_checker.py
@@ -53,11 +53,12 @@
 class InvariantChecker:
     """Collects violations of PROTOCOL's rules.
 
-    The rule of progress has a module of its own. Two rules are the checker's own. Each running task
-    has a durable planned attempt: a task is started only after its planned attempt is stored, and
-    the planned attempt is removed only when the task is proved to have ended. And a response that
+    The rule of progress has a module of its own. Three rules are the checker's own. Each running
+    task has a durable planned attempt: a task is started only after its planned attempt is stored,
+    and the planned attempt is removed only when the task is proved to have ended. A response that
     renews a worker's lease contains every stop of the worker's tasks that its sender knows to be
-    due: no later response may come.
+    due: no later response may come. And a worker forgets an attempt only if it refuses every start
+    of it that was sent.
     """
 
     def __init__(self, region: "Region") -> None:
@@ -91,6 +92,14 @@
             self.late_starts += 1
         self.check()
 
+    def check_forget(self, worker: Worker, task: str, attempt: int) -> None:
+        """Check that a worker that forgets an attempt refuses every start of it sent so far.
+
+        The attempt would run once more if such a start, or a copy of it, arrived later.
+        """
+        if worker.can_execute_start(task, attempt):
+            self.report_violation(f"start_outlives_forget {task} {attempt} {worker.machine}")
+
     def _check_dependencies_done(self, job: str) -> None:
         """Check that all jobs on which the started job depends are done."""
         self.check()
--- a/tests/simulated_worker.py
+++ b/tests/simulated_worker.py
@@ -43,6 +43,7 @@
         Copies of commands that the worker has executed may arrive later.
         """
         worker, data = self._worker, load_object(body)
+        worker.record_sent_starts(data)
         await curio.sleep(MESSAGE_DELAY_S)
         if worker.inbound_lost or worker.is_frozen:
             if worker.is_frozen:
@@ -93,6 +94,9 @@
         self.target_index = 0
         self.sent_heartbeats: list[bytes] = []
         self.delayed_commands: list[dict[str, Any]] = []
+        # the session and token under which starts were sent directly, arrived or not, by task name
+        # and attempt
+        self.sent_starts: dict[tuple[str, int], set[tuple[int, int]]] = {}
         # the direct commands that were executed and answered, in their order
         self.executed_commands: list[dict[str, Any]] = []
         # seconds until the cloud reclaims the machine, as reported to controllers, which then place
@@ -193,6 +197,21 @@
         self._execute_commands(data["orders"])
         return STATUS_OK, self._report()
 
+    def record_sent_starts(self, data: dict[str, Any]) -> None:
+        """Record the starts of a direct call that is about to be sent."""
+        for command in data["orders"]:
+            if command["verb"] == "start":
+                attempt = (command["sack"], command["turn"])
+                sent_under = (data["shift"], data["warrant"])
+                self.sent_starts.setdefault(attempt, set()).add(sent_under)
+
+    def can_execute_start(self, task: str, attempt: int) -> bool:
+        """Return whether a direct start of the attempt still matches token and session."""
+        return any(
+            session == self.session and token >= self.token
+            for session, token in self.sent_starts.get((task, attempt), ())
+        )
+
     async def receive_copy(self, data: dict[str, Any], delay_s: float) -> None:
         """Receive a copy of direct commands after the given time; nobody waits for the answer."""
         await curio.sleep(delay_s)
@@ -215,6 +234,7 @@
                     self.region.checker.check_start(self, key)
             elif task is not None and task.attempt == attempt:
                 if command["verb"] == "reap" and task.state == "exited":
+                    self.region.checker.check_forget(self, command["sack"], attempt)
                     del self.tasks[key]
                 elif command["verb"] == "kill" and task.state == "running":
                     task.state, task.cause = "exited", "halted"
--- a/tests/test_command_delivery.py
+++ b/tests/test_command_delivery.py
@@ -45,18 +45,19 @@
         record = state.keys[keys.job(JOB)]
         state.put(keys.job(JOB), {**record[0], "end": "cancelled"})
         await node.sync()
-        node.report("n-0", 1, 2, token)
+        higher = node.report("n-0", 1, 2, token).token
+        assert higher > token
         await node.round()
         assert node.cluster.jobs[JOB].planned_task_count() == 1
-        await node.membership.step()
-        higher = node.token()
-        assert higher > token
-        node.report("n-0", 1, 3, token)
+        # the response was lost
+        assert node.report("n-0", 1, 3, token).token == higher
         await node.round()
         assert node.cluster.jobs[JOB].planned_task_count() == 1
         node.report("n-0", 1, 4, higher)
         await node.round()
         assert node.cluster.jobs[JOB].planned_task_count() == 0
+        await node.membership.step()
+        assert node.token() == token, "the other workers keep their token"
 
     run_scenario(scenario)
 
--- a/tests/test_invariant_checker.py
+++ b/tests/test_invariant_checker.py
@@ -108,6 +108,20 @@
     await curio.sleep(2 * region.heartbeat_interval_s)
 
 
+def _under_the_reported_token(
+    handle: Callable[[WorkerHeartbeat], HeartbeatResponse],
+) -> Callable[[WorkerHeartbeat], HeartbeatResponse]:
+    return lambda heartbeat: handle(heartbeat)._replace(token=heartbeat.token)
+
+
+async def _forget_without_raising_the_token(region: Region) -> None:
+    await region.wait_until(lambda: bool(region.workers_running(JOB)))
+    await curio.sleep(2 * region.heartbeat_interval_s)
+    for node in region.nodes.values():
+        node.heartbeats.handle = _under_the_reported_token(node.heartbeats.handle)  # type: ignore[method-assign,assignment]
+    await region.wait_until(lambda: not any(worker.tasks for worker in region.workers.values()))
+
+
 async def _leave_job_waiting(region: Region) -> None:
     """Make all controllers believe that both machines are full, which they are not."""
     for machine in region.workers:
@@ -133,6 +147,7 @@
         (_report_running_after_cancelled, "went_back"),
         (_report_cancelled_without_request, "went_back"),
         (_omit_stops, "stop_omitted"),
+        (_forget_without_raising_the_token, "start_outlives_forget"),
         (_leave_job_waiting, "stalled"),
     ],
 )
--- a/tests/test_machine_transfer.py
+++ b/tests/test_machine_transfer.py
@@ -3,7 +3,6 @@
 import curio
 
 from crossmill.cluster import keys
-from crossmill.cluster.model import PlannedAttempt
 from crossmill.jobs.machine_transfer import PlannedTransfer
 
 from .fake_clock import FakeClock
@@ -122,8 +121,9 @@
         assert transfer.target_shard(machine) is None, "the worker still reports a task"
         node.report("n-0", 1, 5, node.token())
         assert transfer.target_shard(machine) == 1
-        start = PlannedAttempt("wk-000001", 0, 1, "n-0", 1)
-        node.heartbeats.reconciler.unacknowledged_starts.record("n-0", [start], node.token())
+        view = node.heartbeats.find_view("n-0")
+        assert view is not None
+        view.direct_start_token = node.token()
         assert transfer.target_shard(machine) is None, "a start sent to it may still arrive"
 
     run_scenario(scenario)
--- a/tests/test_partition_keepalive.py
+++ b/tests/test_partition_keepalive.py
@@ -5,7 +5,9 @@
 
 import pytest
 
+from crossmill.cluster import keys
 from crossmill.cluster.model import ControllerRecord
+from crossmill.cluster.shard_acquisition import TOKENS_PER_OWNERSHIP
 from crossmill.wire import peers
 
 from .fake_clock import FakeClock
@@ -130,6 +132,28 @@
         await _isolate_except_from_south(partition)
         partition.isolate_zone()
         partition.zone_controller.partition_protocol.peers.last_response_at.clear()
+        unknown = partition.token + TOKENS_PER_OWNERSHIP
+        assert partition.zone_controller.report("n-0", 1, 902, unknown, RUNNING).status == 421
+        assert partition.report_to_zone_controller(903).status == 200
+        # the owner may have raised the worker's token
+        assert (
+            partition.zone_controller.report("n-0", 1, 904, partition.token + 1, RUNNING).status
+            == 200
+        )
+
+    run_scenario(scenario)
+
+
+def test_no_keepalive_under_a_token_above_the_counter() -> None:
+    # an owner of an earlier version has one token; the next one is another owner's
+    async def scenario(state: StateService, clock: FakeClock, nodes: Nodes) -> None:
+        partition = await _begin_unsettled(state, clock, nodes)
+        state.put(keys.TOKEN, {"n": partition.token})
+        await partition.zone_controller.sync()
+        await _announce_and_settle(partition)
+        await _isolate_except_from_south(partition)
+        partition.isolate_zone()
+        partition.zone_controller.partition_protocol.peers.last_response_at.clear()
         assert (
             partition.zone_controller.report("n-0", 1, 902, partition.token + 1, RUNNING).status
             == 421
--- a/tests/test_random_faults.py
+++ b/tests/test_random_faults.py
@@ -1,4 +1,7 @@
-"""Random faults from fixed seeds violate no rule of the protocol."""
+"""Random faults from fixed seeds violate no rule of the protocol.
+
+`python -m tests.test_random_faults FIRST COUNT` runs more seeds by hand, with late copies.
+"""
 
 import random
 from typing import Any
@@ -9,18 +12,21 @@
 from .fault_injection import (
     cancel_services_and_wait,
     clear_faults,
+    copy_direct_commands,
     inject_random_fault,
     submit_single_task_jobs,
 )
+from .seed_runner import run_seeds
 from .simulated_region import Region, simulate
 
 
-@pytest.mark.parametrize("seed_number", [0, 1, 131, 148, 177, 2060])
-def test_random_faults_break_no_rule(seed_number: int) -> None:
-    """Faults are drawn from a fixed seed, so each scenario is the same on every machine."""
+def _run_region(seed_number: int, with_copies: bool) -> None:
+    """Run a scenario whose faults are drawn from a seed, so it is the same on every machine."""
 
     async def scenario(region: Region) -> None:
         rng = random.Random(seed_number)
+        if with_copies:
+            copy_direct_commands(region, seed_number)
         await region.start_region(machines=4)
         await region.add_worker("s-0", "south")
         await region.submit("node-1", "wk-000001", sacks=2)
@@ -35,6 +41,16 @@
     simulate(scenario)
 
 
+@pytest.mark.parametrize("seed_number", [0, 1, 131, 148, 177, 2060])
+def test_random_faults_break_no_rule(seed_number: int) -> None:
+    _run_region(seed_number, with_copies=False)
+
+
+@pytest.mark.parametrize("seed_number", range(2, 6))
+def test_random_faults_and_late_copies_of_direct_commands_break_no_rule(seed_number: int) -> None:
+    _run_region(seed_number, with_copies=True)
+
+
 @pytest.mark.parametrize("seed_number", range(4))
 def test_random_faults_with_services_at_the_teams_limit(seed_number: int) -> None:
     """Random faults violate no rule while services reach a team's limit.
@@ -112,3 +128,7 @@
                 cancelled = f"wk-{900000 + rng.randint(max(0, n - 4), n)}"
                 await group.spawn(cancel, cancelled, at)
             await curio.sleep(rng.uniform(0.0, 2.5))
+
+
+if __name__ == "__main__":
+    run_seeds(lambda seed_number: _run_region(seed_number, with_copies=True))
--- a/tests/test_random_owner_chains.py
+++ b/tests/test_random_owner_chains.py
@@ -1,6 +1,6 @@
 """Drawn chains of owners that each respond to a worker once break no rule while users cancel.
 
-`python -m tests.test_random_owner_chains FIRST COUNT` runs more seeds by hand.
+`python -m tests.test_random_owner_chains FIRST COUNT` runs more seeds by hand, with late copies.
 """
 
 import random
@@ -9,7 +9,13 @@
 import curio
 import pytest
 
-from .fault_injection import all_but_leases, clear_faults, every_request, wait_until_all_ended
+from .fault_injection import (
+    all_but_leases,
+    clear_faults,
+    copy_direct_commands,
+    every_request,
+    wait_until_all_ended,
+)
 from .seed_runner import run_seeds
 from .simulated_region import Region, simulate
 
@@ -95,9 +101,11 @@
         await curio.sleep(RETRY_INTERVAL_S)
 
 
-def _run_region(seed: int) -> None:
+def _run_region(seed: int, with_copies: bool) -> None:
     async def scenario(region: Region) -> None:
         rng = random.Random(seed)
+        if with_copies:
+            copy_direct_commands(region, seed)
         await region.start_region(machines=MACHINES)
         await region.add_worker("s-0", "south")
         jobs = [f"wk-{600000 + number}" for number in range(SERVICES)]
@@ -125,8 +133,13 @@
 
 @pytest.mark.parametrize("seed", [1, 11, 15, 17, 18, 29])
 def test_cancelled_tasks_end_while_owners_replace_one_another(seed: int) -> None:
-    _run_region(seed)
+    _run_region(seed, with_copies=False)
+
+
+@pytest.mark.parametrize("seed", [2, 12])
+def test_late_copies_of_direct_commands_run_no_cancelled_task(seed: int) -> None:
+    _run_region(seed, with_copies=True)
 
 
 if __name__ == "__main__":
-    run_seeds(_run_region)
+    run_seeds(lambda seed: _run_region(seed, with_copies=True))
--- a/tests/test_random_task_failures.py
+++ b/tests/test_random_task_failures.py
@@ -1,6 +1,6 @@
 """Tasks, jobs and machines that fail by themselves, from fixed seeds, leave no job waiting.
 
-A long run over other seeds: python -m tests.test_random_task_failures FIRST COUNT
+A long run over other seeds, with late copies: python -m tests.test_random_task_failures FIRST COUNT
 """
 
 import random
@@ -9,7 +9,7 @@
 import pytest
 
 from .failing_traffic import DENSE, SPARSE, FailingTraffic
-from .fault_injection import clear_faults
+from .fault_injection import clear_faults, copy_direct_commands
 from .progress_checker import MAX_WAIT_S
 from .seed_runner import run_seeds
 from .simulated_region import Region, simulate
@@ -40,9 +40,11 @@
     return unfinished
 
 
-def _run_region(seed: int) -> None:
+def _run_region(seed: int, with_copies: bool) -> None:
     async def scenario(region: Region) -> None:
         rng = random.Random(seed)
+        if with_copies:
+            copy_direct_commands(region, seed)
         # both profiles in turn
         traffic = FailingTraffic(region, rng, SPARSE if seed % 2 else DENSE)
         await region.start_region(machines=rng.choice([0, 2, 3]))
@@ -67,8 +69,13 @@
 
 @pytest.mark.parametrize("seed", range(3, 13))
 def test_failing_tasks_leave_no_job_waiting(seed: int) -> None:
-    _run_region(seed)
+    _run_region(seed, with_copies=False)
+
+
+@pytest.mark.parametrize("seed", range(13, 19))
+def test_late_copies_of_direct_commands_do_not_disturb_failing_tasks(seed: int) -> None:
+    _run_region(seed, with_copies=True)
 
 
 if __name__ == "__main__":
-    run_seeds(_run_region)
+    run_seeds(lambda seed: _run_region(seed, with_copies=True))
--- a/tests/test_recovery_decisions.py
+++ b/tests/test_recovery_decisions.py
@@ -125,9 +125,11 @@
         seed(state, clock, machines=1)
         node = SteppedController(state, clock, nodes)
         await node.boot()
-        assert node.report("n-0", 1, 1, 400).status == 503
+        # the state service was restored from a backup: the counter is lower than what workers saw
+        seen = node.cluster.token_counter() + 400
+        assert node.report("n-0", 1, 1, seen).status == 503
         await node.membership.step()
-        assert node.token() == 401
-        assert node.report("n-0", 1, 2, 400).token == 401
+        assert node.token() == seen + 1
+        assert node.report("n-0", 1, 2, seen).token == seen + 1
 
     run_scenario(scenario)
