--- a/crossmill/workers/heartbeat_handler.py
+++ b/crossmill/workers/heartbeat_handler.py
@@ -191,8 +191,8 @@
                 view.log_early_stops(heartbeat, token, commands)
         else:
             commands = self._commands(machine, view, authority)
-            # the commands may need a higher token than the heartbeat's
-            token = view.command_token(first_token)
+            # the commands may need a higher token than before
+            token = max(token, view.raised_token)
         return _accept(token, commands, self._has_job_ended)
 
     def _commands(
--- a/crossmill/workers/views.py
+++ b/crossmill/workers/views.py
@@ -30,6 +30,10 @@
     ACCEPTED = "accepted"
 
 
+_UNCONFIRMED_TOKEN = HeartbeatVerdict.UNCONFIRMED_TOKEN
+_ACCEPTED = HeartbeatVerdict.ACCEPTED
+
+
 class WorkerView:
     """The newest status of one worker, and bounds on its lease.
 
@@ -137,23 +141,30 @@
         number = (heartbeat.session, heartbeat.seq)
         if number <= self.last_heartbeat_number:
             return HeartbeatVerdict.STALE
-        if not first_token <= heartbeat.token <= self.command_token(first_token):
-            return HeartbeatVerdict.UNCONFIRMED_TOKEN
+        if not self._is_own_token(heartbeat.token, first_token):
+            return _UNCONFIRMED_TOKEN
         self.last_heartbeat_number = number
         self.last_heartbeat_at = now
-        if self.apply_status(heartbeat, first_token, now):
-            return HeartbeatVerdict.ACCEPTED
+        if self._apply_newer(heartbeat, first_token, now):
+            return _ACCEPTED
         return HeartbeatVerdict.SUPERSEDED
 
+    def _is_own_token(self, token: int, first_token: int) -> bool:
+        """Return whether this owner has issued the token to the worker."""
+        return token == first_token or first_token < token <= self.raised_token
+
     def apply_status(self, heartbeat: WorkerHeartbeat, first_token: int, now: float) -> bool:
         """Apply a status if it is the newest and reports a token of this owner.
 
         Returns:
             Whether the status was applied.
         """
-        token = heartbeat.token
-        if not first_token <= token <= self.command_token(first_token):
-            return False
+        return self._is_own_token(heartbeat.token, first_token) and self._apply_newer(
+            heartbeat, first_token, now
+        )
+
+    def _apply_newer(self, heartbeat: WorkerHeartbeat, first_token: int, now: float) -> bool:
+        """Apply a status with a token of this owner if it is the newest; return whether it is."""
         if (heartbeat.session, heartbeat.seq) <= (self.session, self.seq):
             return False
         if heartbeat.session > self.session:
@@ -163,8 +174,8 @@
         self.session = heartbeat.session
         self.seq = heartbeat.seq
         if self.confirmed_token < first_token:
-            self._log_confirmation(token)
-        self.confirmed_token = token
+            self._log_confirmation(heartbeat)
+        self.confirmed_token = heartbeat.token
         self.address = heartbeat.address
         self.termination_at = None if heartbeat.notice_s is None else now + heartbeat.notice_s
         self._apply_tasks(heartbeat.tasks, now)
@@ -175,7 +186,7 @@
 
         `first_token` is the first token of the ownership.
         """
-        return max(first_token, self.raised_token)
+        return self.raised_token if self.raised_token > first_token else first_token
 
     def record_direct_starts(self, attempts: list[PlannedAttempt], token: int) -> None:
         """Record starts that are about to be sent directly, under the worker's newest token."""
@@ -202,13 +213,13 @@
         del self._unwanted_since[attempt]
         return False
 
-    def _log_confirmation(self, token: int) -> None:
+    def _log_confirmation(self, heartbeat: WorkerHeartbeat) -> None:
         log.info(
             "worker confirmed token machine=%s token=%d session=%d seq=%d",
             self.machine,
-            token,
-            self.session,
-            self.seq,
+            heartbeat.token,
+            heartbeat.session,
+            heartbeat.seq,
         )
 
     def _apply_tasks(self, tasks: list[TaskStatus], now: float) -> None:
