Tests: answered requests of all kinds arrive once more in the random scenarios; copies of transactions

Direct calls, heartbeats, transactions, renewals and deletions of leases, requests between controllers and users' requests: of three in ten answered ones a copy or two comes 0.1 to 40 s later, also after their sender's end and while a worker hangs. They are drawn apart from the scenario's own draws.

--- a/tests/fault_injection.py
+++ b/tests/fault_injection.py
@@ -20,9 +20,6 @@
     "repeated heartbeats",
     "slow state",
 )
-# share of executed direct calls of which copies arrive, and the bounds of their delays
-COPIED_SHARE = 0.3
-COPY_DELAYS_S = (0.1, 40.0)
 WORKER_FAULTS = ("inbound_lost", "heartbeats_lost", "is_frozen")
 
 
@@ -57,22 +54,6 @@
     region.transaction_fault = transaction_fault
 
 
-def copy_direct_commands(region: Region, seed_number: int) -> None:
-    """Let copies of three in ten executed direct calls arrive late, in an order of their own.
-
-    A call comes once or twice more, from a tenth of a second to well over a lease later. The draws
-    do not change those of the scenario.
-    """
-    rng = random.Random(seed_number)
-
-    def command_copy_delays_s() -> list[float]:
-        if rng.random() >= COPIED_SHARE:
-            return []
-        return [rng.uniform(*COPY_DELAYS_S) for _ in range(rng.choice([1, 2]))]
-
-    region.command_copy_delays_s = command_copy_delays_s
-
-
 async def submit_single_task_jobs(
     region: Region, jobs: int, every_s: float, cancel_every: int = 4
 ) -> None:
--- a/tests/measure_short_tasks.py
+++ b/tests/measure_short_tasks.py
@@ -1,13 +1,15 @@
 """Measure a stream of short tasks: `python -m tests.measure_short_tasks`.
 
-One-task jobs come several times a second to a simulated region while nothing else happens. Prints
-how soon planned tasks start, how soon ended ones are forgotten, how large the workers' reports are,
-and how many token raises and state changes the stream takes. Figures are of virtual time: the
-processor time of the controllers is not charged.
+One-task jobs come several times a second to a simulated region while nothing else happens, or while
+the responses to a share of the direct calls are lost. Prints how soon planned tasks start, how soon
+ended ones are forgotten, how large the workers' reports are, and how many raises of a shard's token
+and state changes the stream takes. Figures are of virtual time: the processor time of the
+controllers is not charged.
 """
 
 import argparse
 import logging
+import random
 from collections import Counter
 from dataclasses import dataclass, field
 from statistics import mean
@@ -16,9 +18,10 @@
 import curio
 
 from crossmill.cluster import keys
+from crossmill.net.client import NoResponseError
 
 from .simulated_region import Region, simulate
-from .simulated_worker import Worker
+from .simulated_worker import Worker, WorkerLink
 
 TEAM = "blue"
 SETTLING_S = 25.0
@@ -86,7 +89,34 @@
         worker._report = observed_report  # type: ignore[method-assign]  # noqa: SLF001
 
 
-def measure(machines: int, per_second: float, run_s: float, for_s: float) -> Stream:
+class _LossyWorkerLink(WorkerLink):
+    """A link that loses the responses to a share of the direct calls."""
+
+    rng = random.Random(0)
+    lost_share = 0.0
+
+    async def request(
+        self, method: str, path: str, body: bytes = b"", timeout_s: float = 2.0
+    ) -> tuple[int, bytes]:
+        """Deliver commands; raise NoResponseError for the share whose responses are lost."""
+        response = await super().request(method, path, body, timeout_s)
+        if self.rng.random() < self.lost_share:
+            await curio.sleep(timeout_s)
+            raise NoResponseError(path)
+        return response
+
+
+def _connect_through_lossy_links(region: Region, lost_share: float) -> None:
+    _LossyWorkerLink.lost_share = lost_share
+    for node in region.nodes.values():
+        node.command_sender.connect = lambda endpoint: _LossyWorkerLink(
+            region._worker_at(endpoint.port)  # noqa: SLF001 - as the region connects them
+        )
+
+
+def measure(
+    machines: int, per_second: float, run_s: float, for_s: float, lost_share: float = 0.0
+) -> Stream:
     """Return what was observed of a stream of one-task jobs."""
     stream = Stream()
     counter = _AcquisitionCounter()
@@ -98,6 +128,7 @@
             await region.add_worker(f"n-{number}", shard=shard)
         await curio.sleep(SETTLING_S)
         stream.workers = list(region.workers.values())
+        _connect_through_lossy_links(region, lost_share)
         _observe_plans(region, stream)
         _observe_reports(stream)
         logging.getLogger("crossmill").addHandler(counter)
@@ -150,8 +181,15 @@
     parser.add_argument("--per-second", type=float, default=4.0)
     parser.add_argument("--run-s", type=float, default=2.0)
     parser.add_argument("--for-s", type=float, default=120.0)
+    parser.add_argument("--lost-share", type=float, default=0.0, help="of responses to calls")
     arguments = parser.parse_args()
-    stream = measure(arguments.machines, arguments.per_second, arguments.run_s, arguments.for_s)
+    stream = measure(
+        arguments.machines,
+        arguments.per_second,
+        arguments.run_s,
+        arguments.for_s,
+        arguments.lost_share,
+    )
     print_figures(stream, arguments.run_s, arguments.for_s)
 
 
--- a/tests/simulated_links.py
+++ b/tests/simulated_links.py
@@ -3,6 +3,7 @@
 The links apply the faults that are set on the attributes of the region.
 """
 
+from functools import partial
 from typing import TYPE_CHECKING, NamedTuple
 from urllib.parse import parse_qs, urlsplit
 
@@ -15,8 +16,10 @@
 if TYPE_CHECKING:
     from .simulated_region import Region
 
+from .message_copies import RequestKind
 from .simulated_worker import MESSAGE_DELAY_S
 
+STATUS_OK = 200
 OUTAGE_RETRY_S = 0.1
 MIN_WATCH_WAIT_S = 0.05
 
@@ -38,6 +41,11 @@
     return None
 
 
+def _can_be_copied(method: str, path: str) -> bool:
+    """Return whether a copy of the request changes anything that a controller may know of."""
+    return path == "/txn" or path.endswith("/renew") or method == "DELETE"
+
+
 class StateLink:
     """A controller's link to the state service, with the faults set on the region.
 
@@ -74,6 +82,11 @@
             return await self._watch(method, path, body)
         status, data = await region.state.request(method, path, body)
         region.simulated_state.update_lease_expiry(method, path, body, status, data)
+        if status == STATUS_OK and _can_be_copied(method, path):
+            kind = RequestKind.TRANSACTION if path == "/txn" else RequestKind.LEASE
+            await region.message_copies.deliver(
+                kind, partial(self._execute_late, 0.0, method, path, body)
+            )
         is_delayed = path == "/txn" and self._label in region.transaction_delay_s
         await curio.sleep(
             region.transaction_delay_s[self._label] if is_delayed else MESSAGE_DELAY_S
@@ -90,7 +103,8 @@
         await curio.sleep(delay_s)
         while self._region.state.is_down:
             await curio.sleep(OUTAGE_RETRY_S)
-        await self._region.state.request(method, path, body)
+        status, data = await self._region.state.request(method, path, body)
+        self._region.simulated_state.update_lease_expiry(method, path, body, status, data)
         await self._region.simulated_state.notify_watches()
 
     async def _watch(self, method: str, path: str, body: bytes) -> tuple[int, bytes]:
@@ -139,5 +153,14 @@
             await curio.sleep(timeout_s)
             raise NoResponseError(path)
         response = node.handle_peer_request(Request(method, path, body))
+        await region.message_copies.deliver(
+            RequestKind.PEER, partial(self._deliver_copy, Request(method, path, body))
+        )
         await curio.sleep(MESSAGE_DELAY_S)
         return response.status, response.body
+
+    async def _deliver_copy(self, request: Request) -> None:
+        """Deliver a copy of a request to whichever process runs under the label then."""
+        node = self._region.nodes.get(self._label)
+        if node is not None and not self._region.is_frozen(self._label):
+            node.handle_peer_request(request)
--- a/tests/simulated_region.py
+++ b/tests/simulated_region.py
@@ -19,6 +19,7 @@
 from .fake_cloud import CloudService
 from .fake_state_service import StateService
 from .invariant_checker import InvariantChecker
+from .message_copies import MessageCopies
 from .simulated_links import PeerLink, StateLink, TransactionFault, no_transaction_fault
 from .simulated_state import SimulatedState
 from .simulated_users import SimulatedUsers
@@ -77,9 +78,8 @@
         # returns the seconds after which a started task exits with `error` by itself, or None if it
         # does not, from its worker, job ID and index
         self.fails_after_s: Callable[[Worker, str, int], float | None] = lambda *_: None
-        # returns the seconds after which copies of direct commands that a worker has just executed
-        # and answered arrive once more
-        self.command_copy_delays_s: Callable[[], list[float]] = list
+        # copies of answered requests that arrive once more
+        self.message_copies = MessageCopies()
         # predicate on worker and controller label: whether they reach each other
         self.can_reach: Callable[[Worker, str], bool] = lambda worker, label: label in self.nodes
 
@@ -277,6 +277,13 @@
         await curio.sleep(after_s)
         await self.start(label)
 
+    async def stop(self) -> None:
+        """End the controllers' loops and the copies, which could else begin tasks to the last."""
+        self.message_copies = MessageCopies()
+        for tasks in self._tasks.values():
+            for task in tasks:
+                await task.cancel(blocking=False)
+
     def isolate(self, label: str) -> None:
         """Disconnect a controller from the state service and peers, not from workers and users."""
         self.cut_from_state.add(label)
@@ -332,6 +339,7 @@
         regions.append(region)
         await scenario(region)
         region.checker.check()
+        await region.stop()
 
     run_under_virtual_time(clock, run)
     assert not regions[0].checker.violations, regions[0].checker.violations[:5]
--- a/tests/simulated_users.py
+++ b/tests/simulated_users.py
@@ -4,6 +4,7 @@
 keeps what the responses reported.
 """
 
+from functools import partial
 from typing import Any
 
 import curio
@@ -12,6 +13,7 @@
 from .builders import submission
 from .fake_clock import FakeClock
 from .invariant_checker import InvariantChecker, JobFacts
+from .message_copies import MessageCopies, RequestKind
 from .stepped_controller import SteppedController
 
 CANCELLATION_RETRY_S = 0.5
@@ -29,6 +31,7 @@
     clock: FakeClock
     checker: InvariantChecker
     nodes: dict[str, SteppedController]
+    message_copies: MessageCopies
 
     def is_frozen(self, label: str) -> bool:
         """Return whether the controller's process is frozen now."""
@@ -91,4 +94,12 @@
             await curio.sleep(FROZEN_RETRY_S)
         response = await self.nodes[label].send_user_request(method, path, body)
         self.checker.check_response(job, response, requested_at)
+        await self.message_copies.deliver(
+            RequestKind.USER, partial(self._deliver_copy, label, method, path, body)
+        )
         return response.status
+
+    async def _deliver_copy(self, label: str, method: str, path: str, body: bytes) -> None:
+        """Deliver a copy of a request to whichever process runs under the label then."""
+        if label in self.nodes and not self.is_frozen(label):
+            await self.nodes[label].send_user_request(method, path, body)
--- a/tests/simulated_worker.py
+++ b/tests/simulated_worker.py
@@ -4,6 +4,7 @@
 """
 
 from dataclasses import dataclass
+from functools import partial
 from typing import TYPE_CHECKING, Any
 
 import curio
@@ -13,6 +14,7 @@
 from crossmill.wire.checks import load_object
 
 from .builders import heartbeat_body, reported_task
+from .message_copies import RequestKind
 
 if TYPE_CHECKING:
     from .simulated_region import Region
@@ -54,8 +56,9 @@
         status, report = worker.handle_commands(data)
         if status == STATUS_OK:
             worker.executed_commands.append(data)
-            for delay_s in worker.region.command_copy_delays_s():
-                await curio.spawn(worker.receive_copy, data, delay_s, daemon=True)
+            await worker.region.message_copies.deliver(
+                RequestKind.DIRECT_COMMANDS, partial(worker.receive_copy, data)
+            )
         return status, report
 
 
@@ -174,6 +177,9 @@
         if self.heartbeats_lost or not self.region.can_reach(self, label):
             return None
         status, data = self.region.deliver_worker_heartbeat(body, label)
+        await self.region.message_copies.deliver(
+            RequestKind.HEARTBEAT, partial(self._deliver_copy, body)
+        )
         checker = self.region.checker
         omitted = checker.omitted_stops(label, body, data) if status == STATUS_OK else []
         await curio.sleep(MESSAGE_DELAY_S)
@@ -188,6 +194,12 @@
             self._execute_commands(response["orders"])
         return status, response
 
+    async def _deliver_copy(self, heartbeat: bytes) -> None:
+        """Deliver a copy of a heartbeat to every controller that runs."""
+        for label in list(self.region.nodes):
+            if not self.region.is_frozen(label):
+                self.region.deliver_worker_heartbeat(heartbeat, label)
+
     def handle_commands(self, data: dict[str, Any]) -> tuple[int, bytes]:
         """Execute commands from a controller; respond 409 if token or session is outdated."""
         self._advance_tasks()
@@ -212,9 +224,8 @@
             for session, token in self.sent_starts.get((task, attempt), ())
         )
 
-    async def receive_copy(self, data: dict[str, Any], delay_s: float) -> None:
-        """Receive a copy of direct commands after the given time; nobody waits for the answer."""
-        await curio.sleep(delay_s)
+    async def receive_copy(self, data: dict[str, Any]) -> None:
+        """Receive a copy of direct commands that were executed; nobody waits for the answer."""
         if self.is_terminated or self.inbound_lost:
             return
         if self.is_frozen:
--- a/tests/test_late_command_copies.py
+++ b/tests/test_late_command_copies.py
@@ -151,7 +151,7 @@
         starts = len(region.checker.starts)
         await EVENTS[event](region, first)
         for _ in range(2):
-            await first.receive_copy(call, 0.0)
+            await first.receive_copy(call)
         first.is_frozen = False
         await curio.sleep(2 * region.heartbeat_interval_s)
         assert len(region.checker.starts) == starts
@@ -165,7 +165,7 @@
         first = await _start_task(region)
         (call,) = first.executed_commands
         await _wait_until_moved(region, first)
-        await first.receive_copy(call, 0.0)
+        await first.receive_copy(call)
         assert first not in region.workers_running(JOB)
 
     simulate(scenario)
@@ -179,7 +179,7 @@
         for _ in range(COPIES):
             await curio.sleep(COPY_INTERVAL_S)
             if first.tasks:
-                await first.receive_copy(call, 0.0)
+                await first.receive_copy(call)
                 assert len(region.checker.starts) == 1
 
     simulate(scenario)
--- a/tests/test_random_faults.py
+++ b/tests/test_random_faults.py
@@ -12,10 +12,10 @@
 from .fault_injection import (
     cancel_services_and_wait,
     clear_faults,
-    copy_direct_commands,
     inject_random_fault,
     submit_single_task_jobs,
 )
+from .message_copies import MessageCopies, RequestKind
 from .seed_runner import run_seeds
 from .simulated_region import Region, simulate
 
@@ -26,7 +26,7 @@
     async def scenario(region: Region) -> None:
         rng = random.Random(seed_number)
         if with_copies:
-            copy_direct_commands(region, seed_number)
+            region.message_copies = MessageCopies(seed_number, RequestKind)
         await region.start_region(machines=4)
         await region.add_worker("s-0", "south")
         await region.submit("node-1", "wk-000001", sacks=2)
@@ -47,7 +47,7 @@
 
 
 @pytest.mark.parametrize("seed_number", range(2, 6))
-def test_random_faults_and_late_copies_of_direct_commands_break_no_rule(seed_number: int) -> None:
+def test_random_faults_and_late_copies_of_requests_break_no_rule(seed_number: int) -> None:
     _run_region(seed_number, with_copies=True)
 
 
--- a/tests/test_random_owner_chains.py
+++ b/tests/test_random_owner_chains.py
@@ -12,10 +12,10 @@
 from .fault_injection import (
     all_but_leases,
     clear_faults,
-    copy_direct_commands,
     every_request,
     wait_until_all_ended,
 )
+from .message_copies import MessageCopies, RequestKind
 from .seed_runner import run_seeds
 from .simulated_region import Region, simulate
 
@@ -105,7 +105,7 @@
     async def scenario(region: Region) -> None:
         rng = random.Random(seed)
         if with_copies:
-            copy_direct_commands(region, seed)
+            region.message_copies = MessageCopies(seed, RequestKind)
         await region.start_region(machines=MACHINES)
         await region.add_worker("s-0", "south")
         jobs = [f"wk-{600000 + number}" for number in range(SERVICES)]
@@ -137,7 +137,7 @@
 
 
 @pytest.mark.parametrize("seed", [2, 12])
-def test_late_copies_of_direct_commands_run_no_cancelled_task(seed: int) -> None:
+def test_late_copies_of_requests_run_no_cancelled_task(seed: int) -> None:
     _run_region(seed, with_copies=True)
 
 
--- a/tests/test_random_task_failures.py
+++ b/tests/test_random_task_failures.py
@@ -9,7 +9,8 @@
 import pytest
 
 from .failing_traffic import DENSE, SPARSE, FailingTraffic
-from .fault_injection import clear_faults, copy_direct_commands
+from .fault_injection import clear_faults
+from .message_copies import MessageCopies, RequestKind
 from .progress_checker import MAX_WAIT_S
 from .seed_runner import run_seeds
 from .simulated_region import Region, simulate
@@ -44,7 +45,7 @@
     async def scenario(region: Region) -> None:
         rng = random.Random(seed)
         if with_copies:
-            copy_direct_commands(region, seed)
+            region.message_copies = MessageCopies(seed, RequestKind)
         # both profiles in turn
         traffic = FailingTraffic(region, rng, SPARSE if seed % 2 else DENSE)
         await region.start_region(machines=rng.choice([0, 2, 3]))
@@ -73,7 +74,7 @@
 
 
 @pytest.mark.parametrize("seed", range(13, 19))
-def test_late_copies_of_direct_commands_do_not_disturb_failing_tasks(seed: int) -> None:
+def test_late_copies_of_requests_do_not_disturb_failing_tasks(seed: int) -> None:
     _run_region(seed, with_copies=True)
 
 
