--- a/crossmill/workers/heartbeat_handler.py
+++ b/crossmill/workers/heartbeat_handler.py
@@ -24,7 +24,6 @@
 from ..net.clock import Clock
 from ..settings import Settings
 from ..wire.workers import (
-    MAX_COMMANDS,
     Command,
     CommandKind,
     WorkerHeartbeat,
@@ -32,7 +31,12 @@
 )
 from .attempt_outcomes import StopReason
 from .lease_expiry import WorkerLeaseExpiry
-from .reconciliation import Reconciler, stops_of_ended_jobs
+from .reconciliation import (
+    Reconciler,
+    is_stop_of_ended_job,
+    limit_commands,
+    stops_of_ended_jobs,
+)
 from .views import HeartbeatVerdict, WorkerView
 
 # only the type checker needs the protocol, so the program does not load it at start
@@ -64,23 +68,11 @@
     redirect: str | None = None
 
 
-def _is_stop_of_ended_job(command: Command, has_ended: Callable[[str], bool]) -> bool:
-    return command.op is CommandKind.STOP and has_ended(command.job)
-
-
 def _accept(
     token: int, commands: list[Command], has_ended: Callable[[str], bool]
 ) -> HeartbeatResponse:
-    """Return a response that renews a worker's lease.
-
-    The stops of tasks of ended jobs come first and are all contained, however many there are: this
-    may be the last response before the jobs' cancellation deadline.
-    """
-    if len(commands) > MAX_COMMANDS:
-        stops = [command for command in commands if _is_stop_of_ended_job(command, has_ended)]
-        others = [c for c in commands if not _is_stop_of_ended_job(c, has_ended)]
-        commands = stops + others[: max(0, MAX_COMMANDS - len(stops))]
-    return HeartbeatResponse(HttpStatus.OK, token, tuple(commands))
+    """Return a response that renews a worker's lease."""
+    return HeartbeatResponse(HttpStatus.OK, token, tuple(limit_commands(commands, has_ended)))
 
 
 class HeartbeatHandler:
@@ -202,7 +194,7 @@
         ownership = authority.ownership
         commands = self.reconciler.commands(machine, view, ownership)
         if not authority.may_command:
-            commands = [c for c in commands if _is_stop_of_ended_job(c, self._has_job_ended)]
+            commands = [c for c in commands if is_stop_of_ended_job(c, self._has_job_ended)]
         elif view.must_refuse_starts and not self._raise_token(machine, view, ownership):
             commands = [c for c in commands if c.op is not _FORGET]
         if self.gate is not None:
--- a/crossmill/workers/reconciliation.py
+++ b/crossmill/workers/reconciliation.py
@@ -14,7 +14,7 @@
 from ..cluster.ownership import ShardOwnership
 from ..net.clock import Clock
 from ..settings import Settings
-from ..wire.workers import Command, CommandKind, TaskState, TaskStatus
+from ..wire.workers import MAX_COMMANDS, Command, CommandKind, TaskState, TaskStatus
 from .attempt_outcomes import (
     AttemptOutcome,
     AttemptOutcomes,
@@ -56,6 +56,24 @@
     ]
 
 
+def is_stop_of_ended_job(command: Command, has_ended: Callable[[str], bool]) -> bool:
+    """Return whether the command stops a task whose job has ended; `has_ended` takes its ID."""
+    return command.op is CommandKind.STOP and has_ended(command.job)
+
+
+def limit_commands(commands: list[Command], has_ended: Callable[[str], bool]) -> list[Command]:
+    """Return at most `MAX_COMMANDS` commands for one response, or more if all are due stops.
+
+    The stops of tasks of ended jobs come first and are all contained, however many there are: this
+    may be the last response before the jobs' cancellation deadline.
+    """
+    if len(commands) <= MAX_COMMANDS:
+        return commands
+    stops = [command for command in commands if is_stop_of_ended_job(command, has_ended)]
+    others = [command for command in commands if not is_stop_of_ended_job(command, has_ended)]
+    return stops + others[: max(0, MAX_COMMANDS - len(stops))]
+
+
 def _immediate_stop(job: str, index: int, attempt: int) -> Command:
     return Command(CommandKind.STOP, _task_name(job, index), attempt, 0.0)
 
--- a/tests/failing_traffic.py
+++ b/tests/failing_traffic.py
@@ -12,6 +12,7 @@
 
 import curio
 
+from .fault_injection import clear_faults
 from .simulated_region import Region
 from .simulated_worker import Worker
 
@@ -221,6 +222,17 @@
             await curio.sleep(SUBMISSION_RETRY_S)
         raise AssertionError(f"{job_id} could not be cancelled")
 
+    async def run(self, troubles: int) -> None:
+        """Submit the jobs among so many troubles, end these, and cancel the mistakes."""
+        users = await curio.spawn(self.submit_jobs)
+        for _ in range(troubles):
+            await curio.sleep(self._rng.uniform(1.0, 9.0))
+            await self.cause_trouble()
+        clear_faults(self._region)
+        self._region.cloud.is_full = False
+        await users.join()
+        await self.cancel_mistakes()
+
     async def cancel_mistakes(self) -> None:
         """Cancel the jobs submitted with a mistake that nobody has cancelled yet."""
         for job in self.jobs.values():
--- a/tests/test_late_transaction_copies.py
+++ b/tests/test_late_transaction_copies.py
@@ -16,11 +16,12 @@
 from crossmill.settings import Settings
 
 from .failing_traffic import DENSE, FailingTraffic
-from .fault_injection import clear_faults, wait_until_all_ended
+from .fault_injection import wait_until_all_ended
 from .simulated_region import Region, simulate
 
+SEED = 3
 MAX_ENDED_JOBS = 5
-EVENTS = 8
+TROUBLES = 8
 END_WITHIN_S = 300.0
 # what a controller writes without a condition on the key itself: a copy is refused once its lease
 # has ended, and until then its process writes the record anew
@@ -67,18 +68,10 @@
 
 async def _run_day(region: Region) -> None:
     """Run failing and sound jobs of all kinds until they have ended and machines were returned."""
-    rng = random.Random(3)
-    traffic = FailingTraffic(region, rng, DENSE)
+    traffic = FailingTraffic(region, random.Random(SEED), DENSE)
     await region.start_region(machines=2)
     await region.run_provisioners()
-    users = await curio.spawn(traffic.submit_jobs)
-    for _ in range(EVENTS):
-        await curio.sleep(rng.uniform(1.0, 9.0))
-        await traffic.cause_trouble()
-    clear_faults(region)
-    region.cloud.is_full = False
-    await users.join()
-    await traffic.cancel_mistakes()
+    await traffic.run(TROUBLES)
     for job, facts in list(region.checker.jobs.items()):
         if facts.run_s is None:
             assert await region.cancel_until_confirmed("node-1", job, END_WITHIN_S)
--- a/tests/test_random_task_failures.py
+++ b/tests/test_random_task_failures.py
@@ -9,13 +9,12 @@
 import pytest
 
 from .failing_traffic import DENSE, SPARSE, FailingTraffic
-from .fault_injection import clear_faults
 from .message_copies import MessageCopies, RequestKind
 from .progress_checker import MAX_WAIT_S
 from .seed_runner import run_seeds
 from .simulated_region import Region, simulate
 
-EVENTS = 16
+TROUBLES = 16
 FIRST_PROBE = 400000
 # all jobs have ended, or run whole, so long after the last trouble: pipelines wait for one another,
 # and each job may wait up to `MAX_WAIT_S`
@@ -50,14 +49,7 @@
         traffic = FailingTraffic(region, rng, SPARSE if seed % 2 else DENSE)
         await region.start_region(machines=rng.choice([0, 2, 3]))
         await region.run_provisioners()
-        users = await curio.spawn(traffic.submit_jobs)
-        for _ in range(EVENTS):
-            await curio.sleep(rng.uniform(1.0, 9.0))
-            await traffic.cause_trouble()
-        clear_faults(region)
-        region.cloud.is_full = False
-        await users.join()
-        await traffic.cancel_mistakes()
+        await traffic.run(TROUBLES)
         # once idle machines have been returned, a sound job of each team finds what room is left
         await curio.sleep(2 * region.settings.idle_machine_timeout_s)
         for number, team in enumerate(region.settings.teams):
--- a/tests/test_worker_tokens.py
+++ b/tests/test_worker_tokens.py
@@ -193,15 +193,23 @@
     run_scenario(scenario)
 
 
+async def _drain_before_the_start(
+    state: StateService, clock: FakeClock, nodes: Nodes
+) -> tuple[SteppedController, PlannedAttempt]:
+    """Return a controller that drains an attempt whose direct start was not answered."""
+    node = await boot_with_waiting_job(state, clock, nodes, machines=1, sacks=1)
+    node.worker.scripted_response = NoResponseError("no response")
+    node.report("n-0", 1, 1, node.token())
+    await node.round()
+    await curio.sleep(0.01)
+    (attempt,) = node.cluster.machines["n-0"].attempts.values()
+    node.heartbeats.request_stop(attempt, StopReason.DRAINED)
+    return node, attempt
+
+
 def test_an_attempt_that_never_started_ends_although_other_starts_are_sent_all_the_time() -> None:
     async def scenario(state: StateService, clock: FakeClock, nodes: Nodes) -> None:
-        node = await boot_with_waiting_job(state, clock, nodes, machines=1, sacks=1)
-        node.worker.scripted_response = NoResponseError("no response")
-        node.report("n-0", 1, 1, node.token())
-        await node.round()
-        await curio.sleep(0.01)
-        (attempt,) = node.cluster.machines["n-0"].attempts.values()
-        node.heartbeats.request_stop(attempt, StopReason.DRAINED)
+        node, attempt = await _drain_before_the_start(state, clock, nodes)
         view = node.heartbeats.find_view("n-0")
         assert view is not None
         raised = node.report("n-0", 1, 2, node.token()).token
@@ -215,13 +223,7 @@
 
 def test_a_start_sent_after_all_counts_as_long_as_the_worker_may_execute_it() -> None:
     async def scenario(state: StateService, clock: FakeClock, nodes: Nodes) -> None:
-        node = await boot_with_waiting_job(state, clock, nodes, machines=1, sacks=1)
-        node.worker.scripted_response = NoResponseError("no response")
-        node.report("n-0", 1, 1, node.token())
-        await node.round()
-        await curio.sleep(0.01)
-        (attempt,) = node.cluster.machines["n-0"].attempts.values()
-        node.heartbeats.request_stop(attempt, StopReason.DRAINED)
+        node, attempt = await _drain_before_the_start(state, clock, nodes)
         raised = node.report("n-0", 1, 2, node.token()).token
         # the stop is withdrawn, the attempt is sent a second time, and stopped after all
         node.heartbeats.forget_stop(attempt)
