--- a/tests/test_late_command_copies.py
+++ b/tests/test_late_command_copies.py
@@ -183,3 +183,27 @@
                 assert len(region.checker.starts) == 1
 
     simulate(scenario)
+
+
+def test_a_copy_of_a_stop_ends_no_later_attempt() -> None:
+    async def scenario(region: Region) -> None:
+        first = await _start_task(region)
+        other = next(w for w in region.workers.values() if w is not first)
+        other.notice_s = NOTICE_S
+        await curio.sleep(2 * region.heartbeat_interval_s)
+        owner = region.nodes[region.owners()[region.settings.shard_of_team(TEAM)]]
+        attempt = owner.cluster.machines[first.machine].attempts[JOB, 0]
+        owner.heartbeats.request_stop(attempt, StopReason.PREEMPTED)
+        await owner.command_sender.send([], [attempt])
+        await region.wait_until(lambda: len(region.checker.starts) == 2, MOVED_WITHIN_S)
+        assert [call["orders"][0]["verb"] for call in first.executed_commands] == [
+            "start",
+            "kill",
+            "start",
+        ]
+        for call in first.executed_commands[::-1]:
+            await first.receive_copy(call)
+        assert first.tasks[JOB, 0].attempt == attempt.number + 1
+        assert first in region.workers_running(JOB)
+
+    simulate(scenario)
