Tests: a controller that is killed while it is frozen ends its loops

A kill during the freeze ended the wrapper, not the loop that it runs; the loop's coroutine was dropped, and the interpreter printed "coroutine ignored GeneratorExit" when it was collected.

--- a/tests/virtual_time.py
+++ b/tests/virtual_time.py
@@ -73,14 +73,14 @@
             return
         try:
             value = yield trap
+            while clock.now() < until():
+                yield from curio.sleep(until() - clock.now()).__await__()
         except GeneratorExit:
             loop.close()
             raise
         except BaseException as exc:
             step = partial(loop.throw, exc)
             continue
-        while clock.now() < until():
-            yield from curio.sleep(until() - clock.now()).__await__()
         step = partial(loop.send, value)
 
 
