--- a/review/standins2/services.py
+++ b/review/standins2/services.py
@@ -57,6 +57,8 @@
         self.refused: set[str] = set()
         self.silent: set[str] = set()
         self.extra_latency: dict[str, float] = {}
+        # by controller: how long the answers to its transactions and to its watch take
+        self.answer_delays: dict[str, tuple[float, float]] = {}
         # takes a transaction's body and controller; may return "late:SECONDS", "lose" or None
         self.txn_fault: Any = None
         self.servers: dict[str, Server] = {}
@@ -124,6 +126,11 @@
                 self.refused_rate += 1
                 return 429, {"error": "rate"}
             answer = await self._route(label, method, path, body)
+            txn_s, watch_s = self.answer_delays.get(label, (0.0, 0.0))
+            if path == "/txn":
+                await asyncio.sleep(txn_s)
+            elif path.startswith("/changes") and "holdMs=0" not in path:
+                await asyncio.sleep(watch_s)
             await self._hold(label)
             return answer  # type: ignore[no-any-return]
 
