--- a/review/standins2/world.py
+++ b/review/standins2/world.py
@@ -268,11 +268,18 @@
         until = time.monotonic() + wait_ready_s
         while time.monotonic() < until:
             if all([await self.is_healthy(label) for label in self.labels]):
+                self._check_ports()
                 self.note("all controllers are healthy")
                 return
             await asyncio.sleep(0.3)
         raise RuntimeError("controllers did not become healthy")
 
+    def _check_ports(self) -> None:
+        """Check that no other process took a port between its choice and its use."""
+        for label in self.labels:
+            if "Address already in use" in (self.folder / f"{label}.log").read_text():
+                raise RuntimeError(f"a port of {label} was taken by another process")
+
     def _toml(self, label: str) -> str:
         s, c = self.settings, self.controllers[label]
         lines = [
