Lending: a job runs on free room of another shard when its own and the cloud have none

Cause: teams are parted into shards, and each shard's owner places on its own machines only. A machine reaches another shard by a transfer, which takes one that is idle or runs nothing but arrays of lower priority than a waiting replica. With the cloud out of capacity a machine that runs one replica therefore serves its own shard's teams only.

Change: the owner of a machine with room lends a part of it by a field of the machine's record to a shard whose job has made no progress for a worker lease and finds no room. The borrowing shard's owner plans its tasks there, under its own limits and in its own queue's order; the machine's owner alone commands the machine, and records the ends of all attempts on it. It is used from feature level 2 on, so that no controller of an earlier version owns such a machine. The rule of progress is now judged over all machines.

--- a/crossmill/cluster/cluster_state.py
+++ b/crossmill/cluster/cluster_state.py
@@ -14,7 +14,15 @@
 from .job_index import JobIndex
 from .layout import PlanLayout
 from .machine_index import MachineIndex
-from .model import CancellationNote, ControllerRecord, Job, JobEnd, Level, OwnershipRecord
+from .model import (
+    CancellationNote,
+    ControllerRecord,
+    FeatureNote,
+    Job,
+    JobEnd,
+    Level,
+    OwnershipRecord,
+)
 from .plan_index import PlanIndex
 from .records import decode_catalog, decode_controller, decode_job, decode_level
 
@@ -34,8 +42,8 @@
         self.leader: str | None = None
         # numbers of writes and deletions of the controllers' keys, by label
         self.key_change_counts: dict[str, int] = {}
-        # feature note versions by label of the controllers that support the next feature level
-        self.feature_note_versions: dict[str, int] = {}
+        # the notes of the feature levels that the controllers support, by label
+        self.feature_notes: dict[str, FeatureNote] = {}
 
     def apply(self, label: str, value: Any) -> None:
         """Apply a change of a controller's record; a value of None means deleted or expired."""
@@ -46,11 +54,11 @@
             self[label] = decode_controller(value)
 
     def apply_feature_note(self, label: str, value: Any, version: int) -> None:
-        """Apply a change of the note that a controller supports the next feature level."""
+        """Apply a change of the note of the feature level that a controller supports."""
         if value is None:
-            self.feature_note_versions.pop(label, None)
+            self.feature_notes.pop(label, None)
         else:
-            self.feature_note_versions[label] = version
+            self.feature_notes[label] = FeatureNote(value["level"], version)
 
 
 class ClusterState:
@@ -102,6 +110,10 @@
         settings = self._settings
         return settings.state_limits if self.level is None else settings.lowest_state_limits
 
+    def has_level(self, number: int) -> bool:
+        """Return whether the cluster's feature level has been raised at least to the number."""
+        return self.level is not None and self.level.number >= number
+
     def token_counter(self) -> int:
         """Return the highest fencing token that an owner or a machine may have so far."""
         counter = self.mirror.value(keys.TOKEN)
--- a/crossmill/cluster/feature_level.py
+++ b/crossmill/cluster/feature_level.py
@@ -1,9 +1,10 @@
 """Raises the cluster's feature level once all controllers run a version that supports it.
 
-Each controller of this version writes a note under a separate key, which is attached to no lease
-and which the previous version ignores. Once every configured controller has written its note, the
-leader raises the level in a transaction that is conditional on all notes. Until then, no record is
-written that the previous version could not read. The level is never lowered.
+Each controller notes the highest level that it supports under a separate key, which is attached to
+no lease and which versions without feature levels ignore. Once every configured controller has
+written its note, the leader raises the level to the lowest of them, in a transaction that is
+conditional on all notes. Until then, nothing is written that a controller of an earlier version
+could not read or act on. The level is never lowered.
 """
 
 import logging
@@ -16,7 +17,7 @@
 from ..wire.state import Put, Txn
 from . import keys
 from .membership import Membership
-from .model import Level
+from .model import FeatureNote, Level
 from .records import encode_level
 from .state_access import StateAccess
 
@@ -24,6 +25,11 @@
 
 # the level that adds job dependencies, plans in segments and the lowest state service limits
 DEPENDENCY_LEVEL = 1
+# the level that adds loans of a machine's capacity to another shard, whose tasks the machine's
+# owner then commands and whose ends it records
+LENDING_LEVEL = 2
+# the highest level that this version supports
+SUPPORTED_LEVEL = LENDING_LEVEL
 
 
 class FeatureLevel:
@@ -42,39 +48,49 @@
     async def run(self) -> None:
         """Run steps until the level is raised, then wait until the controller stops."""
         await self._watcher.ready.wait()
-        while self._cluster.level is None:
+        while not self._cluster.has_level(SUPPORTED_LEVEL):
             await self.step()
             await curio.sleep(self._settings.lease_renewal_interval_s)
-        log.info("feature level raised level=%d", self._cluster.level.number)
+        log.info("feature level raised level=%d", SUPPORTED_LEVEL)
         await curio.Event().wait()
 
     async def step(self) -> None:
         """Write the note or the level if it is due; the next step retries a failed write."""
-        if self._cluster.level is not None:
+        if self._cluster.has_level(SUPPORTED_LEVEL):
             return
-        feature_note_versions = self._cluster.controllers.feature_note_versions
-        if self._settings.label not in feature_note_versions:
-            await self._write_note()
-        is_complete = all(label in feature_note_versions for label in self._settings.labels)
+        notes = self._cluster.controllers.feature_notes
+        own_note = notes.get(self._settings.label)
+        if own_note is None or own_note.level < SUPPORTED_LEVEL:
+            await self._write_note(own_note)
+        is_complete = all(label in notes for label in self._settings.labels)
         if is_complete and self._membership.leadership_version() is not None:
-            await self._raise_level()
+            lowest_level = min(notes[label].level for label in self._settings.labels)
+            number = min(lowest_level, SUPPORTED_LEVEL)
+            if not self._cluster.has_level(number):
+                await self._raise_level(number)
 
-    async def _write_note(self) -> None:
+    async def _write_note(self, earlier: FeatureNote | None) -> None:
+        """Write this controller's note, which may replace that of an earlier version."""
         key = keys.feature_note(self._settings.label)
-        await self._commit(Txn({key: 0}, [Put(key, {"level": DEPENDENCY_LEVEL})]))
+        version = earlier.version if earlier is not None else 0
+        await self._commit(Txn({key: version}, [Put(key, {"level": SUPPORTED_LEVEL})]))
 
-    async def _raise_level(self) -> None:
-        level = Level(
-            DEPENDENCY_LEVEL,
-            self._settings.state_limits.chunk_tasks,
-            self._settings.lowest_state_limits.segment_tasks,
-        )
-        feature_note_versions = self._cluster.controllers.feature_note_versions
+    async def _raise_level(self, number: int) -> None:
+        """Raise the level; the sizes of chunks stay as the first raise has fixed them."""
+        current = self._cluster.level
+        if current is not None:
+            level = current._replace(number=number)
+        else:
+            level = Level(
+                number,
+                self._settings.state_limits.chunk_tasks,
+                self._settings.lowest_state_limits.segment_tasks,
+            )
+        notes = self._cluster.controllers.feature_notes
         conditions = {
-            keys.feature_note(label): feature_note_versions[label]
-            for label in self._settings.labels
+            keys.feature_note(label): notes[label].version for label in self._settings.labels
         }
-        conditions[keys.LEVEL] = 0
+        conditions[keys.LEVEL] = self._cluster.mirror.version(keys.LEVEL)
         await self._commit(Txn(conditions, [Put(keys.LEVEL, encode_level(level))]))
 
     async def _commit(self, txn: Txn) -> None:
--- a/crossmill/cluster/machine_index.py
+++ b/crossmill/cluster/machine_index.py
@@ -6,7 +6,7 @@
 from ..settings import Settings
 from ..wire.cloud import MachineType
 from .job_index import JobIndex
-from .model import Job, Machine, PlannedAttempt
+from .model import NO_RESOURCES, Job, Machine, PlannedAttempt, Resources
 from .records import decode_machine
 
 # attempts on a machine, by job ID and task index
@@ -32,6 +32,8 @@
         self.by_shard: dict[int, dict[str, Machine]] = {
             shard: {} for shard in range(settings.shard_count)
         }
+        # machines whose record contains a loan, by machine ID
+        self.with_loan: dict[str, Machine] = {}
         # attempts on machines without a record, by machine ID
         self._orphaned: dict[str, Attempts] = {}
 
@@ -40,6 +42,7 @@
         old_machine = self.pop(machine_id, None)
         if old_machine is not None:
             self.by_shard[old_machine.shard].pop(machine_id, None)
+            self.with_loan.pop(machine_id, None)
         if value is None:
             if old_machine is not None and old_machine.attempts:
                 self._orphaned[machine_id] = old_machine.attempts
@@ -47,7 +50,10 @@
         machine = decode_machine(machine_id, value, version)
         if old_machine is not None:
             machine.images = old_machine.images
+            _record_reduced_loan(machine, old_machine)
         self[machine_id] = machine
+        if machine.loan is not None:
+            self.with_loan[machine_id] = machine
         self.by_shard[machine.shard][machine_id] = machine
         machine.attempts = (
             old_machine.attempts if old_machine else self._orphaned.pop(machine_id, {})
@@ -70,6 +76,68 @@
         machine = self.get(machine_id)
         return machine.attempts if machine else self._orphaned.setdefault(machine_id, {})
 
+    def commanding_shard(self, attempt: PlannedAttempt) -> int | None:
+        """Return the shard whose owner commands the attempt, and records its end.
+
+        It is the machine's shard. Of an attempt on a machine without a record only the end is left
+        to be recorded, which the job's shard does. None if neither record is known.
+        """
+        machine = self.get(attempt.machine)
+        if machine is not None:
+            return machine.shard
+        job = self._jobs.get(attempt.job)
+        return job.shard if job is not None else None
+
+    def may_be_commanded_by(self, attempt: PlannedAttempt, shard: int) -> bool:
+        """Return whether the shard's owner may command the attempt; true if that is unknown."""
+        machine = self.get(attempt.machine)
+        if machine is not None:
+            return machine.shard == shard
+        job = self._jobs.get(attempt.job)
+        return job is None or not job.has_record or job.shard == shard
+
+    def guest_jobs(self, shard: int) -> list[Job]:
+        """Return the jobs of other shards that have attempts on machines lent by the shard."""
+        guests = {
+            attempt.job: job
+            for machine in self.with_loan.values()
+            if machine.shard == shard
+            for attempt in machine.attempts.values()
+            if (job := self._jobs.get(attempt.job)) is not None
+            and job.spec is not None
+            and job.shard != shard
+        }
+        return list(guests.values())
+
+    def has_guests(self, machine: Machine) -> bool:
+        """Return whether a task of another shard's job is planned on the machine."""
+        return any(
+            (job := self._jobs.get(attempt.job)) is not None
+            and job.has_record
+            and job.shard != machine.shard
+            for attempt in machine.attempts.values()
+        )
+
+    def usage_by_shard(self, machine: Machine, shard: int) -> Resources:
+        """Return the resources that tasks of the shard's jobs use on the machine."""
+        cpus, gpus, memory_gb = NO_RESOURCES
+        for attempt in machine.attempts.values():
+            job = self._jobs.get(attempt.job)
+            if job is not None and job.spec is not None and job.shard == shard:
+                cpus += job.spec.cpus
+                gpus += job.spec.gpus
+                memory_gb += job.spec.memory_gb
+        return Resources(cpus, gpus, memory_gb)
+
+    def unused_loan(self, machine: Machine) -> Resources:
+        """Return the resources that are lent to another shard and that its tasks do not use."""
+        loan = machine.loan
+        if loan is None or loan.is_closed:
+            return NO_RESOURCES
+        used = self.usage_by_shard(machine, loan.shard)
+        unused = (max(0.0, lent - use) for lent, use in zip(loan.resources, used, strict=True))
+        return Resources(*unused)
+
     def orphaned_attempts(self) -> Iterator[PlannedAttempt]:
         """Yield the attempts on machines that have no record because they were released.
 
@@ -134,3 +202,11 @@
             if machine is not None:
                 counts[machine.zone] = counts.get(machine.zone, 0) + 1
         return counts
+
+
+def _record_reduced_loan(machine: Machine, old_machine: Machine) -> None:
+    """Note the version of the machine's record if it grants less than the record before it."""
+    machine.loan_reduced_at = old_machine.loan_reduced_at
+    old_loan = old_machine.loan
+    if old_loan is not None and (machine.loan is None or machine.loan.grants_less_than(old_loan)):
+        machine.loan_reduced_at = machine.version
--- a/crossmill/cluster/model.py
+++ b/crossmill/cluster/model.py
@@ -208,6 +208,43 @@
         return tasks if self.spec is not None and self.spec.is_gang else min(tasks, 1)
 
 
+class Resources(NamedTuple):
+    """CPUs, GPUs and memory in GB of a machine or of tasks."""
+
+    cpus: float
+    gpus: float
+    memory_gb: float
+
+
+NO_RESOURCES = Resources(0.0, 0.0, 0.0)
+
+
+class CapacityLoan(NamedTuple):
+    """Resources of a machine on which another shard's owner may plan tasks of its own jobs.
+
+    The machine's own owner sends all commands, whoever planned the tasks. `resources` is the total
+    for the borrowing shard's tasks, including those already planned on the machine. A loan without
+    resources is closed: nothing new is planned under it, and it remains until the machine has no
+    task of another shard. `session` is the worker session for which tasks are planned.
+    """
+
+    shard: int
+    session: int
+    resources: Resources
+
+    @property
+    def is_closed(self) -> bool:
+        """Whether nothing may be planned under the loan any more."""
+        return self.resources == NO_RESOURCES
+
+    def grants_less_than(self, other: "CapacityLoan") -> bool:
+        """Return whether the loan grants less than the other one, or something else."""
+        if (self.shard, self.session) != (other.shard, other.session):
+            return True
+        pairs = zip(self.resources, other.resources, strict=True)
+        return any(own < others for own, others in pairs)
+
+
 @dataclass(slots=True, eq=False)
 class Machine:
     """A rented machine: its stored record, the attempts planned onto it and their usage.
@@ -232,6 +269,9 @@
     # seconds from the rental to the first heartbeat that the shard's owner received, if known
     boot_s: float | None = None
     cordoned_until: float = 0.0
+    # resources lent to another shard, and the version of the record that last reduced a loan
+    loan: CapacityLoan | None = None
+    loan_reduced_at: int = 0
     used_cpus: float = 0.0
     used_gpus: float = 0.0
     used_memory_gb: float = 0.0
@@ -280,6 +320,13 @@
     segment_tasks: int
 
 
+class FeatureNote(NamedTuple):
+    """A controller's note of the highest feature level it supports, and its key's version."""
+
+    level: int
+    version: int
+
+
 class CancellationNote(NamedTuple):
     """The note that a job is to be cancelled: the version of its key and its wall-clock time."""
 
--- a/crossmill/cluster/records.py
+++ b/crossmill/cluster/records.py
@@ -14,6 +14,7 @@
 from ..wire.users import JobSpec
 from .model import (
     ACTIVE,
+    CapacityLoan,
     ControllerRecord,
     Job,
     JobEnd,
@@ -21,6 +22,7 @@
     Machine,
     PlanChunk,
     PlannedAttempt,
+    Resources,
     ShardAssignment,
 )
 
@@ -179,9 +181,35 @@
     until = machine.cordoned_until if cordoned_until is None else cordoned_until
     if until:
         record["cordoned_until"] = until
+    # a transfer and a retirement end the machine's loan
+    if machine.loan is not None and assignment is None and not record["retiring"]:
+        record["lent"] = _encode_loan(machine.loan)
     return record
 
 
+def encode_machine_with_loan(machine: Machine, loan: CapacityLoan | None) -> dict[str, Any]:
+    """Encode a machine's record with its loan replaced; None removes the loan.
+
+    Versions below feature level 2 ignore a loan and drop it with their next write of the record.
+    """
+    record = encode_machine(machine)
+    record.pop("lent", None)
+    if loan is not None:
+        record["lent"] = _encode_loan(loan)
+    return record
+
+
+def _encode_loan(loan: CapacityLoan) -> list[float]:
+    return [loan.shard, loan.session, *loan.resources]
+
+
+def _decode_loan(value: list[Any] | None) -> CapacityLoan | None:
+    if value is None:
+        return None
+    shard, session, cpus, gpus, memory_gb = value
+    return CapacityLoan(shard, session, Resources(cpus, gpus, memory_gb))
+
+
 def decode_machine(machine_id: str, value: dict[str, Any], version: int) -> Machine:
     """Decode a machine's record in any version's format."""
     return Machine(
@@ -197,6 +225,7 @@
         version,
         value.get("boot_s"),
         value.get("cordoned_until", 0.0),
+        _decode_loan(value.get("lent")),
     )
 
 
--- a/crossmill/fleet/capacity.py
+++ b/crossmill/fleet/capacity.py
@@ -189,18 +189,46 @@
         return capacities
 
     def free_capacity(self, machine: Machine, machine_type: MachineType) -> FreeCapacity:
-        """Return the capacity that the planned tasks leave free on a machine."""
+        """Return the capacity that the planned tasks and a loan leave free on a machine."""
         capacity = idle_capacity(machine.id, machine_type, machine.zone, machine.spot)
-        capacity.cpus -= machine.used_cpus
-        capacity.gpus -= machine.used_gpus
-        capacity.memory_gb -= machine.used_memory_gb
+        unused_loan = self._cluster.machines.unused_loan(machine)
+        capacity.cpus -= machine.used_cpus + unused_loan.cpus
+        capacity.gpus -= machine.used_gpus + unused_loan.gpus
+        capacity.memory_gb -= machine.used_memory_gb + unused_loan.memory_gb
+        self._describe(capacity, machine)
+        return capacity
+
+    def borrowed_capacities(self, shard: int) -> list[FreeCapacity]:
+        """Return the capacity that other shards lend to this one and that is free."""
+        wall_time = self._clock.wall_time()
+        return [
+            self._borrowed_capacity(machine, machine_type)
+            for machine in self._cluster.machines.with_loan.values()
+            if machine.loan is not None
+            and machine.loan.shard == shard
+            and not machine.loan.is_closed
+            and not machine.retirement_reason
+            and not machine.is_cordoned(wall_time)
+            and (machine_type := self._cluster.catalog.get(machine.type)) is not None
+        ]
+
+    def _borrowed_capacity(self, machine: Machine, machine_type: MachineType) -> FreeCapacity:
+        capacity = idle_capacity(machine.id, machine_type, machine.zone, machine.spot)
+        capacity.cpus, capacity.gpus, capacity.memory_gb = self._cluster.machines.unused_loan(
+            machine
+        )
+        capacity.is_borrowed = True
+        self._describe(capacity, machine)
+        return capacity
+
+    def _describe(self, capacity: FreeCapacity, machine: Machine) -> None:
+        """Set the properties by which placement ranks the machine."""
         capacity.images = dict(machine.images)
         capacity.is_used = bool(machine.attempts)
         capacity.in_limited_zone = self.is_limited_zone(machine.zone)
         footprints = self._gpu_footprints()
         capacity.typical_gpu_task = footprints.typical
         capacity.exclusive_gpu_task = footprints.exclusive_footprint(capacity)
-        return capacity
 
     def shard_capacities(self, shard: int, wall_time: float) -> list[FreeCapacity]:
         """Return the free capacity that tasks may use on the shard's machines, booting ones too.
--- a/crossmill/fleet/forecast.py
+++ b/crossmill/fleet/forecast.py
@@ -113,7 +113,7 @@
         demands: list[TaskDemand] = []
         running, reserved = self._running_array_tasks(shard), 0
         for job in self.waiting_jobs(shard):
-            demand = self._waiting_demand(job, wall_time)
+            demand = self.demand_of(job, wall_time)
             if demand is None:
                 continue
             if demand.spec.kind == "array" and demand.task_s > 0:
@@ -123,7 +123,8 @@
             demands.append(demand)
         return demands
 
-    def _waiting_demand(self, job: Job, wall_time: float) -> TaskDemand | None:
+    def demand_of(self, job: Job, wall_time: float) -> TaskDemand | None:
+        """Return the demand of the job's waiting tasks, or None if none may be placed now."""
         spec, tasks = job.spec, job.placeable_task_count()
         if spec is None or tasks <= 0:
             return None
@@ -217,7 +218,7 @@
         # in the order in which the next scheduling round places them after they are stopped
         for job in sorted(jobs, key=self.queue_rank):
             spec, tasks = job.spec, moving[job.id]
-            if spec is None or spec.kind != "service":
+            if spec is None or spec.kind != "service" or job.shard != machine.shard:
                 return False
             zones = self._cluster.machines.task_counts_by_zone(job)
             zones[machine.zone] -= tasks
--- a/crossmill/jobs/outcomes.py
+++ b/crossmill/jobs/outcomes.py
@@ -51,11 +51,17 @@
 def collect_outcomes(
     cluster: ClusterState, outcomes: Mapping[TaskKey, AttemptOutcome], shard: int, term: int
 ) -> list[ChunkOutcomes]:
-    """Return the outcomes proved in the owner's current term by chunk, oldest first."""
+    """Return the outcomes proved in the owner's current term by chunk, oldest first.
+
+    The shard is that of the machines: their owner records the ends of all attempts on them, also
+    those of other shards' jobs.
+    """
     batches: dict[tuple[str, str], ChunkOutcomes] = {}
     for (job_id, index), outcome in outcomes.items():
         job = cluster.jobs.get(job_id)
-        if job is None or job.shard != shard or outcome.term != term:
+        if job is None or outcome.term != term:
+            continue
+        if cluster.machines.commanding_shard(outcome.attempt) != shard:
             continue
         name = cluster.layout.chunk_of(index, job.chunks).name
         chunk = job.chunks.get(name)
@@ -133,11 +139,11 @@
             for outcome in batch.outcomes
         }
         for key in [key for key in outcomes if key not in valid]:
-            job = self._cluster.jobs.get(key[0])
+            commanding_shard = self._cluster.machines.commanding_shard(outcomes[key].attempt)
             if (
-                job is None
-                or job.shard == shard
-                or self._membership.active_ownership(job.shard) is None
+                commanding_shard is None
+                or commanding_shard == shard
+                or self._membership.active_ownership(commanding_shard) is None
             ):
                 del outcomes[key]
 
--- a/crossmill/jobs/placement.py
+++ b/crossmill/jobs/placement.py
@@ -19,7 +19,7 @@
 from .machine_drain import MachineDrain
 from .machine_transfer import MachineTransfer
 from .plan_writer import PlanEdits, get_or_create_edit
-from .team_quotas import LIMIT_TOLERANCE, ResourceUsage, TeamQuotas, UsageByTeam
+from .team_quotas import ResourceUsage, TeamQuotas, UsageByTeam
 
 log = logging.getLogger(__name__)
 
@@ -39,6 +39,8 @@
     DRAINING = "draining"
     # it is being transferred to another shard
     TRANSFERRING = "transferring"
+    # a loan of its capacity has just been reduced: not all tasks planned under it may be known
+    LOAN_REDUCED = "loan-reduced"
 
 
 class MachineEligibility:
@@ -52,6 +54,7 @@
         failures: TaskFailures,
     ) -> None:
         self._settings = context.settings
+        self._mirror = context.cluster.mirror
         self._heartbeats = context.heartbeats
         self._machine_drain = machine_drain
         self._machine_transfer = machine_transfer
@@ -62,6 +65,10 @@
 
         `now` is in seconds of the controller's monotonic clock.
         """
+        return self._exclusion_by_worker(machine, now) or self._exclusion_by_plans(machine)
+
+    def _exclusion_by_worker(self, machine: Machine, now: float) -> MachineExclusion | None:
+        """Return the exclusion that follows from the machine's state, if any."""
         if machine.retirement_reason:
             return MachineExclusion.RETIRING
         view = self._heartbeats.find_view(machine.id)
@@ -71,8 +78,14 @@
             return MachineExclusion.TERMINATION_NOTICE
         if self._failures.is_unusable(machine):
             return MachineExclusion.FAULTY
+        return None
+
+    def _exclusion_by_plans(self, machine: Machine) -> MachineExclusion | None:
+        """Return the exclusion that follows from what owners have planned for it, if any."""
         if self._machine_drain.is_draining(machine.id):
             return MachineExclusion.DRAINING
+        if machine.loan_reduced_at > self._mirror.revision:
+            return MachineExclusion.LOAN_REDUCED
         return MachineExclusion.TRANSFERRING if self._is_transferring(machine) else None
 
     def _is_transferring(self, machine: Machine) -> bool:
@@ -146,6 +159,7 @@
             )
         started_at = self._clock.now()
         capacities = self._schedulable_capacities(machines)
+        capacities += self._forecast.capacity.borrowed_capacities(shard)
         self._usage = self._quotas.usage(shard)
         for job in self._rotated_queue(shard, queue):
             if self._clock.now() - started_at > self._settings.scheduling_time_budget_s:
@@ -201,7 +215,7 @@
         """Return the number of tasks that team limits and earlier failures allow to place now."""
         if failures is not None and failures.not_before > self._clock.now():
             return 0
-        return min(job.placeable_task_count(), self._tasks_within_limit(spec, usage))
+        return min(job.placeable_task_count(), self._quotas.tasks_within_limit(spec, usage))
 
     def _record_long_run(self, job: Job, edits: PlanEdits) -> None:
         """Record in the plan that an attempt of the suspected job has run for long, if one has.
@@ -219,20 +233,6 @@
                 log.info("job cleared job=%s task=%d", job.id, attempt.index)
                 return
 
-    def _tasks_within_limit(self, spec: JobSpec, usage: ResourceUsage) -> int:
-        """Return the number of further tasks of the job that the team's limits allow."""
-        team = self._settings.team(spec.team)
-        if team is None:
-            return 0
-        tasks = spec.tasks
-        for limit, used, per_task in (
-            (team.cpus_max, usage.cpus, spec.cpus),
-            (team.gpus_max, usage.gpus, spec.gpus),
-        ):
-            if limit > 0 and per_task > 0:
-                tasks = min(tasks, int((limit - used + LIMIT_TOLERANCE) / per_task))
-        return max(0, tasks)
-
     def _waiting_tasks(self, job: Job, spec: JobSpec) -> list[int]:
         """Return a bounded list of the lowest indexes of tasks without an attempt or a result."""
         layout = self._cluster.layout
@@ -260,18 +260,18 @@
 
     def _plan_start(self, job: Job, index: int, machine_id: str, edits: PlanEdits) -> None:
         """Add the task's start to the edits, if the chunk's transaction has space for it."""
-        view = self._heartbeats.find_view(machine_id)
+        machine = self._cluster.machines[machine_id]
+        session = self._session_for(machine, job)
         name = self._cluster.layout.chunk_of(index, job.chunks).name
         edit = get_or_create_edit(edits, job, name)
         max_machines = self._cluster.limits.max_machines_per_txn
-        if view is None or len({start.machine for start in edit.starts}) >= max_machines:
+        if session is None or len({start.machine for start in edit.starts}) >= max_machines:
             return
         number = edit.base.next_attempt_number if edit.base else 1
         if job.spec is not None and not job.spec.is_gang:
             # a gang's tasks find one another by their common attempt number
             number += len(edit.starts)
-        machine = self._cluster.machines[machine_id]
-        edit.start(PlannedAttempt(job.id, index, number, machine_id, view.session), machine)
+        edit.start(PlannedAttempt(job.id, index, number, machine_id, session), machine)
         is_cached = job.spec is not None and job.spec.image in machine.images
         log.info(
             "task placed job=%s task=%d attempt=%d machine=%s cached=%s",
@@ -281,3 +281,13 @@
             machine_id,
             is_cached,
         )
+
+    def _session_for(self, machine: Machine, job: Job) -> int | None:
+        """Return the worker session for which a task is planned; None if it is unknown.
+
+        Of a machine that another shard lends, only that shard's owner receives the heartbeats.
+        """
+        if machine.shard != job.shard:
+            return machine.loan.session if machine.loan is not None else None
+        view = self._heartbeats.find_view(machine.id)
+        return view.session if view is not None else None
--- a/crossmill/jobs/preemption.py
+++ b/crossmill/jobs/preemption.py
@@ -133,6 +133,10 @@
         reservation = self._reservations.get(capacity.machine)
         return reservation is None or reservation.job_id == job.id
 
+    def is_reserved(self, machine_id: str) -> bool:
+        """Return whether the machine is reserved for any job."""
+        return machine_id in self._reservations
+
     def is_reserved_for(self, capacity: FreeCapacity, job: Job) -> bool:
         """Return whether the machine is reserved for this job."""
         reservation = self._reservations.get(capacity.machine)
@@ -185,7 +189,8 @@
         for capacity in capacities:
             if not is_allowed(spec, capacity.type, capacity.zone, capacity.spot):
                 continue
-            if not self.is_available_to(capacity, job):
+            # only the owner of a machine may stop tasks on it
+            if capacity.is_borrowed or not self.is_available_to(capacity, job):
                 continue
             victims = self._victims(spec, capacity, stoppable)
             if victims is not None:
@@ -264,7 +269,8 @@
         if stoppable is not None:
             return stoppable
         result = self._stoppable[preemptor] = {}
-        for other in self._cluster.jobs.active[job.shard].values():
+        guests = self._cluster.machines.guest_jobs(job.shard)
+        for other in (*self._cluster.jobs.active[job.shard].values(), *guests):
             victim = other.spec
             if victim is None or not other.chunks:
                 continue
--- a/crossmill/jobs/scheduling_loop.py
+++ b/crossmill/jobs/scheduling_loop.py
@@ -38,6 +38,7 @@
 from .team_quotas import TeamQuotas
 
 if TYPE_CHECKING:
+    from .machine_lending import MachineLending
     from .waiting_report import WaitingReport
 
 log = logging.getLogger(__name__)
@@ -94,6 +95,8 @@
         self._eligibility = MachineEligibility(
             context, machine_drain, self._machine_transfer, self._failures
         )
+        self._preemption = preemption
+        self._lending: MachineLending | None = None
         self._placement = TaskPlacement(
             context,
             self._quotas,
@@ -149,7 +152,9 @@
             self._failures.forget_ended(shard)
         maintenance = self._maintenance.writes(shard, ownership, machines)
         transfers = self._machine_transfer.writes(shard, ownership, machines)
-        writes += [_RoundWrite(intent, []) for intent in (*maintenance, *transfers.values())]
+        loans = self._loan_writes(shard, ownership, machines, edits)
+        others = (*maintenance, *transfers.values(), *loans)
+        writes += [_RoundWrite(intent, []) for intent in others]
         await self._submit(writes, transfers)
         await self._send_durable_starts(writes)
         self._report_waiting_jobs(shard, machines)
@@ -168,6 +173,27 @@
         stops = list(self._machine_transfer.choose_machines(shard))
         return stops + self._placement.place(shard, ownership, machines, edits)
 
+    def _loan_writes(
+        self, shard: int, ownership: ShardOwnership, machines: list[Machine], edits: PlanEdits
+    ) -> list[WriteIntent]:
+        """Return the writes of loans; lending is loaded late, as each import delays the start."""
+        if self._lending is None:
+            started_for_s = self._context.clock.now() - self._started_at
+            is_needed = started_for_s >= self._settings.machine_transfer_interval_s
+            if not (is_needed or self._cluster.machines.with_loan):
+                return []
+            from .machine_lending import MachineLending
+
+            self._lending = MachineLending(
+                self._context,
+                self._membership,
+                self._quotas,
+                self._preemption,
+                self._eligibility,
+                self._failures,
+            )
+        return self._lending.writes(shard, ownership, machines, edits)
+
     def _report_waiting_jobs(self, shard: int, machines: list[Machine]) -> None:
         """Log why jobs wait; the report is loaded late, as each import at the start delays it."""
         if self._waiting_report is None:
--- a/crossmill/jobs/team_quotas.py
+++ b/crossmill/jobs/team_quotas.py
@@ -55,19 +55,37 @@
         self._within_quota: dict[int, set[str]] = {}
 
     def usage(self, shard: int) -> UsageByTeam:
-        """Return the resource usage of each team's planned tasks.
+        """Return the resource usage of the planned tasks of each team with tasks in the shard.
 
-        Attempts whose state on the worker is unknown count too.
+        These are the shard's teams, wherever their tasks are planned, and the teams of the shards
+        that have tasks on machines lent by this one. Attempts whose state on the worker is unknown
+        count too.
         """
         usage: UsageByTeam = {}
-        for job in (
-            *self._cluster.jobs.active[shard].values(),
-            *self._cluster.jobs.ended[shard].values(),
-        ):
-            if job.spec is not None and (task_count := job.planned_task_count()):
-                usage.setdefault(job.spec.team, ResourceUsage()).add(job.spec, task_count)
+        guest_shards = {job.shard for job in self._cluster.machines.guest_jobs(shard)}
+        for team_shard in (shard, *sorted(guest_shards)):
+            for job in (
+                *self._cluster.jobs.active[team_shard].values(),
+                *self._cluster.jobs.ended[team_shard].values(),
+            ):
+                if job.spec is not None and (task_count := job.planned_task_count()):
+                    usage.setdefault(job.spec.team, ResourceUsage()).add(job.spec, task_count)
         return usage
 
+    def tasks_within_limit(self, spec: JobSpec, usage: ResourceUsage) -> int:
+        """Return the number of further tasks of the job that its team's limits allow."""
+        team = self._settings.team(spec.team)
+        if team is None:
+            return 0
+        tasks = spec.tasks
+        for limit, used, per_task in (
+            (team.cpus_max, usage.cpus, spec.cpus),
+            (team.gpus_max, usage.gpus, spec.gpus),
+        ):
+            if limit > 0 and per_task > 0:
+                tasks = min(tasks, int((limit - used + LIMIT_TOLERANCE) / per_task))
+        return max(0, tasks)
+
     def gpus_over_quota(self, team_name: str, usage: UsageByTeam) -> float:
         """Return the GPUs that the team uses in excess of its quota; 0 if it has no quota.
 
--- a/crossmill/jobs/waiting_report.py
+++ b/crossmill/jobs/waiting_report.py
@@ -8,7 +8,6 @@
 
 import logging
 from collections import Counter
-from typing import NamedTuple
 
 from ..cluster.model import Job, Machine
 from ..planning.demand import idle_capacity
@@ -16,6 +15,7 @@
 from ..wire.users import JobSpec
 from .context import SchedulingContext
 from .placement import MachineEligibility
+from .waiting_times import WaitingTimes
 
 log = logging.getLogger(__name__)
 
@@ -23,13 +23,6 @@
 MAX_JOBS_REPORTED = 8
 
 
-class _Progress(NamedTuple):
-    """The number of a job's tasks that are planned or done, and since when it has not changed."""
-
-    tasks: int
-    since: float
-
-
 class WaitingReport:
     """Reports the jobs that have waited for long, with the machines that fit and their state."""
 
@@ -45,8 +38,7 @@
         self._eligibility = eligibility
         # times of the last reports in seconds, by shard
         self._reported_at: dict[int, float] = {}
-        # progress of the waiting jobs by shard and job ID
-        self._progress: dict[int, dict[str, _Progress]] = {}
+        self._waiting_times = WaitingTimes()
 
     def report(self, shard: int, machines: list[Machine]) -> None:
         """Log the shard's jobs that have waited for longer than the report interval."""
@@ -56,22 +48,12 @@
             return
         self._reported_at[shard] = now
         queue = self._forecast.waiting_jobs(shard)
-        progress = self._progress[shard] = self._updated_progress(shard, queue, now)
-        overdue = [job for job in queue if now - progress[job.id].since >= interval_s]
+        since = self._waiting_times.update(shard, queue, now)
+        overdue = [job for job in queue if now - since[job.id] >= interval_s]
         if overdue:
             counted = self._forecast.counted_machines(shard)
             for job in overdue[:MAX_JOBS_REPORTED]:
-                self._report_job(job, now - progress[job.id].since, machines, counted)
-
-    def _updated_progress(self, shard: int, queue: list[Job], now: float) -> dict[str, _Progress]:
-        before = self._progress.get(shard, {})
-        updated: dict[str, _Progress] = {}
-        for job in queue:
-            tasks = job.planned_task_count() + job.done_task_count()
-            entry = before.get(job.id)
-            is_unchanged = entry is not None and entry.tasks == tasks
-            updated[job.id] = entry if entry and is_unchanged else _Progress(tasks, now)
-        return updated
+                self._report_job(job, now - since[job.id], machines, counted)
 
     def _report_job(
         self, job: Job, waited_s: float, machines: list[Machine], counted: set[str]
@@ -81,15 +63,29 @@
         fitting = self._fitting_machines(job, job.spec, machines)
         states = Counter(self._state(job, machine) for machine in fitting)
         log.info(
-            "job waiting job=%s tasks=%d waited_s=%.0f machines=%s counted=%d suspect=%s",
+            "job waiting job=%s tasks=%d waited_s=%.0f machines=%s counted=%d suspect=%s "
+            "other_shards=%d",
             job.id,
             job.waiting_task_count(),
             waited_s,
             ",".join(f"{state}:{number}" for state, number in sorted(states.items())) or "none",
             sum(machine.id in counted for machine in fitting),
             job.is_suspect,
+            len(self._fitting_machines(job, job.spec, self._machines_of_other_shards(job.shard))),
         )
 
+    def _machines_of_other_shards(self, shard: int) -> list[Machine]:
+        """Return the machines that may get tasks by their records, except those of the shard."""
+        wall_time = self._clock.wall_time()
+        return [
+            machine
+            for machine in self._cluster.machines.values()
+            if machine.shard != shard
+            and machine.is_up
+            and not machine.retirement_reason
+            and not machine.is_cordoned(wall_time)
+        ]
+
     def _fitting_machines(self, job: Job, spec: JobSpec, machines: list[Machine]) -> list[Machine]:
         """Return the machines with room for a task of the job, by the durable plans."""
         zones = ZoneAllowance(spec, self._cluster.machines.task_counts_by_zone(job))
--- a/crossmill/planning/free_capacity.py
+++ b/crossmill/planning/free_capacity.py
@@ -81,6 +81,7 @@
         exclusive_gpu_task: Footprint of a job class that fits on only this machine type; None if
             there is no such class.
         has_new_tasks: Whether tasks were assigned since the object was created.
+        is_borrowed: Whether the machine belongs to another shard, whose owner lends the resources.
     """
 
     machine: str
@@ -101,6 +102,7 @@
     typical_gpu_task: TaskFootprint | None = None
     exclusive_gpu_task: TaskFootprint | None = None
     has_new_tasks: bool = False
+    is_borrowed: bool = False
 
     def copy(self) -> "FreeCapacity":
         """Return a copy whose resources and images can be modified independently."""
@@ -180,6 +182,10 @@
         # at most half of the tasks of a spread job go to one zone
         self._max_tasks_per_zone = (spec.tasks + 1) // 2
 
+    def copy(self) -> "ZoneAllowance":
+        """Return a copy that counts placed tasks independently."""
+        return ZoneAllowance(self._spec, self._placed)
+
     def remaining(self, zone: str) -> int:
         """Return how many more tasks the zone may get; zero or less means none."""
         if self._spec.one_zone and any(n for z, n in self._placed.items() if z != zone):
--- a/crossmill/settings/timing.py
+++ b/crossmill/settings/timing.py
@@ -271,3 +271,8 @@
     def max_machines_per_transfer(self) -> int:
         """The maximum number of machines that are transferred for one job at a time."""
         return 3
+
+    @property
+    def max_loans_per_check(self) -> int:
+        """The maximum number of machines on which a shard lends capacity at a time."""
+        return 16
--- a/crossmill/workers/attempt_outcomes.py
+++ b/crossmill/workers/attempt_outcomes.py
@@ -91,7 +91,7 @@
         super().__init__()
         self._cluster = cluster
         # attempts stay here until they have left the plan, even if their outcome is never written
-        self._ended: set[AttemptId] = set()
+        self._ended: dict[AttemptId, PlannedAttempt] = {}
         self._trim_above = MIN_ENDED_BEFORE_TRIM
 
     def record(self, outcome: AttemptOutcome) -> None:
@@ -101,7 +101,7 @@
         earlier_outcome = self.get(key)
         if earlier_outcome is None or earlier_outcome.term != outcome.term:
             self[key] = outcome
-        self._ended.add(attempt.id)
+        self._ended[attempt.id] = attempt
         if len(self._ended) > self._trim_above:
             self._trim()
 
@@ -111,27 +111,41 @@
 
     def end_ownership(self, shard: int) -> None:
         """Drop the shard's outcomes and ended attempts after its ownership has ended."""
-        for key in [key for key in self if self._can_belong_to(key[0], shard)]:
-            del self[key]
+        machines = self._cluster.machines
+        for key, outcome in list(self.items()):
+            if machines.may_be_commanded_by(outcome.attempt, shard):
+                del self[key]
         self._ended = {
-            attempt for attempt in self._ended if not self._can_belong_to(attempt.job, shard)
+            attempt_id: attempt
+            for attempt_id, attempt in self._ended.items()
+            if not machines.may_be_commanded_by(attempt, shard)
         }
 
-    def _can_belong_to(self, job_id: str, shard: int) -> bool:
-        """Return whether the job may belong to the shard; true for a job without a known record."""
-        job = self._cluster.jobs.get(job_id)
-        return job is None or not job.has_record or job.shard == shard
-
     def _trim(self) -> None:
         """Drop the ended attempts that are no longer in any plan."""
         machines = self._cluster.machines.values()
         planned = {attempt.id for machine in machines for attempt in machine.attempts.values()}
-        self._ended &= planned
+        self._ended = {
+            attempt_id: attempt
+            for attempt_id, attempt in self._ended.items()
+            if attempt_id in planned
+        }
         self._trim_above = 2 * len(self._ended) + MIN_ENDED_BEFORE_TRIM
 
 
-class StopRequests(dict[AttemptId, StopReason]):
-    """The attempts to be stopped by attempt ID, with the reason for each."""
+class StopRequest(NamedTuple):
+    """The request to stop an attempt, and its reason."""
+
+    attempt: PlannedAttempt
+    reason: StopReason
+
+
+class StopRequests(dict[AttemptId, StopRequest]):
+    """The attempts to be stopped, by attempt ID."""
+
+    def add(self, attempt: PlannedAttempt, reason: StopReason) -> None:
+        """Request the stop of an attempt."""
+        self[attempt.id] = StopRequest(attempt, reason)
 
     def has(self, attempt: PlannedAttempt) -> bool:
         """Return whether the attempt is to be stopped.
@@ -142,8 +156,7 @@
         return bool(self) and attempt.id in self
 
     def end_ownership(self, cluster: ClusterState, shard: int) -> None:
-        """Drop the stop requests for the shard's jobs and for unknown jobs."""
-        for attempt in list(self):
-            job = cluster.jobs.get(attempt.job)
-            if job is None or job.shard == shard:
-                del self[attempt]
+        """Drop the stop requests for attempts on the shard's machines and for unknown ones."""
+        for attempt_id, request in list(self.items()):
+            if cluster.machines.may_be_commanded_by(request.attempt, shard):
+                del self[attempt_id]
--- a/crossmill/workers/heartbeat_handler.py
+++ b/crossmill/workers/heartbeat_handler.py
@@ -293,7 +293,7 @@
 
     def request_stop(self, attempt: PlannedAttempt, reason: StopReason) -> None:
         """Request the stop of an attempt, which is sent with the next heartbeat response."""
-        self.stop_requests[attempt.id] = reason
+        self.stop_requests.add(attempt, reason)
 
     def is_stopping(self, attempt: PlannedAttempt) -> bool:
         """Return whether the attempt is to be stopped, for any reason."""
--- a/tests/progress_checker.py
+++ b/tests/progress_checker.py
@@ -2,7 +2,8 @@
 
 "Once the troubles are over, no job is left waiting for 90 s while a machine that fits has room and
 its team is under its limit." It is judged from what users submit and what workers run, never from
-the controllers' own opinion of a job or of a machine. `InvariantChecker` owns it and calls it at
+the controllers' own opinion of a job or of a machine, and over all machines, whichever shard they
+belong to. `InvariantChecker` owns it and calls it at
 each of its checks.
 """
 
@@ -144,7 +145,6 @@
             and spec["yard"] in (None, worker.zone)
             and not (spec["oneZone"] and set(zones) - {worker.zone})
             and not (spec["spread"] and zones.count(worker.zone) >= max_in_zone)
-            and self._region.can_serve(worker.machine, spec["crew"])
             and self._slots(spec, free[worker.machine]) > 0
         ]
 
--- a/tests/simulated_region.py
+++ b/tests/simulated_region.py
@@ -209,16 +209,6 @@
         """The settings that all controllers share."""
         return next(iter(self.nodes.values())).settings
 
-    def can_serve(self, machine: str, team: str) -> bool:
-        """Return whether the machine can come to serve the team.
-
-        Without a cloud no machine can be rented for a team, so only those of its shard count.
-        """
-        if self._runs_provisioners:
-            return True
-        stored = self.state.keys.get(keys.machine(machine))
-        return stored is not None and stored[0]["shard"] == self.settings.shard_of_team(team)
-
     def has_trouble(self) -> bool:
         """Return whether a controller is missing, or any fault is injected now.
 
--- a/tests/test_command_delivery.py
+++ b/tests/test_command_delivery.py
@@ -4,7 +4,7 @@
 import orjson
 
 from crossmill.cluster import keys
-from crossmill.cluster.model import AttemptId, PlannedAttempt
+from crossmill.cluster.model import PlannedAttempt
 from crossmill.net.client import NoResponseError
 from crossmill.wire.workers import Command, CommandKind
 from crossmill.workers.attempt_outcomes import StopReason
@@ -117,7 +117,8 @@
         node.report("n-0", 1, 2, token)
         await node.round()
         assert node.report("n-0", 1, 3, token).commands[0].op == "start"
-        node.heartbeats.stop_requests[AttemptId(JOB, 0, 1)] = StopReason.PREEMPTED
+        (attempt,) = node.cluster.machines["n-0"].attempts.values()
+        node.heartbeats.request_stop(attempt, StopReason.PREEMPTED)
         node.command_sender._apply_response("n-0", 200, heartbeat_body("n-0", 1, 4, token))
         assert not node.heartbeats.outcomes
         # a worker sends a heartbeat only after the response to the previous one, or its timeout
@@ -145,7 +146,8 @@
         plan = {"next": 2, "done": "0", "rows": [[0, 1, "n-0", 1]]}
         state.put(keys.plan(JOB, "0"), plan)
         await node.sync()
-        node.heartbeats.stop_requests[AttemptId(JOB, 0, 1)] = StopReason.PREEMPTED
+        (attempt,) = node.cluster.machines["n-0"].attempts.values()
+        node.heartbeats.request_stop(attempt, StopReason.PREEMPTED)
         node.report("n-0", 1, 3, token)
         assert [outcome.reason for outcome in node.heartbeats.outcomes.values()] == ["not started"]
         # the end of the attempt is being written, and the stop request no longer exists
--- a/tests/test_feature_level.py
+++ b/tests/test_feature_level.py
@@ -5,6 +5,9 @@
 import pytest
 
 from crossmill.cluster import keys
+from crossmill.cluster.feature_level import DEPENDENCY_LEVEL, SUPPORTED_LEVEL
+from crossmill.cluster.model import Level
+from crossmill.cluster.records import encode_level
 
 from .builders import submission
 from .fake_clock import FakeClock
@@ -21,7 +24,7 @@
     async def scenario(state: StateService, clock: FakeClock, nodes: Nodes) -> None:
         seed(state, clock)
         for label in upgraded:
-            state.put(keys.feature_note(label), {"level": 1})
+            state.put(keys.feature_note(label), {"level": SUPPORTED_LEVEL})
         node = SteppedController(state, clock, nodes)
         await node.boot()
         await node.feature_level.step()
@@ -44,6 +47,34 @@
     run_scenario(scenario)
 
 
+def test_the_level_is_raised_to_what_the_oldest_controller_supports_and_keeps_its_sizes() -> None:
+    """A controller of the version before knows no loans; chunks keep their sizes."""
+
+    async def scenario(state: StateService, clock: FakeClock, nodes: Nodes) -> None:
+        seed(state, clock)
+        state.put(keys.LEVEL, encode_level(Level(DEPENDENCY_LEVEL, 512, 16)))
+        for label in ("node-0", "node-1", "node-2"):
+            state.put(keys.feature_note(label), {"level": DEPENDENCY_LEVEL})
+        node = SteppedController(state, clock, nodes)
+        await node.boot()
+        for _ in range(4):
+            clock.time += node.settings.controller_lease_ttl_s / 3
+            await node.renew_and_sync()
+            await node.membership.step()
+        assert node.membership.leadership_version() is not None
+        await node.feature_level.step()
+        # the note of the version before was replaced, but other controllers still run it
+        assert state.keys[keys.feature_note("node-0")][0]["level"] == SUPPORTED_LEVEL
+        assert state.keys[keys.LEVEL][0]["level"] == DEPENDENCY_LEVEL
+        for label in ("node-1", "node-2"):
+            state.put(keys.feature_note(label), {"level": SUPPORTED_LEVEL})
+        await node.sync()
+        await node.feature_level.step()
+        assert state.keys[keys.LEVEL][0] == encode_level(Level(SUPPORTED_LEVEL, 512, 16))
+
+    run_scenario(scenario)
+
+
 def test_the_level_is_raised_despite_lost_responses_and_an_outage() -> None:
     async def scenario(region: Region) -> None:
         lost: list[str] = []
@@ -62,6 +93,6 @@
         region.state.is_down = False
         await region.restart("node-1", 1.0)
         await region.wait_until(lambda: all(n.cluster.level for n in region.nodes.values()), 90)
-        assert region.state.keys[keys.LEVEL][0]["level"] == 1
+        assert region.state.keys[keys.LEVEL][0]["level"] == SUPPORTED_LEVEL
 
     simulate(scenario)
