Lending: a machine may lend to several shards; limits count only what is assigned

A record now holds a loan for each borrowing shard, and a check counts a team's use by what it assigns.

--- a/crossmill/cluster/machine_index.py
+++ b/crossmill/cluster/machine_index.py
@@ -6,7 +6,7 @@
 from ..settings import Settings
 from ..wire.cloud import MachineType
 from .job_index import JobIndex
-from .model import NO_RESOURCES, Job, Machine, PlannedAttempt, Resources
+from .model import NO_RESOURCES, Job, LentResources, Machine, PlannedAttempt
 from .records import decode_machine
 
 # attempts on a machine, by job ID and task index
@@ -32,8 +32,8 @@
         self.by_shard: dict[int, dict[str, Machine]] = {
             shard: {} for shard in range(settings.shard_count)
         }
-        # machines whose record contains a loan, by machine ID
-        self.with_loan: dict[str, Machine] = {}
+        # machines whose record contains loans, by machine ID
+        self.with_loans: dict[str, Machine] = {}
         # attempts on machines without a record, by machine ID
         self._orphaned: dict[str, Attempts] = {}
 
@@ -42,7 +42,7 @@
         old_machine = self.pop(machine_id, None)
         if old_machine is not None:
             self.by_shard[old_machine.shard].pop(machine_id, None)
-            self.with_loan.pop(machine_id, None)
+            self.with_loans.pop(machine_id, None)
         if value is None:
             if old_machine is not None and old_machine.attempts:
                 self._orphaned[machine_id] = old_machine.attempts
@@ -50,10 +50,10 @@
         machine = decode_machine(machine_id, value, version)
         if old_machine is not None:
             machine.images = old_machine.images
-            _record_reduced_loan(machine, old_machine)
+            _record_reduced_loans(machine, old_machine)
         self[machine_id] = machine
-        if machine.loan is not None:
-            self.with_loan[machine_id] = machine
+        if machine.loans:
+            self.with_loans[machine_id] = machine
         self.by_shard[machine.shard][machine_id] = machine
         machine.attempts = (
             old_machine.attempts if old_machine else self._orphaned.pop(machine_id, {})
@@ -100,7 +100,7 @@
         """Return the jobs of other shards that have attempts on machines lent by the shard."""
         guests = {
             attempt.job: job
-            for machine in self.with_loan.values()
+            for machine in self.with_loans.values()
             if machine.shard == shard
             for attempt in machine.attempts.values()
             if (job := self._jobs.get(attempt.job)) is not None
@@ -109,16 +109,16 @@
         }
         return list(guests.values())
 
-    def has_guests(self, machine: Machine) -> bool:
-        """Return whether a task of another shard's job is planned on the machine."""
+    def has_tasks_of(self, machine: Machine, shard: int) -> bool:
+        """Return whether a task of the shard's jobs is planned on the machine."""
         return any(
             (job := self._jobs.get(attempt.job)) is not None
             and job.has_record
-            and job.shard != machine.shard
+            and job.shard == shard
             for attempt in machine.attempts.values()
         )
 
-    def usage_by_shard(self, machine: Machine, shard: int) -> Resources:
+    def usage_by_shard(self, machine: Machine, shard: int) -> LentResources:
         """Return the resources that tasks of the shard's jobs use on the machine."""
         cpus, gpus, memory_gb = NO_RESOURCES
         for attempt in machine.attempts.values():
@@ -127,16 +127,23 @@
                 cpus += job.spec.cpus
                 gpus += job.spec.gpus
                 memory_gb += job.spec.memory_gb
-        return Resources(cpus, gpus, memory_gb)
+        return LentResources(cpus, gpus, memory_gb)
 
-    def unused_loan(self, machine: Machine) -> Resources:
-        """Return the resources that are lent to another shard and that its tasks do not use."""
-        loan = machine.loan
+    def unused_loan(self, machine: Machine, shard: int) -> LentResources:
+        """Return the resources lent to the shard that its tasks do not use."""
+        loan = machine.loan_to(shard)
         if loan is None or loan.is_closed:
             return NO_RESOURCES
-        used = self.usage_by_shard(machine, loan.shard)
+        used = self.usage_by_shard(machine, shard)
         unused = (max(0.0, lent - use) for lent, use in zip(loan.resources, used, strict=True))
-        return Resources(*unused)
+        return LentResources(*unused)
+
+    def unused_loans(self, machine: Machine) -> LentResources:
+        """Return the resources lent to other shards that their tasks do not use."""
+        total = NO_RESOURCES
+        for loan in machine.loans:
+            total = total.plus(self.unused_loan(machine, loan.shard))
+        return total
 
     def orphaned_attempts(self) -> Iterator[PlannedAttempt]:
         """Yield the attempts on machines that have no record because they were released.
@@ -204,9 +211,10 @@
         return counts
 
 
-def _record_reduced_loan(machine: Machine, old_machine: Machine) -> None:
+def _record_reduced_loans(machine: Machine, old_machine: Machine) -> None:
     """Note the version of the machine's record if it grants less than the record before it."""
     machine.loan_reduced_at = old_machine.loan_reduced_at
-    old_loan = old_machine.loan
-    if old_loan is not None and (machine.loan is None or machine.loan.grants_less_than(old_loan)):
-        machine.loan_reduced_at = machine.version
+    for old_loan in old_machine.loans:
+        loan = machine.loan_to(old_loan.shard)
+        if loan is None or loan.grants_less_than(old_loan):
+            machine.loan_reduced_at = machine.version
--- a/crossmill/cluster/records.py
+++ b/crossmill/cluster/records.py
@@ -5,6 +5,7 @@
 raised, the version named `production` in deploy/service.toml can read everything written here.
 """
 
+from collections.abc import Iterable
 from dataclasses import replace
 from typing import Any, NamedTuple
 
@@ -18,11 +19,11 @@
     ControllerRecord,
     Job,
     JobEnd,
+    LentResources,
     Level,
     Machine,
     PlanChunk,
     PlannedAttempt,
-    Resources,
     ShardAssignment,
 )
 
@@ -181,33 +182,30 @@
     until = machine.cordoned_until if cordoned_until is None else cordoned_until
     if until:
         record["cordoned_until"] = until
-    # a transfer and a retirement end the machine's loan
-    if machine.loan is not None and assignment is None and not record["retiring"]:
-        record["lent"] = _encode_loan(machine.loan)
+    # a transfer and a retirement end the machine's loans
+    if machine.loans and assignment is None and not record["retiring"]:
+        record["lent"] = _encode_loans(machine.loans)
     return record
 
 
-def encode_machine_with_loan(machine: Machine, loan: CapacityLoan | None) -> dict[str, Any]:
-    """Encode a machine's record with its loan replaced; None removes the loan.
+def encode_machine_with_loans(machine: Machine, loans: Iterable[CapacityLoan]) -> dict[str, Any]:
+    """Encode a machine's record with its loans replaced.
 
-    Versions below feature level 2 ignore a loan and drop it with their next write of the record.
+    Versions below feature level 2 ignore loans and drop them with their next write of the record.
     """
     record = encode_machine(machine)
     record.pop("lent", None)
-    if loan is not None:
-        record["lent"] = _encode_loan(loan)
+    if rows := _encode_loans(loans):
+        record["lent"] = rows
     return record
 
 
-def _encode_loan(loan: CapacityLoan) -> list[float]:
-    return [loan.shard, loan.session, *loan.resources]
+def _encode_loans(loans: Iterable[CapacityLoan]) -> list[list[float]]:
+    return [[loan.shard, loan.session, *loan.resources] for loan in loans]
 
 
-def _decode_loan(value: list[Any] | None) -> CapacityLoan | None:
-    if value is None:
-        return None
-    shard, session, cpus, gpus, memory_gb = value
-    return CapacityLoan(shard, session, Resources(cpus, gpus, memory_gb))
+def _decode_loans(rows: list[list[Any]]) -> tuple[CapacityLoan, ...]:
+    return tuple(CapacityLoan(row[0], row[1], LentResources(*row[2:])) for row in rows)
 
 
 def decode_machine(machine_id: str, value: dict[str, Any], version: int) -> Machine:
@@ -225,7 +223,7 @@
         version,
         value.get("boot_s"),
         value.get("cordoned_until", 0.0),
-        _decode_loan(value.get("lent")),
+        _decode_loans(value.get("lent", [])),
     )
 
 
--- a/crossmill/fleet/capacity.py
+++ b/crossmill/fleet/capacity.py
@@ -191,10 +191,14 @@
     def free_capacity(self, machine: Machine, machine_type: MachineType) -> FreeCapacity:
         """Return the capacity that the planned tasks and a loan leave free on a machine."""
         capacity = idle_capacity(machine.id, machine_type, machine.zone, machine.spot)
-        unused_loan = self._cluster.machines.unused_loan(machine)
-        capacity.cpus -= machine.used_cpus + unused_loan.cpus
-        capacity.gpus -= machine.used_gpus + unused_loan.gpus
-        capacity.memory_gb -= machine.used_memory_gb + unused_loan.memory_gb
+        capacity.cpus -= machine.used_cpus
+        capacity.gpus -= machine.used_gpus
+        capacity.memory_gb -= machine.used_memory_gb
+        if machine.loans:
+            unused = self._cluster.machines.unused_loans(machine)
+            capacity.cpus -= unused.cpus
+            capacity.gpus -= unused.gpus
+            capacity.memory_gb -= unused.memory_gb
         self._describe(capacity, machine)
         return capacity
 
@@ -202,21 +206,21 @@
         """Return the capacity that other shards lend to this one and that is free."""
         wall_time = self._clock.wall_time()
         return [
-            self._borrowed_capacity(machine, machine_type)
-            for machine in self._cluster.machines.with_loan.values()
-            if machine.loan is not None
-            and machine.loan.shard == shard
-            and not machine.loan.is_closed
+            self._borrowed_capacity(machine, machine_type, shard)
+            for machine in self._cluster.machines.with_loans.values()
+            if (loan := machine.loan_to(shard)) is not None
+            and not loan.is_closed
             and not machine.retirement_reason
             and not machine.is_cordoned(wall_time)
             and (machine_type := self._cluster.catalog.get(machine.type)) is not None
         ]
 
-    def _borrowed_capacity(self, machine: Machine, machine_type: MachineType) -> FreeCapacity:
+    def _borrowed_capacity(
+        self, machine: Machine, machine_type: MachineType, shard: int
+    ) -> FreeCapacity:
         capacity = idle_capacity(machine.id, machine_type, machine.zone, machine.spot)
-        capacity.cpus, capacity.gpus, capacity.memory_gb = self._cluster.machines.unused_loan(
-            machine
-        )
+        unused = self._cluster.machines.unused_loan(machine, shard)
+        capacity.cpus, capacity.gpus, capacity.memory_gb = unused
         capacity.is_borrowed = True
         self._describe(capacity, machine)
         return capacity
--- a/crossmill/jobs/overdue_demands.py
+++ b/crossmill/jobs/overdue_demands.py
@@ -9,7 +9,6 @@
 from ..cluster.model import Job
 from ..planning.demand import TaskDemand
 from .context import SchedulingContext
-from .team_quotas import ResourceUsage, TeamQuotas
 from .waiting_times import WaitingTimes
 
 
@@ -24,12 +23,11 @@
 class OverdueDemands:
     """Finds the demand of other shards that their own machines and the cloud leave unmet."""
 
-    def __init__(self, context: SchedulingContext, quotas: TeamQuotas) -> None:
+    def __init__(self, context: SchedulingContext) -> None:
         self._settings = context.settings
         self._clock = context.clock
         self._cluster = context.cluster
         self._forecast = context.forecast
-        self._quotas = quotas
         self._waiting_times = WaitingTimes()
 
     def of_other_shards(self, shard: int) -> list[OverdueDemand]:
@@ -44,7 +42,7 @@
         return overdue
 
     def _of_shard(self, shard: int) -> list[OverdueDemand]:
-        """Return the shard's demand that has waited for long, within the limits of its teams.
+        """Return the shard's demand that has waited for long.
 
         The cloud has had the time of a worker lease to provide machines. After the longer wait the
         demand counts also if a machine is booting for it or if running tasks should soon end.
@@ -60,7 +58,6 @@
             demand.spec.id: demand.tasks
             for demand in self._forecast.unplaced_demands(shard, wall_time)
         }
-        usage = self._quotas.usage(shard)
         result: list[OverdueDemand] = []
         for job in overdue:
             demand = self._forecast.demand_of(job, wall_time)
@@ -71,16 +68,5 @@
                     continue
                 if not demand.spec.is_gang:
                     demand.tasks = min(demand.tasks, unplaced[job.id])
-            team_usage = usage.setdefault(demand.spec.team, ResourceUsage())
-            if self.limit_tasks(demand, team_usage):
-                team_usage.add(demand.spec, demand.tasks)
-                result.append(OverdueDemand(shard, job, demand))
+            result.append(OverdueDemand(shard, job, demand))
         return result
-
-    def limit_tasks(self, demand: TaskDemand, usage: ResourceUsage) -> bool:
-        """Reduce the demand to what the team's limits allow; return whether any of it is left."""
-        allowed = self._quotas.tasks_within_limit(demand.spec, usage)
-        if demand.spec.is_gang and allowed < demand.tasks:
-            return False
-        demand.tasks = min(demand.tasks, allowed)
-        return demand.tasks > 0
--- a/crossmill/jobs/placement.py
+++ b/crossmill/jobs/placement.py
@@ -288,6 +288,7 @@
         Of a machine that another shard lends, only that shard's owner receives the heartbeats.
         """
         if machine.shard != job.shard:
-            return machine.loan.session if machine.loan is not None else None
+            loan = machine.loan_to(job.shard)
+            return loan.session if loan is not None else None
         view = self._heartbeats.find_view(machine.id)
         return view.session if view is not None else None
--- a/crossmill/jobs/scheduling_loop.py
+++ b/crossmill/jobs/scheduling_loop.py
@@ -180,7 +180,7 @@
         if self._lending is None:
             started_for_s = self._context.clock.now() - self._started_at
             is_needed = started_for_s >= self._settings.machine_transfer_interval_s
-            if not (is_needed or self._cluster.machines.with_loan):
+            if not (is_needed or self._cluster.machines.with_loans):
                 return []
             from .machine_lending import MachineLending
 
--- a/crossmill/jobs/team_quotas.py
+++ b/crossmill/jobs/team_quotas.py
@@ -9,6 +9,7 @@
 
 from ..cluster.cluster_state import ClusterState
 from ..cluster.model import Job
+from ..planning.demand import TaskDemand
 from ..settings import Settings
 from ..wire.users import JobSpec
 
@@ -86,6 +87,17 @@
                 tasks = min(tasks, int((limit - used + LIMIT_TOLERANCE) / per_task))
         return max(0, tasks)
 
+    def limit_demand(self, demand: TaskDemand, usage: ResourceUsage) -> bool:
+        """Reduce the demand to what the team's limits allow; return whether any of it is left.
+
+        A gang, whose tasks start together, is left whole or not at all.
+        """
+        allowed = self.tasks_within_limit(demand.spec, usage)
+        if demand.spec.is_gang and allowed < demand.tasks:
+            return False
+        demand.tasks = min(demand.tasks, allowed)
+        return demand.tasks > 0
+
     def gpus_over_quota(self, team_name: str, usage: UsageByTeam) -> float:
         """Return the GPUs that the team uses in excess of its quota; 0 if it has no quota.
 
--- a/crossmill/multihost/registration.py
+++ b/crossmill/multihost/registration.py
@@ -91,7 +91,7 @@
         machine = self._cluster.machines.get(machine_id)
         if machine is None:
             return True
-        is_in_use = machine.attempts or machine.loan is not None
+        is_in_use = machine.attempts or machine.loans
         if machine.retirement_reason or is_in_use or machine.shard != self._ownership.shard:
             log.debug("machine not yet admitted to the pool machine=%s", machine_id)
             return False
--- a/tests/simulated_region.py
+++ b/tests/simulated_region.py
@@ -11,6 +11,7 @@
 import orjson
 
 from crossmill.cluster import keys
+from crossmill.jobs.machine_maintenance import RetireReason
 from crossmill.settings import Peer, Settings
 from crossmill.wire.checks import load_object
 from crossmill.wire.workers import heartbeat_response_body, parse_heartbeat
@@ -209,6 +210,17 @@
         """The settings that all controllers share."""
         return next(iter(self.nodes.values())).settings
 
+    def is_returned(self, machine: str) -> bool:
+        """Return whether the machine has been returned to the cloud.
+
+        Without a cloud nobody returns one that was silent for longer than a worker lease, and whose
+        record therefore says that it is to be returned: it counts as returned.
+        """
+        if self._runs_provisioners:
+            return machine in self.cloud.released
+        stored = self.state.keys.get(keys.machine(machine))
+        return stored is not None and stored[0]["retiring"] == RetireReason.SILENT
+
     def has_trouble(self) -> bool:
         """Return whether a controller is missing, or any fault is injected now.
 
