--- a/tests/fake_cloud.py
+++ b/tests/fake_cloud.py
@@ -1,5 +1,6 @@
 """An in-memory cloud as PROTOCOL describes it, called without sockets."""
 
+from collections.abc import Callable
 from typing import Any
 
 import orjson
@@ -51,6 +52,8 @@
         # the machines in the response to a listing
         self.listed_machines: list[dict[str, Any]] = []
         self.released: list[str] = []
+        # called with each machine's ID when its release is confirmed: nothing runs there afterwards
+        self.on_release: Callable[[str], None] = lambda machine: None
         self.is_down = False
         # whether every rental is refused for lack of capacity
         self.is_full = False
@@ -82,6 +85,8 @@
             return 200, orjson.dumps(CATALOG)
         if path == "/hosts/release":
             self.released += data["stones"]
+            for machine in data["stones"]:
+                self.on_release(machine)
             return 200, b"{}"
         if method == "GET":
             return 200, orjson.dumps({"stones": self.listed_machines, "hasNext": False})
--- a/tests/simulated_region.py
+++ b/tests/simulated_region.py
@@ -46,6 +46,7 @@
         self.state = state or StateService()
         self.simulated_state = SimulatedState(clock, self.state)
         self.cloud = CloudService()
+        self.cloud.on_release = self._stop_released_machine
         # running controllers by label
         self.nodes: dict[str, SteppedController] = {}
         self.state_links = {label: StateLink(self, label) for label in self.LABELS}
@@ -183,7 +184,6 @@
         while True:
             await curio.sleep(CLOUD_INTERVAL_S)
             await self._boot_rented_machines()
-            self._stop_released_machines()
             self.cloud.refresh_listing()
 
     async def _boot_rented_machines(self) -> None:
@@ -192,11 +192,10 @@
             if is_new and self.can_boot(machine):
                 await self.add_worker(machine, data["yard"], record=False)
 
-    def _stop_released_machines(self) -> None:
-        for machine in self.cloud.released:
-            worker = self.workers.get(machine)
-            if worker is not None:
-                worker.terminate()
+    def _stop_released_machine(self, machine: str) -> None:
+        worker = self.workers.get(machine)
+        if worker is not None:
+            worker.terminate()
 
     def live_workers(self) -> Iterator[Worker]:
         """Iterate over the workers whose lease is valid: only these may run tasks."""
