--- a/crossmill/jobs/capacity_selection.py
+++ b/crossmill/jobs/capacity_selection.py
@@ -4,12 +4,11 @@
 and the task shapes that fit on no machine.
 """
 
-from typing import NamedTuple
-
 from ..cluster.model import NO_MACHINES, Job, PlannedAttempt
 from ..planning.free_capacity import (
     FreeCapacity,
     TaskAssignment,
+    TaskShape,
     ZoneAllowance,
     assign_tasks,
     is_allowed,
@@ -25,17 +24,6 @@
 MAX_IMAGE_DELAY_SHARE = 0.75
 
 
-class _TaskShape(NamedTuple):
-    """The properties of a task that determine the machines on which it fits."""
-
-    cpus: float
-    gpus: float
-    memory_gb: float
-    types: tuple[str, ...] | None
-    zone: str | None
-    spot: bool
-
-
 class PlacementRequest:
     """The tasks of one job that this round tries to place."""
 
@@ -65,7 +53,7 @@
         # attempts to be stopped, chosen in this round, and task shapes that fit on no machine for
         # the rest of the round, since free capacity only shrinks during a round
         self._stops: list[PlannedAttempt] = []
-        self._shapes_without_capacity: set[_TaskShape] = set()
+        self._shapes_without_capacity: set[TaskShape] = set()
 
     def start_round(self) -> list[PlannedAttempt]:
         """Start a round, and return the list that collects its attempts to be stopped."""
@@ -101,7 +89,7 @@
         Many waiting jobs share a shape, and most machines are full, so a shape that fits on no
         machine is not checked again in the same round.
         """
-        shape = _TaskShape(spec.cpus, spec.gpus, spec.memory_gb, spec.types, spec.zone, spec.spot)
+        shape = TaskShape.of(spec)
         if shape in self._shapes_without_capacity:
             return []
         fitting = [
--- a/crossmill/jobs/loan_needs.py
+++ b/crossmill/jobs/loan_needs.py
@@ -8,7 +8,7 @@
 from ..cluster.model import NO_RESOURCES, CapacityLoan, Job, LentResources, Machine
 from ..planning.demand import TaskDemand
 from ..planning.free_capacity import FreeCapacity, count_fitting_tasks, is_allowed
-from ..planning.lending import assign_demand
+from ..planning.lending import DemandAssigner
 from .context import SchedulingContext
 from .failures import TaskFailures
 from .placement import MachineEligibility
@@ -83,10 +83,12 @@
         if not unused:
             return set()
         without_loans = {capacity.machine: capacity for capacity in self._capacities(machines)}
-        with_loans = [
-            _with_resources(capacity, unused.get(capacity.machine, NO_RESOURCES))
-            for capacity in without_loans.values()
-        ]
+        assigner = DemandAssigner(
+            [
+                _with_resources(capacity, unused.get(capacity.machine, NO_RESOURCES))
+                for capacity in without_loans.values()
+            ]
+        )
         started = {edit.job.id for edit in edits.values() if edit.starts}
         usage = self._quotas.usage(shard)
         needed: set[str] = set()
@@ -95,7 +97,7 @@
             job = self._cluster.jobs[demand.spec.id]
             if job.id in started or not self._may_place(job, demand, team_usage):
                 continue
-            for capacity, tasks in assign_demand(demand, with_loans):
+            for capacity, tasks in assigner.assign(demand):
                 team_usage.add(demand.spec, tasks)
                 free = without_loans[capacity.machine]
                 if capacity.machine in unused and free.count_fitting(demand.spec) < tasks:
--- a/crossmill/jobs/machine_lending.py
+++ b/crossmill/jobs/machine_lending.py
@@ -8,7 +8,6 @@
 
 import logging
 from enum import StrEnum
-from math import inf
 
 from ..cluster import keys
 from ..cluster.feature_level import LENDING_LEVEL
@@ -17,12 +16,13 @@
 from ..cluster.ownership import ShardOwnership
 from ..cluster.records import encode_machine_with_loans
 from ..planning.free_capacity import FreeCapacity
-from ..planning.lending import assign_demand
+from ..planning.lending import DemandAssigner, capacities_with_room
 from ..state.writer import WriteIntent, WriteRank
 from ..wire.state import Put, Txn
 from .context import SchedulingContext
 from .failures import TaskFailures
 from .loan_needs import LoanNeeds
+from .machine_transfer import MachineTransfer
 from .overdue_demands import OverdueDemand, OverdueDemands
 from .placement import MachineEligibility, MachineExclusion
 from .plan_writer import PlanEdits
@@ -95,7 +95,7 @@
 class MachineLending:
     """Decides on the loans of a shard's machines, and writes them."""
 
-    def __init__(
+    def __init__(  # noqa: PLR0913 - wired by the scheduling loop
         self,
         context: SchedulingContext,
         membership: Membership,
@@ -103,6 +103,7 @@
         preemption: Preemption,
         eligibility: MachineEligibility,
         failures: TaskFailures,
+        machine_transfer: MachineTransfer,
     ) -> None:
         self._settings = context.settings
         self._clock = context.clock
@@ -110,13 +111,14 @@
         self._heartbeats = context.heartbeats
         self._capacity = context.forecast.capacity
         self._membership = membership
+        self._machine_transfer = machine_transfer
         self._quotas = quotas
         self._preemption = preemption
         self._eligibility = eligibility
-        self._overdue = OverdueDemands(context)
+        self._overdue = OverdueDemands(context, machine_transfer)
         self._needs = LoanNeeds(context, quotas, eligibility, failures)
         self._capacity_cache = self._capacity.new_cache()
-        # times of the last checks in seconds, by shard
+        # times in seconds of the searches for transfers that the last checks used, by shard
         self._checked_at: dict[int, float] = {}
 
     def writes(
@@ -134,9 +136,10 @@
         lent = [m for m in with_loans if m.shard == shard and m.id not in used]
         changes = _LoanChanges()
         ended = self._end_forced(lent, ownership, changes)
-        now = self._clock.now()
-        if now - self._checked_at.get(shard, -inf) >= self._settings.machine_transfer_interval_s:
-            self._checked_at[shard] = now
+        # a check uses what a search for machines to transfer has found in the same round
+        searched_at = self._machine_transfer.checked_at(shard)
+        if searched_at > self._checked_at.get(shard, 0.0):
+            self._checked_at[shard] = searched_at
             # recovery looks for unplanned tasks of a shard's jobs on that shard's machines only
             has_gate = self._heartbeats.gate is not None
             overdue = [] if has_gate else self._overdue.of_other_shards(shard)
@@ -237,9 +240,10 @@
         result = _Assignment()
         if not overdue:
             return result
-        capacities = self._free_capacities(shard, excluded)
-        borrowed = {
-            entry.shard: self._capacity.borrowed_capacities(entry.shard) for entry in overdue
+        capacities = self._free_capacities(shard, overdue, excluded)
+        assigners = {
+            borrower: DemandAssigner(capacities + self._capacity.borrowed_capacities(borrower))
+            for borrower in {entry.shard for entry in overdue}
         }
         usage = {entry.shard: self._quotas.usage(entry.shard) for entry in overdue}
         for entry in overdue:
@@ -247,8 +251,7 @@
             team_usage = usage[entry.shard].setdefault(team, ResourceUsage())
             if not self._quotas.limit_demand(entry.demand, team_usage):
                 continue
-            usable = capacities + borrowed[entry.shard]
-            for capacity, tasks in assign_demand(entry.demand, usable):
+            for capacity, tasks in assigners[entry.shard].assign(entry.demand):
                 team_usage.add(entry.demand.spec, tasks)
                 lender = self._cluster.machines[capacity.machine].shard
                 loan = (capacity.machine, entry.shard)
@@ -262,12 +265,14 @@
                     )
         return result
 
-    def _free_capacities(self, shard: int, excluded: set[str]) -> list[FreeCapacity]:
-        """Return copies of the free capacity of all machines that may get tasks.
+    def _free_capacities(
+        self, shard: int, overdue: list[OverdueDemand], excluded: set[str]
+    ) -> list[FreeCapacity]:
+        """Return copies of the free capacity of machines that may get some of the tasks.
 
         Of other shards' machines only the records are known.
         """
-        now, wall_time = self._clock.now(), self._clock.wall_time()
+        wall_time = self._clock.wall_time()
         usable = [
             (machine, machine_type)
             for machine in self._cluster.machines.values()
@@ -275,10 +280,17 @@
             and not machine.retirement_reason
             and not machine.is_cordoned(wall_time)
             and (machine_type := self._cluster.catalog.get(machine.type)) is not None
-            and (machine.shard != shard or self._may_lend(machine, excluded, now))
         ]
         capacities = self._capacity.cached_capacities(self._capacity_cache, usable)
-        return [capacity.copy() for capacity in capacities]
+        # most machines are full, and a copy takes longer than the comparison
+        with_room = capacities_with_room([entry.demand.spec for entry in overdue], capacities)
+        now = self._clock.now()
+        return [
+            capacity.copy()
+            for capacity in with_room
+            if (machine := self._cluster.machines[capacity.machine]).shard != shard
+            or self._may_lend(machine, excluded, now)
+        ]
 
     def _may_lend(self, machine: Machine, excluded: set[str], now: float) -> bool:
         if machine.id in excluded or self._preemption.is_reserved(machine.id):
--- a/crossmill/jobs/machine_transfer.py
+++ b/crossmill/jobs/machine_transfer.py
@@ -49,6 +49,16 @@
         self._pending_until: dict[str, float] = {}
         # times of the last searches for machines to transfer, in seconds, by shard
         self._checked_at: dict[int, float] = {}
+        # tasks without capacity that the last search found, by shard and job ID
+        self._unplaced_tasks: dict[int, dict[str, int]] = {}
+
+    def checked_at(self, shard: int) -> float:
+        """Return the time of the shard's last search for machines to transfer, in seconds."""
+        return self._checked_at.get(shard, 0.0)
+
+    def unplaced_tasks(self, shard: int) -> dict[str, int]:
+        """Return how many tasks of each job had no capacity in the shard at the last search."""
+        return self._unplaced_tasks.get(shard, {})
 
     def has_planned_transfer(self, machine_id: str) -> bool:
         """Return whether the machine is to be transferred to another shard once it is idle."""
@@ -109,7 +119,9 @@
         for other in range(self._settings.shard_count):
             if other == shard or other not in self._cluster.shard_owners:
                 continue
-            for demand in self._forecast.unplaced_demands(other, wall_time):
+            demands = self._forecast.unplaced_demands(other, wall_time)
+            self._unplaced_tasks[other] = {demand.spec.id: demand.tasks for demand in demands}
+            for demand in demands:
                 yield from self._choose_for(demand, shard, other, wall_time)
 
     def _drop_finished_transfers(self, now: float) -> None:
--- a/crossmill/jobs/overdue_demands.py
+++ b/crossmill/jobs/overdue_demands.py
@@ -9,6 +9,7 @@
 from ..cluster.model import Job
 from ..planning.demand import TaskDemand
 from .context import SchedulingContext
+from .machine_transfer import MachineTransfer
 from .waiting_times import WaitingTimes
 
 
@@ -23,11 +24,12 @@
 class OverdueDemands:
     """Finds the demand of other shards that their own machines and the cloud leave unmet."""
 
-    def __init__(self, context: SchedulingContext) -> None:
+    def __init__(self, context: SchedulingContext, machine_transfer: MachineTransfer) -> None:
         self._settings = context.settings
         self._clock = context.clock
         self._cluster = context.cluster
         self._forecast = context.forecast
+        self._machine_transfer = machine_transfer
         self._waiting_times = WaitingTimes()
 
     def of_other_shards(self, shard: int) -> list[OverdueDemand]:
@@ -54,10 +56,7 @@
         if not overdue:
             return []
         wall_time = self._clock.wall_time()
-        unplaced = {
-            demand.spec.id: demand.tasks
-            for demand in self._forecast.unplaced_demands(shard, wall_time)
-        }
+        unplaced = self._machine_transfer.unplaced_tasks(shard)
         result: list[OverdueDemand] = []
         for job in overdue:
             demand = self._forecast.demand_of(job, wall_time)
--- a/crossmill/jobs/scheduling_loop.py
+++ b/crossmill/jobs/scheduling_loop.py
@@ -191,6 +191,7 @@
                 self._preemption,
                 self._eligibility,
                 self._failures,
+                self._machine_transfer,
             )
         return self._lending.writes(shard, ownership, machines, edits)
 
--- a/crossmill/planning/free_capacity.py
+++ b/crossmill/planning/free_capacity.py
@@ -37,6 +37,22 @@
     return count
 
 
+class TaskShape(NamedTuple):
+    """The properties of a task that determine the machines on which it fits."""
+
+    cpus: float
+    gpus: float
+    memory_gb: float
+    types: tuple[str, ...] | None
+    zone: str | None
+    spot: bool
+
+    @classmethod
+    def of(cls, spec: JobSpec) -> "TaskShape":
+        """Return the shape of the job's tasks."""
+        return cls(spec.cpus, spec.gpus, spec.memory_gb, spec.types, spec.zone, spec.spot)
+
+
 class TaskFootprint(NamedTuple):
     """The resources that a GPU task occupies on its machine."""
 
