Lending: a loan that its lender needs ends although more of it is asked for

Found by reading: a loan for which another shard had further overdue tasks was passed over when the lender's own tasks waited for its unused part. The borrowing shards' demand is computed once a check.

--- a/crossmill/jobs/loan_needs.py
+++ b/crossmill/jobs/loan_needs.py
@@ -13,7 +13,7 @@
 from .failures import TaskFailures
 from .placement import MachineEligibility
 from .plan_writer import PlanEdits
-from .team_quotas import ResourceUsage, TeamQuotas
+from .team_quotas import ResourceUsage, TeamQuotas, UsageByTeam
 
 
 class LoanNeeds:
@@ -33,6 +33,14 @@
         self._eligibility = eligibility
         self._failures = failures
         self._capacity_cache = context.forecast.capacity.new_cache()
+        # of the borrowing shards, computed once a check, by shard
+        self._demands: dict[int, list[TaskDemand]] = {}
+        self._usage: dict[int, UsageByTeam] = {}
+
+    def start_check(self) -> None:
+        """Start a check, for which the borrowing shards' demand and usage are computed anew."""
+        self._demands.clear()
+        self._usage.clear()
 
     def is_needed(self, machine: Machine, loan: CapacityLoan) -> bool:
         """Return whether all of the loan is used, or a waiting job may use what is not.
@@ -42,23 +50,28 @@
         unused = self._cluster.machines.unused_loan(machine, loan.shard)
         if unused == NO_RESOURCES:
             return True
-        usage = self._quotas.usage(loan.shard)
+        shard = loan.shard
+        if shard not in self._demands:
+            self._demands[shard] = [
+                demand for demand in self._waiting_demands(shard) if not demand.spec.is_gang
+            ]
+            self._usage[shard] = self._quotas.usage(shard)
         return any(
-            self._can_use(demand, machine, unused, usage.get(demand.spec.team, ResourceUsage()))
-            for demand in self._waiting_demands(loan.shard)
-            if not demand.spec.is_gang
+            self._can_use(demand, machine, unused, self._usage[shard])
+            for demand in self._demands[shard]
         )
 
     def _can_use(
-        self, demand: TaskDemand, machine: Machine, unused: LentResources, usage: ResourceUsage
+        self, demand: TaskDemand, machine: Machine, unused: LentResources, usage: UsageByTeam
     ) -> bool:
         spec = demand.spec
+        team_usage = usage.get(spec.team, ResourceUsage())
         return (
             is_allowed(spec, machine.type, machine.zone, machine.spot)
             and machine.id not in demand.excluded_machines
             and demand.zones.remaining(machine.zone) > 0
             and count_fitting_tasks(spec, *unused) > 0
-            and self._quotas.tasks_within_limit(spec, usage) > 0
+            and self._quotas.tasks_within_limit(spec, team_usage) > 0
         )
 
     def _waiting_demands(self, shard: int) -> Iterator[TaskDemand]:
--- a/crossmill/jobs/machine_lending.py
+++ b/crossmill/jobs/machine_lending.py
@@ -144,6 +144,7 @@
             has_gate = self._heartbeats.gate is not None
             overdue = [] if has_gate else self._overdue.of_other_shards(shard)
             assignment = self._assign(shard, overdue, used | ended)
+            self._needs.start_check()
             unended = [machine for machine in lent if machine.id not in ended]
             needed_here = self._needs.machines_needed_here(shard, machines, unended, edits)
             self._end_unneeded(unended, assignment, needed_here, changes)
@@ -217,7 +218,7 @@
         for machine in lent:
             for loan in machine.loans:
                 entry = (machine.id, loan.shard)
-                if entry in assignment.grants:
+                if entry in assignment.grants and machine.id not in needed_here:
                     continue
                 if loan.is_closed:
                     if not self._has_tasks_of(machine, loan.shard):
