--- a/crossmill/cluster/machine_index.py
+++ b/crossmill/cluster/machine_index.py
@@ -6,7 +6,7 @@
 from ..settings import Settings
 from ..wire.cloud import MachineType
 from .job_index import JobIndex
-from .model import NO_RESOURCES, Job, LentResources, Machine, PlannedAttempt
+from .model import NO_RESOURCES, Job, Machine, PlannedAttempt, Resources
 from .records import decode_machine
 
 # attempts on a machine, by job ID and task index
@@ -118,7 +118,7 @@
             for attempt in machine.attempts.values()
         )
 
-    def usage_by_shard(self, machine: Machine, shard: int) -> LentResources:
+    def usage_by_shard(self, machine: Machine, shard: int) -> Resources:
         """Return the resources that tasks of the shard's jobs use on the machine."""
         cpus, gpus, memory_gb = NO_RESOURCES
         for attempt in machine.attempts.values():
@@ -127,22 +127,21 @@
                 cpus += job.spec.cpus
                 gpus += job.spec.gpus
                 memory_gb += job.spec.memory_gb
-        return LentResources(cpus, gpus, memory_gb)
+        return Resources(cpus, gpus, memory_gb)
 
-    def unused_loan(self, machine: Machine, shard: int) -> LentResources:
+    def unused_loan(self, machine: Machine, shard: int) -> Resources:
         """Return the resources lent to the shard that its tasks do not use."""
         loan = machine.loan_to(shard)
         if loan is None or loan.is_closed:
             return NO_RESOURCES
         used = self.usage_by_shard(machine, shard)
-        unused = (max(0.0, lent - use) for lent, use in zip(loan.resources, used, strict=True))
-        return LentResources(*unused)
+        return Resources(*(max(0.0, left) for left in loan.resources.subtract(used)))
 
-    def unused_loans(self, machine: Machine) -> LentResources:
+    def unused_loans(self, machine: Machine) -> Resources:
         """Return the resources lent to other shards that their tasks do not use."""
         total = NO_RESOURCES
         for loan in machine.loans:
-            total = total.plus(self.unused_loan(machine, loan.shard))
+            total = total.add(self.unused_loan(machine, loan.shard))
         return total
 
     def orphaned_attempts(self) -> Iterator[PlannedAttempt]:
--- a/crossmill/cluster/model.py
+++ b/crossmill/cluster/model.py
@@ -208,25 +208,39 @@
         return tasks if self.spec is not None and self.spec.is_gang else min(tasks, 1)
 
 
-class LentResources(NamedTuple):
-    """CPUs, GPUs and memory in GB that a machine lends, or that tasks use of it."""
+class Resources(NamedTuple):
+    """An amount of CPUs, GPUs and memory in GB that tasks need, or that a machine has or lends."""
 
     cpus: float
     gpus: float
     memory_gb: float
 
-    def plus(self, other: "LentResources") -> "LentResources":
-        """Return the sum of both."""
-        return LentResources(
+    def add(self, other: "Resources") -> "Resources":
+        """Return the sum of the two amounts."""
+        return Resources(
             self.cpus + other.cpus, self.gpus + other.gpus, self.memory_gb + other.memory_gb
         )
 
+    def subtract(self, other: "Resources") -> "Resources":
+        """Return the difference of the two amounts, which may be negative."""
+        return Resources(
+            self.cpus - other.cpus, self.gpus - other.gpus, self.memory_gb - other.memory_gb
+        )
+
+    def can_fit(self, other: "Resources") -> bool:
+        """Return whether the other amount fits into this one."""
+        return (
+            self.cpus >= other.cpus
+            and self.gpus >= other.gpus
+            and self.memory_gb >= other.memory_gb
+        )
+
 
-NO_RESOURCES = LentResources(0.0, 0.0, 0.0)
+NO_RESOURCES = Resources(0.0, 0.0, 0.0)
 
 
 class CapacityLoan(NamedTuple):
-    """LentResources of a machine on which another shard's owner may plan tasks of its own jobs.
+    """Resources of a machine on which another shard's owner may plan tasks of its own jobs.
 
     The machine's own owner sends all commands, whoever planned the tasks. `resources` is the total
     for the borrowing shard's tasks, including those already planned on the machine. A loan without
@@ -236,7 +250,7 @@
 
     shard: int
     session: int
-    resources: LentResources
+    resources: Resources
 
     @property
     def is_closed(self) -> bool:
@@ -251,8 +265,7 @@
         """Return whether the loan grants less than the other one, or something else."""
         if (self.shard, self.session) != (other.shard, other.session):
             return True
-        pairs = zip(self.resources, other.resources, strict=True)
-        return any(own < others for own, others in pairs)
+        return not self.resources.can_fit(other.resources)
 
 
 @dataclass(slots=True, eq=False)
--- a/crossmill/cluster/records.py
+++ b/crossmill/cluster/records.py
@@ -19,11 +19,11 @@
     ControllerRecord,
     Job,
     JobEnd,
-    LentResources,
     Level,
     Machine,
     PlanChunk,
     PlannedAttempt,
+    Resources,
     ShardAssignment,
 )
 
@@ -205,7 +205,7 @@
 
 
 def _decode_loans(rows: list[list[Any]]) -> tuple[CapacityLoan, ...]:
-    return tuple(CapacityLoan(row[0], row[1], LentResources(*row[2:])) for row in rows)
+    return tuple(CapacityLoan(row[0], row[1], Resources(*row[2:])) for row in rows)
 
 
 def decode_machine(machine_id: str, value: dict[str, Any], version: int) -> Machine:
--- a/crossmill/jobs/loan_needs.py
+++ b/crossmill/jobs/loan_needs.py
@@ -5,7 +5,7 @@
 
 from collections.abc import Iterator
 
-from ..cluster.model import NO_RESOURCES, CapacityLoan, Job, LentResources, Machine
+from ..cluster.model import NO_RESOURCES, CapacityLoan, Job, Machine, Resources
 from ..planning.demand import TaskDemand
 from ..planning.free_capacity import FreeCapacity, count_fitting_tasks, is_allowed
 from ..planning.lending import DemandAssigner
@@ -62,7 +62,7 @@
         )
 
     def _can_use(
-        self, demand: TaskDemand, machine: Machine, unused: LentResources, usage: UsageByTeam
+        self, demand: TaskDemand, machine: Machine, unused: Resources, usage: UsageByTeam
     ) -> bool:
         spec = demand.spec
         team_usage = usage.get(spec.team, ResourceUsage())
@@ -137,7 +137,7 @@
         return self._quotas.limit_demand(demand, usage)
 
 
-def _with_resources(capacity: FreeCapacity, resources: LentResources) -> FreeCapacity:
+def _with_resources(capacity: FreeCapacity, resources: Resources) -> FreeCapacity:
     """Return a copy of the capacity with the resources added."""
     result = capacity.copy()
     result.cpus += resources.cpus
--- a/crossmill/jobs/machine_lending.py
+++ b/crossmill/jobs/machine_lending.py
@@ -12,7 +12,7 @@
 from ..cluster import keys
 from ..cluster.feature_level import LENDING_LEVEL
 from ..cluster.membership import Membership, shard_intent
-from ..cluster.model import NO_RESOURCES, CapacityLoan, LentResources, Machine
+from ..cluster.model import CapacityLoan, Machine, Resources
 from ..cluster.ownership import ShardOwnership
 from ..cluster.records import encode_machine_with_loans
 from ..planning.free_capacity import FreeCapacity
@@ -21,6 +21,7 @@
 from ..wire.state import Put, Txn
 from .context import SchedulingContext
 from .failures import TaskFailures
+from .loan_changes import LoanAssignment, LoanChanges, LoanGrant, LoanGrants
 from .loan_needs import LoanNeeds
 from .machine_transfer import MachineTransfer
 from .overdue_demands import OverdueDemand, OverdueDemands
@@ -47,51 +48,6 @@
     UNNEEDED = "unneeded"
 
 
-class _Grant:
-    """The resources that a check lends to one shard on one machine, and the first job for it."""
-
-    __slots__ = ("job_id", "resources")
-
-    def __init__(self, job_id: str) -> None:
-        self.job_id = job_id
-        self.resources = NO_RESOURCES
-
-
-# grants by machine ID and borrowing shard
-_Grants = dict[tuple[str, int], _Grant]
-
-
-class _Assignment:
-    """What the overdue tasks of other shards get: new grants, and loans that they still need."""
-
-    def __init__(self) -> None:
-        self.grants: _Grants = {}
-        # machine IDs and borrowing shards
-        self.needed_loans: set[tuple[str, int]] = set()
-
-
-class _LoanChanges:
-    """The loans of machines with a round's changes, by machine ID and borrowing shard."""
-
-    def __init__(self) -> None:
-        self._loans: dict[str, dict[int, CapacityLoan]] = {}
-
-    def set(self, machine: Machine, loan: CapacityLoan) -> None:
-        """Add or replace the machine's loan to one shard."""
-        self._loans_of(machine)[loan.shard] = loan
-
-    def remove(self, machine: Machine, shard: int) -> None:
-        """Remove the machine's loan to the shard."""
-        del self._loans_of(machine)[shard]
-
-    def _loans_of(self, machine: Machine) -> dict[int, CapacityLoan]:
-        return self._loans.setdefault(machine.id, {loan.shard: loan for loan in machine.loans})
-
-    def by_machine(self) -> dict[str, list[CapacityLoan]]:
-        """Return all loans of each machine with a change."""
-        return {machine_id: list(loans.values()) for machine_id, loans in self._loans.items()}
-
-
 class MachineLending:
     """Decides on the loans of a shard's machines, and writes them."""
 
@@ -134,7 +90,7 @@
         used = {machine for edit in edits.values() for machine in edit.machine_versions}
         with_loans = self._cluster.machines.with_loans.values()
         lent = [m for m in with_loans if m.shard == shard and m.id not in used]
-        changes = _LoanChanges()
+        changes = LoanChanges()
         ended = self._end_forced(lent, ownership, changes)
         # a check uses what a search for machines to transfer has found in the same round
         searched_at = self._machine_transfer.checked_at(shard)
@@ -164,7 +120,7 @@
     # -- ends of loans ---------------------------------------------------------------
 
     def _end_forced(
-        self, lent: list[Machine], ownership: ShardOwnership, changes: _LoanChanges
+        self, lent: list[Machine], ownership: ShardOwnership, changes: LoanChanges
     ) -> set[str]:
         """End the loans under which nothing more must be planned, whoever needs them.
 
@@ -195,7 +151,7 @@
         return LoanEnd.PREEMPTED if self._preemption.is_reserved(machine.id) else None
 
     def _end(
-        self, machine: Machine, loan: CapacityLoan, reason: LoanEnd, changes: _LoanChanges
+        self, machine: Machine, loan: CapacityLoan, reason: LoanEnd, changes: LoanChanges
     ) -> None:
         """End a loan: it is closed while tasks of its shard remain, and else removed."""
         log.info("loan ended machine=%s shard=%d reason=%s", machine.id, loan.shard, reason.value)
@@ -210,9 +166,9 @@
     def _end_unneeded(
         self,
         lent: list[Machine],
-        assignment: _Assignment,
+        assignment: LoanAssignment,
         needed_here: set[str],
-        changes: _LoanChanges,
+        changes: LoanChanges,
     ) -> None:
         """End the loans that nobody needs or that the shard itself needs; remove closed ones."""
         for machine in lent:
@@ -232,13 +188,15 @@
 
     # -- new loans -------------------------------------------------------------------
 
-    def _assign(self, shard: int, overdue: list[OverdueDemand], excluded: set[str]) -> _Assignment:
+    def _assign(
+        self, shard: int, overdue: list[OverdueDemand], excluded: set[str]
+    ) -> LoanAssignment:
         """Assign the overdue tasks to the free capacity of all shards' machines.
 
         Every owner assigns them alike, from durable facts and within their teams' limits, and lends
         what falls on its machines.
         """
-        result = _Assignment()
+        result = LoanAssignment()
         if not overdue:
             return result
         capacities = self._free_capacities(shard, overdue, excluded)
@@ -259,10 +217,10 @@
                 if capacity.is_borrowed:
                     result.needed_loans.add(loan)
                 elif lender == shard != entry.shard:
-                    grant = result.grants.setdefault(loan, _Grant(entry.job.id))
+                    grant = result.grants.setdefault(loan, LoanGrant(entry.job.id))
                     spec = entry.demand.spec
-                    grant.resources = grant.resources.plus(
-                        LentResources(tasks * spec.cpus, tasks * spec.gpus, tasks * spec.memory_gb)
+                    grant.resources = grant.resources.add(
+                        Resources(tasks * spec.cpus, tasks * spec.gpus, tasks * spec.memory_gb)
                     )
         return result
 
@@ -298,7 +256,7 @@
             return False
         return self._eligibility.exclusion(machine, now) is None
 
-    def _grant(self, grants: _Grants, needed_here: set[str], changes: _LoanChanges) -> None:
+    def _grant(self, grants: LoanGrants, needed_here: set[str], changes: LoanChanges) -> None:
         """Begin or enlarge loans, on a bounded number of machines."""
         machine_ids = list(dict.fromkeys(machine_id for machine_id, _ in grants))
         allowed = set(machine_ids[: self._settings.max_loans_per_check]) - needed_here
@@ -308,7 +266,7 @@
                 continue
             machine = self._cluster.machines[machine_id]
             base = self._lent_or_used(machine, shard, view.session)
-            changes.set(machine, CapacityLoan(shard, view.session, base.plus(grant.resources)))
+            changes.set(machine, CapacityLoan(shard, view.session, base.add(grant.resources)))
             log.info(
                 "capacity lent machine=%s shard=%d for_job=%s cpus=%g gpus=%g memory_gb=%g",
                 machine_id,
@@ -317,7 +275,7 @@
                 *grant.resources,
             )
 
-    def _lent_or_used(self, machine: Machine, shard: int, session: int) -> LentResources:
+    def _lent_or_used(self, machine: Machine, shard: int, session: int) -> Resources:
         """Return what the shard has on the machine: its loan for the session, or what it uses."""
         loan = machine.loan_to(shard)
         if loan is not None and loan.session == session and not loan.is_closed:
--- a/crossmill/multihost/candidates.py
+++ b/crossmill/multihost/candidates.py
@@ -6,10 +6,11 @@
 
 from collections.abc import Iterator
 
+from ..cluster.model import Resources
 from .agents import Agents, AgentView
 from .failure_scores import FailureScores
 from .member_status import DecisionTime, is_heartbeat_overdue
-from .model import PoolMachine, ReplicaId, Resources
+from .model import PoolMachine, ReplicaId
 from .placement import Candidate
 from .pool import PoolState
 from .settings import MultihostSettings
--- a/crossmill/multihost/declaration.py
+++ b/crossmill/multihost/declaration.py
@@ -8,9 +8,10 @@
 from collections.abc import Iterable
 from typing import Any
 
+from ..cluster.model import Resources
 from ..wire import checks
 from .errors import MultihostError
-from .model import PoolMachine, ReplicaSetSpec, Resources
+from .model import PoolMachine, ReplicaSetSpec
 
 SET_NAME_PATTERN = re.compile(r"[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?")
 MAX_MEMBERS = 4096
--- a/crossmill/multihost/model.py
+++ b/crossmill/multihost/model.py
@@ -7,43 +7,13 @@
 from dataclasses import dataclass, field
 from typing import NamedTuple
 
+from ..cluster.model import Resources
 from .phases import ReplicaPhase
 
 # the rank of the front member, which serves requests for the whole replica
 FRONT_RANK = 0
 
 
-class Resources(NamedTuple):
-    """The resources that a member requires, or that a machine has or has free."""
-
-    cpus: float
-    gpus: float
-    memory_gb: float
-
-    def add(self, other: "Resources") -> "Resources":
-        """Return the sum of the two amounts."""
-        return Resources(
-            self.cpus + other.cpus, self.gpus + other.gpus, self.memory_gb + other.memory_gb
-        )
-
-    def subtract(self, other: "Resources") -> "Resources":
-        """Return the difference of the two amounts, which may be negative."""
-        return Resources(
-            self.cpus - other.cpus, self.gpus - other.gpus, self.memory_gb - other.memory_gb
-        )
-
-    def can_fit(self, other: "Resources") -> bool:
-        """Return whether the other amount fits into this one."""
-        return (
-            self.cpus >= other.cpus
-            and self.gpus >= other.gpus
-            and self.memory_gb >= other.memory_gb
-        )
-
-
-NO_RESOURCES = Resources(0.0, 0.0, 0.0)
-
-
 class ReplicaId(NamedTuple):
     """The ID of a replica: its set's name and a number that is never reused in the set."""
 
--- a/crossmill/multihost/placement.py
+++ b/crossmill/multihost/placement.py
@@ -8,7 +8,8 @@
 from collections.abc import Collection, Iterable, Mapping
 from typing import NamedTuple
 
-from .model import ReplicaSetSpec, Resources
+from ..cluster.model import Resources
+from .model import ReplicaSetSpec
 
 # lower bound on a machine's fetch rate, so that no load time is infinite
 MIN_FETCH_GB_PER_S = 1e-3
--- a/crossmill/multihost/pool.py
+++ b/crossmill/multihost/pool.py
@@ -9,18 +9,10 @@
 from typing import Any
 
 from ..cluster import keys as cluster_keys
+from ..cluster.model import NO_RESOURCES, Resources
 from ..state.mirror import Mirror
 from . import keys
-from .model import (
-    NO_RESOURCES,
-    Member,
-    MemberChunk,
-    PoolMachine,
-    Replica,
-    ReplicaId,
-    ReplicaSet,
-    Resources,
-)
+from .model import Member, MemberChunk, PoolMachine, Replica, ReplicaId, ReplicaSet
 from .records import (
     decode_chunk,
     decode_machine,
--- a/crossmill/multihost/preemption.py
+++ b/crossmill/multihost/preemption.py
@@ -8,7 +8,8 @@
 from collections.abc import Iterable, Iterator, Mapping
 from typing import NamedTuple
 
-from .model import Replica, ReplicaId, ReplicaSet, ReplicaSetSpec, Resources
+from ..cluster.model import Resources
+from .model import Replica, ReplicaId, ReplicaSet, ReplicaSetSpec
 from .phases import ReplicaPhase
 from .placement import Candidate, choose_placement
 from .pool import PoolState
--- a/crossmill/multihost/records.py
+++ b/crossmill/multihost/records.py
@@ -10,6 +10,7 @@
 
 from typing import Any
 
+from ..cluster.model import Resources
 from .model import (
     Member,
     MemberChunk,
@@ -19,7 +20,6 @@
     ReplicaId,
     ReplicaSet,
     ReplicaSetSpec,
-    Resources,
 )
 from .phases import ReplicaPhase
 
--- a/crossmill/multihost/registration.py
+++ b/crossmill/multihost/registration.py
@@ -9,13 +9,14 @@
 
 from ..cluster import keys as cluster_keys
 from ..cluster.cluster_state import ClusterState
+from ..cluster.model import Resources
 from ..cluster.ownership import ShardOwnership
 from ..net.clock import Clock
 from ..state.writer import WriteIntent, Writer, WriteRank
 from ..wire.multihost import AgentHeartbeat
 from ..wire.state import Put, Txn
 from . import keys
-from .model import PoolMachine, Resources
+from .model import PoolMachine
 from .pool import PoolState
 from .pool_ownership import PoolOwnership
 from .records import encode_machine, is_reserved_type, reservation_record
--- a/tests/multihost_pool.py
+++ b/tests/multihost_pool.py
@@ -1,6 +1,7 @@
 """A pool with one controller that owns it; tests step the controller and send heartbeats."""
 
 from crossmill.cluster import keys as cluster_keys
+from crossmill.cluster.model import Resources
 from crossmill.multihost import keys
 from crossmill.multihost.context import ControllerContext
 from crossmill.multihost.model import (
@@ -10,7 +11,6 @@
     ReplicaId,
     ReplicaSet,
     ReplicaSetSpec,
-    Resources,
 )
 from crossmill.multihost.phases import ReplicaPhase
 from crossmill.multihost.records import (
--- a/tests/multihost_samples.py
+++ b/tests/multihost_samples.py
@@ -2,7 +2,8 @@
 
 from typing import Any
 
-from crossmill.multihost.model import ReplicaSetSpec, Resources
+from crossmill.cluster.model import Resources
+from crossmill.multihost.model import ReplicaSetSpec
 from crossmill.multihost.placement import Candidate
 
 MEMBER_RESOURCES = Resources(8.0, 4.0, 32.0)
--- a/tests/test_lending_fencing.py
+++ b/tests/test_lending_fencing.py
@@ -7,7 +7,7 @@
 from crossmill.cluster import keys
 from crossmill.cluster.feature_level import LENDING_LEVEL
 from crossmill.cluster.membership import shard_intent
-from crossmill.cluster.model import CapacityLoan, LentResources, Level, PlannedAttempt
+from crossmill.cluster.model import CapacityLoan, Level, PlannedAttempt, Resources
 from crossmill.cluster.records import decode_machine, encode_level, encode_machine_with_loans
 from crossmill.state.writer import WriteRank, WriteResult
 from crossmill.wire.state import Put, Txn
@@ -71,7 +71,7 @@
 
 
 def test_loans_survive_a_round_trip_through_the_record() -> None:
-    loan = CapacityLoan(2, 7, LentResources(1.5, 2.0, 40.0))
+    loan = CapacityLoan(2, 7, Resources(1.5, 2.0, 40.0))
     record = {"type": "g4", "zone": "north", "spot": False, "shard": 0, "at": 5.0}
     machine = decode_machine("n-0", {**record, "retiring": "", "up": True}, 3)
     assert not machine.loans
--- a/tests/test_multihost_declaration.py
+++ b/tests/test_multihost_declaration.py
@@ -4,17 +4,14 @@
 
 import pytest
 
+from crossmill.cluster.model import Resources
 from crossmill.multihost.declaration import (
     InvalidDeclarationError,
     UnplaceableError,
     check_placeable,
     parse_declaration,
 )
-from crossmill.multihost.model import (
-    PoolMachine,
-    ReplicaSetSpec,
-    Resources,
-)
+from crossmill.multihost.model import PoolMachine, ReplicaSetSpec
 
 from .multihost_samples import SPEC
 
--- a/tests/test_multihost_victims.py
+++ b/tests/test_multihost_victims.py
@@ -2,10 +2,8 @@
 
 import pytest
 
-from crossmill.multihost.model import (
-    ReplicaSetSpec,
-    Resources,
-)
+from crossmill.cluster.model import Resources
+from crossmill.multihost.model import ReplicaSetSpec
 from crossmill.multihost.preemption import Victim, choose_victims
 
 from .multihost_samples import MEMBER_RESOURCES, SPEC, make_candidates
