--- a/crossmill/jobs/loan_changes.py
+++ b/crossmill/jobs/loan_changes.py
@@ -4,6 +4,7 @@
 """
 
 from ..cluster.model import NO_RESOURCES, CapacityLoan, Machine
+from ..wire.users import JobSpec
 
 
 class LoanGrant:
@@ -27,6 +28,8 @@
         self.grants: LoanGrants = {}
         # machine IDs and borrowing shards
         self.needed_loans: set[tuple[str, int]] = set()
+        # jobs with overdue tasks that their teams' limits allow and that some idle machines can run
+        self.overdue_specs: list[JobSpec] = []
 
 
 class LoanChanges:
--- a/crossmill/jobs/machine_drain.py
+++ b/crossmill/jobs/machine_drain.py
@@ -34,12 +34,15 @@
 class MachineDrain:
     """Eviction of replicas from at most one machine at a time."""
 
-    def __init__(self, context: SchedulingContext) -> None:
+    def __init__(
+        self, context: SchedulingContext, is_needed_elsewhere: Callable[[Machine], bool]
+    ) -> None:
         self._settings = context.settings
         self._clock = context.clock
         self._cluster = context.cluster
         self._heartbeats = context.heartbeats
         self._forecast = context.forecast
+        self._is_needed_elsewhere = is_needed_elsewhere
         # deadlines of drains in seconds, by machine ID
         self._draining_until: dict[str, float] = {}
         # times of the last searches for a machine to drain, in seconds, by shard
@@ -49,6 +52,13 @@
         """Return whether the machine is being drained, so that no task may be placed on it."""
         return machine_id in self._draining_until
 
+    def may_return(self, machine: Machine) -> bool:
+        """Return whether the shard may return the machine if it does not need it itself.
+
+        It may not while a job of another shard that gets no machine from the cloud could use it.
+        """
+        return not self._is_needed_elsewhere(machine)
+
     def drain(
         self, shard: int, ownership: ShardOwnership, capacities: Callable[[], list[FreeCapacity]]
     ) -> Iterator[PlannedAttempt]:
@@ -100,7 +110,8 @@
         """Return whether the machine has few tasks, all of them settled replicas."""
         if not 0 < len(machine.attempts) <= self._settings.max_tasks_to_drain:
             return False
-        return all(self._is_settled(attempt) for attempt in machine.attempts.values())
+        is_settled = all(self._is_settled(attempt) for attempt in machine.attempts.values())
+        return is_settled and self.may_return(machine)
 
     def _is_settled(self, attempt: PlannedAttempt) -> bool:
         """Return whether the attempt is a replica that has run longer than the settle time.
--- a/crossmill/jobs/machine_lending.py
+++ b/crossmill/jobs/machine_lending.py
@@ -15,10 +15,12 @@
 from ..cluster.model import CapacityLoan, Machine, Resources
 from ..cluster.ownership import ShardOwnership
 from ..cluster.records import encode_machine_with_loans
-from ..planning.free_capacity import FreeCapacity
+from ..planning.demand import TaskDemand, idle_capacity, slots_per_machine
+from ..planning.free_capacity import FreeCapacity, assign_tasks, is_allowed
 from ..planning.lending import DemandAssigner, capacities_with_room
 from ..state.writer import WriteIntent, WriteRank
 from ..wire.state import Put, Txn
+from ..wire.users import JobSpec
 from .context import SchedulingContext
 from .failures import TaskFailures
 from .loan_changes import LoanAssignment, LoanChanges, LoanGrant, LoanGrants
@@ -76,6 +78,9 @@
         self._capacity_cache = self._capacity.new_cache()
         # times in seconds of the searches for transfers that the last checks used, by shard
         self._checked_at: dict[int, float] = {}
+        # the jobs of other shards with overdue tasks that their teams' limits allow and that fit on
+        # machines of the region if these are idle, as of the last check, by shard
+        self._overdue_specs: dict[int, list[JobSpec]] = {}
 
     def writes(
         self, shard: int, ownership: ShardOwnership, machines: list[Machine], edits: PlanEdits
@@ -100,6 +105,7 @@
             has_gate = self._heartbeats.gate is not None
             overdue = [] if has_gate else self._overdue.of_other_shards(shard)
             assignment = self._assign(shard, overdue, used | ended)
+            self._overdue_specs[shard] = assignment.overdue_specs
             self._needs.start_check()
             unended = [machine for machine in lent if machine.id not in ended]
             needed_here = self._needs.machines_needed_here(shard, machines, unended, edits)
@@ -110,6 +116,18 @@
             for machine_id, loans in changes.by_machine().items()
         ]
 
+    def is_needed_elsewhere(self, machine: Machine) -> bool:
+        """Return whether overdue tasks of other shards could use the machine if it were idle."""
+        specs = self._overdue_specs.get(machine.shard)
+        machine_type = self._cluster.catalog.get(machine.type)
+        if not specs or machine_type is None:
+            return False
+        return any(
+            is_allowed(spec, machine.type, machine.zone, machine.spot)
+            and slots_per_machine(spec, machine_type) > 0
+            for spec in specs
+        )
+
     def _intent(
         self, shard: int, ownership: ShardOwnership, machine: Machine, loans: list[CapacityLoan]
     ) -> WriteIntent:
@@ -210,6 +228,8 @@
             team_usage = usage[entry.shard].setdefault(team, ResourceUsage())
             if not self._quotas.limit_demand(entry.demand, team_usage):
                 continue
+            if not entry.demand.spec.is_gang or self._fits_on_idle_machines(entry.demand):
+                result.overdue_specs.append(entry.demand.spec)
             for capacity, tasks in assigners[entry.shard].assign(entry.demand):
                 team_usage.add(entry.demand.spec, tasks)
                 lender = self._cluster.machines[capacity.machine].shard
@@ -224,6 +244,18 @@
                     )
         return result
 
+    def _fits_on_idle_machines(self, demand: TaskDemand) -> bool:
+        """Return whether all tasks of the demand would fit if every machine were idle."""
+        capacities = [
+            idle_capacity(machine.id, machine_type, machine.zone, machine.spot)
+            for machine in self._cluster.machines.values()
+            if machine.is_up
+            and not machine.retirement_reason
+            and (machine_type := self._cluster.catalog.get(machine.type)) is not None
+        ]
+        tasks = assign_tasks(demand.spec, demand.tasks, capacities, demand.zones.copy())
+        return sum(assignment.tasks for assignment in tasks) == demand.tasks
+
     def _free_capacities(
         self, shard: int, overdue: list[OverdueDemand], excluded: set[str]
     ) -> list[FreeCapacity]:
--- a/crossmill/jobs/machine_maintenance.py
+++ b/crossmill/jobs/machine_maintenance.py
@@ -241,6 +241,8 @@
             view.idle_since = None
         elif view.idle_since is None:
             view.idle_since = now
+        elif not self._machine_drain.may_return(machine):
+            return None
         elif self._machine_drain.is_draining(machine.id):
             return RetireReason.DRAINED
         elif machine.id in spare and self._has_exceeded_idle_timeout(machine, now):
--- a/crossmill/jobs/scheduling_loop.py
+++ b/crossmill/jobs/scheduling_loop.py
@@ -87,7 +87,7 @@
         self._cleanup = EndedJobCleanup(settings, clock, cluster, membership)
         # the last writes for ended jobs, by shard
         self._cleanup_writes: dict[int, list[WriteIntent]] = {}
-        machine_drain = MachineDrain(context)
+        machine_drain = MachineDrain(context, self._is_needed_elsewhere)
         self._maintenance = MachineMaintenance(
             context, membership, expiry_proof, machine_drain, self._failures
         )
@@ -173,6 +173,10 @@
         stops = list(self._machine_transfer.choose_machines(shard))
         return stops + self._placement.place(shard, ownership, machines, edits)
 
+    def _is_needed_elsewhere(self, machine: Machine) -> bool:
+        """Return whether overdue tasks of other shards could use the machine."""
+        return self._lending is not None and self._lending.is_needed_elsewhere(machine)
+
     def _loan_writes(
         self, shard: int, ownership: ShardOwnership, machines: list[Machine], edits: PlanEdits
     ) -> list[WriteIntent]:
--- a/tests/test_machine_lending.py
+++ b/tests/test_machine_lending.py
@@ -240,3 +240,32 @@
         assert not is_running(region)
 
     simulate(scenario)
+
+
+@pytest.mark.parametrize("fits", [True, False])
+def test_a_machine_that_a_job_of_another_shard_needs_is_not_drained_and_returned(
+    fits: bool,
+) -> None:
+    """Guards against returning a machine while a job waits for it and the cloud has none.
+
+    A replica on one machine fits beside that on the other, so one machine is drained, unless a
+    gang waits that needs all of both but for one GPU. A gang that needs more holds nothing.
+    """
+
+    async def scenario(region: Region) -> None:
+        await region.start_region(machines=0)
+        for number in range(2):
+            await region.add_worker(f"n-{number}", shard=region.settings.shard_of_team("red"))
+        region.cloud.is_full = True
+        await region.run_provisioners()
+        assert await region.submit("node-0", SERVICE, crew="red", sacks=2) == 201
+        await region.wait_until(lambda: len(region.workers_running(SERVICE)) == 2)
+        gang: dict[str, Any] = {"run_s": 5.0, "sacks": 7 if fits else 9, "cut": "gang"}
+        assert await region.submit("node-1", JOB, crew="blue", **gang) == 201
+        await curio.sleep(100.0)
+        assert bool(region.cloud.released) is not fits
+        if fits:
+            assert await region.cancel_until_confirmed("node-0", SERVICE, 30.0)
+            await region.wait_until(lambda: region.has_finished(JOB, 7), 90.0)
+
+    simulate(scenario)
