--- a/crossmill/jobs/placement.py
+++ b/crossmill/jobs/placement.py
@@ -65,10 +65,6 @@
 
         `now` is in seconds of the controller's monotonic clock.
         """
-        return self._exclusion_by_worker(machine, now) or self._exclusion_by_plans(machine)
-
-    def _exclusion_by_worker(self, machine: Machine, now: float) -> MachineExclusion | None:
-        """Return the exclusion that follows from the machine's state, if any."""
         if machine.retirement_reason:
             return MachineExclusion.RETIRING
         view = self._heartbeats.find_view(machine.id)
@@ -78,20 +74,18 @@
             return MachineExclusion.TERMINATION_NOTICE
         if self._failures.is_unusable(machine):
             return MachineExclusion.FAULTY
-        return None
+        return self._exclusion_by_owners(machine)
 
-    def _exclusion_by_plans(self, machine: Machine) -> MachineExclusion | None:
-        """Return the exclusion that follows from what owners have planned for it, if any."""
+    def _exclusion_by_owners(self, machine: Machine) -> MachineExclusion | None:
+        """Return the exclusion that follows from what owners have decided on the machine."""
         if self._machine_drain.is_draining(machine.id):
             return MachineExclusion.DRAINING
-        if machine.loan_reduced_at > self._mirror.revision:
-            return MachineExclusion.LOAN_REDUCED
-        return MachineExclusion.TRANSFERRING if self._is_transferring(machine) else None
-
-    def _is_transferring(self, machine: Machine) -> bool:
-        return self._machine_transfer.has_planned_transfer(
+        if self._machine_transfer.has_planned_transfer(
             machine.id
-        ) or self._heartbeats.is_transferring(machine.id)
+        ) or self._heartbeats.is_transferring(machine.id):
+            return MachineExclusion.TRANSFERRING
+        is_reduced = machine.loan_reduced_at > self._mirror.revision
+        return MachineExclusion.LOAN_REDUCED if is_reduced else None
 
 
 def _assigned_machines(assignments: list[TaskAssignment]) -> list[str]:
