--- a/crossmill/jobs/preemption.py
+++ b/crossmill/jobs/preemption.py
@@ -269,7 +269,7 @@
         if stoppable is not None:
             return stoppable
         result = self._stoppable[preemptor] = {}
-        guests = self._cluster.machines.guest_jobs(job.shard)
+        guests = [g for g in self._cluster.machines.guest_jobs(job.shard) if g.is_active]
         for other in (*self._cluster.jobs.active[job.shard].values(), *guests):
             victim = other.spec
             if victim is None or not other.chunks:
