Users of a controller that is cut off alone are sent to others

Cause: /healthz was 200 unless a peer had said that the state service serves it. A controller that reaches no peer, or owns no shard and so asks none, never learned that, and took its own cut for an outage of all.

Change: whether users can be answered is one fact (jobs/availability.py); /healthz and the 503 of users' requests follow from it. Isolated is a controller of which a peer is served, that hears no peer for two controller leases, or that has not heard some peers for 45 s while the others are not served. Renewals that succeed while reads fail no longer count as service.

tests/test_lease_extensions.py: the fact has another owner, the checks are the same.

--- a/crossmill/app.py
+++ b/crossmill/app.py
@@ -12,17 +12,20 @@
 from .cluster.cluster_state import ClusterState
 from .cluster.controller_lease import ControllerLease
 from .cluster.feature_level import FeatureLevel
+from .cluster.isolation import IsolationDetector
 from .cluster.keys import ROOT
 from .cluster.lease_extensions import LeaseExtensions
 from .cluster.membership import Membership
 from .cluster.ownership import OwnedShards
 from .cluster.partition_protocol import PartitionProtocol
+from .cluster.peer_links import PeerLinks
 from .cluster.state_access import StateAccess
 from .fleet.cloud import Cloud
 from .fleet.forecast import DemandForecast
 from .fleet.machine_records import MachineRecords
 from .fleet.provisioner import FleetProvisioner
 from .jobs.api import JobApi
+from .jobs.availability import UserAvailability
 from .jobs.record_repair import RecordRepair
 from .jobs.scheduling_loop import SchedulingLoop
 from .net.clock import Clock
@@ -97,11 +100,15 @@
         settings, clock = self.settings, self._clock
         self.controller_lease = ControllerLease(self.client, clock, settings)
         shards = OwnedShards()
-        self.lease_extensions = LeaseExtensions(settings, clock, shards, self.client)
+        peers = PeerLinks(settings, clock)
+        self.isolation = IsolationDetector(settings, clock, self.client, peers)
+        self.lease_extensions = LeaseExtensions(
+            settings, clock, shards, self.client, self.isolation
+        )
         state = StateAccess(self.cluster, self.watcher, self.writer, self.controller_lease)
         self.membership = Membership(settings, clock, state, shards, self.lease_extensions)
         self.feature_level = FeatureLevel(settings, clock, state, self.membership)
-        self.partition_protocol = PartitionProtocol(settings, clock, state)
+        self.partition_protocol = PartitionProtocol(settings, clock, state, peers)
 
     def _build_recovery(self, recovery: "RecoverySettings") -> "RecoveryApi":
         """Create the recovery subsystem.
@@ -160,6 +167,9 @@
             Cloud(settings, clock, _unique_name),
             MachineRecords(self.cluster, self.membership, self.writer),
         )
+        self.availability = UserAvailability(
+            settings, self.cluster, self.watcher, self.client, self.isolation
+        )
         self.jobs = JobApi(
             settings,
             clock,
@@ -168,6 +178,7 @@
             self.writer,
             self.client,
             self.partition_protocol.cancellations,
+            self.availability,
         )
         self.record_repair = RecordRepair(
             settings, clock, self.cluster, self.membership, self.client, self.writer
@@ -175,7 +186,7 @@
 
     def _build_servers(self, work_available: curio.Event) -> None:
         settings = self.settings
-        public = PublicRoutes(self.heartbeats, self.jobs, self.is_ready, work_available.set)
+        public = PublicRoutes(self.heartbeats, self.jobs, self.availability, work_available.set)
         recovery_handler = None if self.recovery is None else self.recovery.handle
         peers = PeerRoutes(self.lease_extensions, self.partition_protocol, recovery_handler)
         self.server = Server(
@@ -204,20 +215,13 @@
             self.membership.run,
             self.feature_level.run,
             self.partition_protocol.run,
+            self.isolation.run,
+            self.availability.run,
             self.scheduling_loop.run,
             self.record_repair.run,
             self.provisioner.run,
         ]
 
-    def is_ready(self) -> bool:
-        """Return whether a load balancer may send users to this controller.
-
-        It may not while the state service refuses only this controller, which then can't accept
-        or change jobs.
-        """
-        is_loaded = self.watcher.ready.is_set() and bool(self.cluster.catalog)
-        return is_loaded and not self.lease_extensions.is_isolated
-
     async def _run_multihost(self, multihost: "MultihostSettings") -> None:
         """Run the scheduling of multi-machine replicas.
 
--- a/crossmill/cluster/lease_extensions.py
+++ b/crossmill/cluster/lease_extensions.py
@@ -12,7 +12,6 @@
 
 import logging
 from collections.abc import Callable
-from typing import Protocol
 
 import curio
 
@@ -22,22 +21,13 @@
 from ..settings import Peer, Settings
 from ..wire import peers as wire
 from ..wire.checks import MalformedMessageError
+from .isolation import IsolationDetector, ServiceStatus
 from .ownership import OwnedShards
 from .peer_links import STATUS_OK
 
 log = logging.getLogger(__name__)
 
 
-class ServiceStatus(Protocol):
-    """The times of this controller's last successful and failed calls to the state service."""
-
-    def last_success_age_s(self) -> float | None:
-        """Return the seconds since the last successful call; None if no call has succeeded."""
-
-    def last_failure_at(self) -> float:
-        """Return when the service last was unavailable or did not respond (monotonic clock)."""
-
-
 class LeaseExtensions:
     """Extensions granted to peers, and extensions received for this controller's own shards."""
 
@@ -47,12 +37,14 @@
         clock: Clock,
         shards: OwnedShards,
         service: ServiceStatus,
+        isolation: IsolationDetector,
         connect: Callable[[Peer], HttpClient] = lambda peer: Client(peer.endpoint, max_sockets=2),
     ) -> None:
         self._settings = settings
         self._clock = clock
         self._shards = shards
         self._service = service
+        self._isolation = isolation
         self._http = {peer.label: connect(peer) for peer in settings.peers}
         self._request_timeout_s = settings.lease_extension_grant_s / 4
         self._started_at = clock.now()
@@ -64,10 +56,6 @@
         self._unclaimed_by_peer: dict[str, set[int]] = {}
         # when this controller was first unable to renew its lease; None while it can
         self._failing_since: float | None = None
-        # when this controller first learned that the state service serves a peer but not itself
-        self._isolation_suspected_at: float | None = None
-        # whether the state service serves peers but not this controller
-        self.is_isolated = False
 
     # -- extensions granted to peers -------------------------------------------------
 
@@ -132,8 +120,6 @@
         """Clear all received extensions, once the lease can be renewed again."""
         if self._failing_since is not None:
             self._failing_since = None
-            self._isolation_suspected_at = None
-            self.is_isolated = False
             self._received_until.clear()
 
     def is_extended(self) -> bool:
@@ -156,7 +142,7 @@
         # once this controller no longer responds to workers, a grant would only prevent peers from
         # taking over
         is_too_late = now - self._failing_since > self._settings.max_lease_extension_s
-        if not shards or is_too_late or self.is_isolated:
+        if not shards or is_too_late or self._isolation.is_isolated:
             return
         extension_request = wire.ExtensionRequest(self._settings.label, tuple(shards))
         async with curio.TaskGroup() as group:
@@ -182,23 +168,4 @@
             return
         grant_s = self._settings.lease_extension_grant_s * (1 - self._settings.clock_drift)
         self._received_until[label] = sent + grant_s
-        if served_ago_s is not None:
-            self._detect_isolation(label, sent - served_ago_s)
-
-    def _detect_isolation(self, label: str, peer_served_at: float) -> None:
-        """Detect that the state service refuses this controller but serves its peers.
-
-        In an outage the state service serves no controller. If it has served a peer clearly later
-        than it first refused this controller, then it is running. The first peer that is served
-        after an outage looks the same, so one more request of this controller must be refused
-        after that.
-        """
-        if self._failing_since is None or self.is_isolated:
-            return
-        if peer_served_at <= self._failing_since + self._settings.lease_renewal_interval_s:
-            return
-        if self._isolation_suspected_at is None:
-            self._isolation_suspected_at = self._clock.now()
-        elif self._service.last_failure_at() > self._isolation_suspected_at:
-            log.info("state service refuses only this controller peer=%s", label)
-            self.is_isolated = True
+        self._isolation.record_answer(label, sent, served_ago_s)
--- a/crossmill/cluster/partition_protocol.py
+++ b/crossmill/cluster/partition_protocol.py
@@ -6,14 +6,11 @@
 directly.
 """
 
-from collections.abc import Callable
-
 import curio
 
-from ..net.client import Client, HttpClient
 from ..net.clock import Clock
 from ..net.server import Request, Response
-from ..settings import Peer, Settings
+from ..settings import Settings
 from ..wire import peers as wire
 from ..wire.checks import MalformedMessageError
 from .cancellation_announcement import CancellationAnnouncement
@@ -31,11 +28,11 @@
         settings: Settings,
         clock: Clock,
         state: StateAccess,
-        connect: Callable[[Peer], HttpClient] = lambda peer: Client(peer.endpoint, max_sockets=2),
+        peers: PeerLinks,
     ) -> None:
         self._settings = settings
         self._controller_lease = state.controller_lease
-        self.peers = PeerLinks(settings, clock, connect)
+        self.peers = peers
         self.partition_detector = PartitionDetector(clock, state.controller_lease, self.peers)
         self.state_sync = StateSync(settings, clock, state)
         self.keepalive = PartitionKeepalive(
--- a/crossmill/cluster/peer_links.py
+++ b/crossmill/cluster/peer_links.py
@@ -1,7 +1,8 @@
 """Requests to the other controllers, and the times of their last responses.
 
-`PartitionProtocol` and its components send their requests through this module. `LeaseExtensions`
-has its own sockets, so that requests for extensions are never queued behind other requests.
+`PartitionProtocol`, its components and `IsolationDetector` send their requests through this module.
+`LeaseExtensions` has its own sockets, so that requests for extensions are never queued behind other
+requests.
 """
 
 import logging
--- a/crossmill/jobs/api.py
+++ b/crossmill/jobs/api.py
@@ -13,6 +13,7 @@
 from ..state.watcher import StateWatcher
 from ..state.writer import Writer
 from ..wire import users as wire
+from .availability import UserAvailability
 from .cancellation import CancellationHandler
 from .context import JobRequestContext
 from .dependency_check import DependencyCheck
@@ -35,8 +36,9 @@
         writer: Writer,
         client: StateClient,
         announcement: CancellationAnnouncement,
+        availability: UserAvailability,
     ) -> None:
-        self._lookup = JobLookup(settings, cluster, watcher, client)
+        self._lookup = JobLookup(settings, cluster, watcher, client, availability)
         context = JobRequestContext(settings, clock, cluster, writer, self._lookup)
         dependencies = DependencyCheck(cluster, cluster.mirror, client)
         self._submission = SubmissionHandler(context, dependencies)
--- a/crossmill/jobs/lookup.py
+++ b/crossmill/jobs/lookup.py
@@ -12,6 +12,7 @@
 from ..state.client import OutcomeUnknownError, RequestRefusedError, StateClient
 from ..state.watcher import StateWatcher
 from ..wire import users as wire
+from .availability import UserAvailability
 
 RETRY_AFTER_S = 1
 UNAVAILABLE = Response(503, wire.error_body("not now"), retry_after_s=RETRY_AFTER_S)
@@ -29,21 +30,22 @@
     """Looks up jobs for the handlers of the job API."""
 
     def __init__(
-        self, settings: Settings, cluster: ClusterState, watcher: StateWatcher, client: StateClient
+        self,
+        settings: Settings,
+        cluster: ClusterState,
+        watcher: StateWatcher,
+        client: StateClient,
+        availability: UserAvailability,
     ) -> None:
         self._settings = settings
+        self._availability = availability
         self._cluster = cluster
         self._watcher = watcher
         self._client = client
 
     def is_available(self) -> bool:
-        """Return whether the mirror is loaded and the state service responds.
-
-        During an outage requests are refused immediately, since no response could be verified to
-        be current.
-        """
-        is_down = self._client.outage_duration_s() > self._settings.lease_renewal_interval_s / 2
-        return self._watcher.ready.is_set() and not is_down
+        """Return whether requests that need the state service can be answered."""
+        return self._availability.can_answer()
 
     async def wait_until_current(self) -> bool:
         """Wait until the mirror includes every write that was durable at the call.
--- a/crossmill/routes.py
+++ b/crossmill/routes.py
@@ -9,6 +9,7 @@
 from .cluster.lease_extensions import LeaseExtensions
 from .cluster.partition_protocol import PartitionProtocol
 from .jobs.api import JobApi
+from .jobs.availability import UserAvailability
 from .net.server import Handler, Request, Response
 from .wire import peers, users, workers
 from .wire.checks import MalformedMessageError, load_object
@@ -28,12 +29,12 @@
         self,
         heartbeats: HeartbeatHandler,
         jobs: JobApi,
-        is_ready: Callable[[], bool],
+        availability: UserAvailability,
         on_outcome: Callable[[], Awaitable[None]],
     ) -> None:
         self._heartbeats = heartbeats
         self._jobs = jobs
-        self._is_ready = is_ready
+        self._availability = availability
         # called when a heartbeat reports that an attempt has ended
         self._on_outcome = on_outcome
 
@@ -46,7 +47,7 @@
         if request.path == users.JOBS_PATH or request.path.startswith(users.JOBS_PATH + "/"):
             return await self._jobs.handle(request)
         if request.path == HEALTH_PATH:
-            return Response(200 if self._is_ready() else 503)
+            return Response(200 if self._availability.may_receive_users() else 503)
         return Response(404, users.error_body("no such path"))
 
     async def _heartbeat(self, request: Request) -> Response:
--- a/crossmill/settings/timing.py
+++ b/crossmill/settings/timing.py
@@ -5,6 +5,9 @@
 
 from .deployment import DeploymentSettings
 
+# PROTOCOL: a job counts as forgotten if every poll for it fails for this long
+MAX_UNANSWERED_POLLS_S = 90.0
+
 
 class TimingSettings(DeploymentSettings):
     """The settings of a deployment, with derived time spans and planning parameters."""
@@ -70,6 +73,24 @@
         """
         return 1.5 * self.worker_lease_expiry_s
 
+    @property
+    def silent_peers_isolation_s(self) -> float:
+        """The time without an answer from any peer after which a controller may be cut off alone.
+
+        It counts while the state service is unavailable to the controller. A peer that restarts or
+        stalls usually answers within this time.
+        """
+        return 2 * self.controller_lease_ttl_s
+
+    @property
+    def silent_peer_isolation_s(self) -> float:
+        """The time after which one silent peer suffices, though no other peer is served either.
+
+        A restart of a controller takes less. The remaining half of the limit is for the load
+        balancer to move the users.
+        """
+        return MAX_UNANSWERED_POLLS_S / 2
+
     @property
     def clock_drift(self) -> float:
         """The maximum relative drift between two monotonic clocks.
--- a/crossmill/state/client.py
+++ b/crossmill/state/client.py
@@ -120,15 +120,22 @@
         """
         return self._last_failure_at
 
+    def unavailable_since(self) -> float | None:
+        """Return when the service became unavailable (monotonic clock); None if it is available.
+
+        Successful calls for leases don't count: they may succeed while all others fail.
+        """
+        return self._failing_since if self._failure_count >= MIN_OUTAGE_FAILURES else None
+
     def outage_duration_s(self) -> float:
         """Return the duration of the current outage in seconds; 0 if there is none."""
-        if self._failure_count < MIN_OUTAGE_FAILURES:
-            return 0.0
-        return self._clock.now() - self._failing_since
+        since = self.unavailable_since()
+        return 0.0 if since is None else self._clock.now() - since
 
-    def _record_success(self) -> None:
-        self._failure_count = 0
+    def _record_success(self, path: str) -> None:
         self._last_success_at = self._clock.now()
+        if not path.startswith(wire.LEASES_PATH):
+            self._failure_count = 0
 
     def _record_failure(self) -> None:
         if self._failure_count == 0:
@@ -154,7 +161,7 @@
             self._record_failure()
             raise RequestRefusedError(f"{method} {path}: status {status}", status)
         # a service that limits the request rate is available
-        self._record_success()
+        self._record_success(path)
         if status == HttpStatus.TOO_MANY_REQUESTS:
             raise RequestRefusedError(f"{method} {path}: status {status}", status)
         return status, data
--- a/tests/simulated_links.py
+++ b/tests/simulated_links.py
@@ -147,7 +147,8 @@
         region = self._region
         await curio.sleep(MESSAGE_DELAY_S)
         node = region.nodes.get(self._label)
-        if node is None or {self._source, self._label} & region.cut_from_peers:
+        ends = frozenset((self._source, self._label))
+        if node is None or ends & region.cut_from_peers or ends in region.cut_peer_pairs:
             raise ConnectionFailedError(self._label)
         if region.is_frozen(self._label):
             await curio.sleep(timeout_s)
--- a/tests/simulated_region.py
+++ b/tests/simulated_region.py
@@ -66,6 +66,8 @@
         self.cut_from_state: set[str] = set()
         # labels of controllers that reach no other controller
         self.cut_from_peers: set[str] = set()
+        # pairs of controllers that do not reach each other
+        self.cut_peer_pairs: set[frozenset[str]] = set()
         # time until which a controller's process is frozen, by label
         self.frozen_until: dict[str, float] = {}
         # labels of controllers whose machine is powered off: workers' connections to it time out
@@ -145,6 +147,8 @@
             node.membership.run,
             node.feature_level.run,
             node.partition_protocol.run,
+            node.isolation.run,
+            node.availability.run,
             node.scheduling_loop.run,
             node.record_repair.run,
             *self.extra_loops(node),
@@ -228,6 +232,7 @@
         is_controller_affected = (
             len(self.nodes) < len(self.LABELS)
             or bool(self.cut_from_state or self.cut_from_peers or self.powered_off)
+            or bool(self.cut_peer_pairs)
             or any(self.is_frozen(label) for label in self.LABELS)
         )
         is_service_affected = (
@@ -294,6 +299,7 @@
         """End all disconnections of controllers and all refusals by the state service."""
         self.cut_from_state.clear()
         self.cut_from_peers.clear()
+        self.cut_peer_pairs.clear()
         self.refused_requests.clear()
 
     def owners(self) -> dict[int, str]:
--- a/tests/stepped_controller.py
+++ b/tests/stepped_controller.py
@@ -14,10 +14,12 @@
 from crossmill.cluster.cluster_state import ClusterState
 from crossmill.cluster.controller_lease import ControllerLease
 from crossmill.cluster.feature_level import FeatureLevel
+from crossmill.cluster.isolation import IsolationDetector
 from crossmill.cluster.lease_extensions import LeaseExtensions
 from crossmill.cluster.membership import Membership
 from crossmill.cluster.ownership import OwnedShards
 from crossmill.cluster.partition_protocol import PartitionProtocol
+from crossmill.cluster.peer_links import PeerLinks
 from crossmill.cluster.records import encode_job
 from crossmill.cluster.state_access import StateAccess
 from crossmill.fleet.cloud import Cloud, stored_catalog
@@ -25,10 +27,12 @@
 from crossmill.fleet.machine_records import MachineRecords
 from crossmill.fleet.provisioner import FleetProvisioner
 from crossmill.jobs.api import JobApi
+from crossmill.jobs.availability import UserAvailability
 from crossmill.jobs.record_repair import RecordRepair
 from crossmill.jobs.scheduling_loop import SchedulingLoop
 from crossmill.net.client import ConnectionFailedError, HttpClient
 from crossmill.net.server import Request, Response
+from crossmill.routes import PublicRoutes
 from crossmill.settings import Peer
 from crossmill.state.client import StateClient
 from crossmill.state.mirror import Mirror
@@ -127,11 +131,15 @@
             return connect(peer) if connect is not None else InMemoryPeerLink(nodes, peer.label)
 
         shards = OwnedShards()
-        self.lease_extensions = LeaseExtensions(s, clock, shards, self.client, connect_to_peer)
+        peer_links = PeerLinks(s, clock, connect_to_peer)
+        self.isolation = IsolationDetector(s, clock, self.client, peer_links)
+        self.lease_extensions = LeaseExtensions(
+            s, clock, shards, self.client, self.isolation, connect_to_peer
+        )
         access = StateAccess(self.cluster, self.watcher, self.writer, self.controller_lease)
         self.membership = Membership(s, clock, access, shards, self.lease_extensions)
         self.feature_level = FeatureLevel(s, clock, access, self.membership)
-        self.partition_protocol = PartitionProtocol(s, clock, access, connect_to_peer)
+        self.partition_protocol = PartitionProtocol(s, clock, access, peer_links)
         self.heartbeats = HeartbeatHandler(
             s,
             clock,
@@ -164,6 +172,9 @@
             Cloud(s, clock, lambda: unique_id, self.cloud),
             MachineRecords(self.cluster, self.membership, self.writer),
         )
+        self.availability = UserAvailability(
+            s, self.cluster, self.watcher, self.client, self.isolation
+        )
         self.jobs = JobApi(
             s,
             clock,
@@ -172,8 +183,11 @@
             self.writer,
             self.client,
             self.partition_protocol.cancellations,
+            self.availability,
+        )
+        self.public_routes = PublicRoutes(
+            self.heartbeats, self.jobs, self.availability, curio.Event().set
         )
-
         self.record_repair = RecordRepair(
             s, clock, self.cluster, self.membership, self.client, self.writer
         )
@@ -230,7 +244,7 @@
 
     async def send_user_request(self, method: str, path: str, body: bytes = b"") -> Response:
         """Send a request to the users' interface."""
-        return await self.jobs.handle(Request(method, path, body))
+        return await self.public_routes.handle(Request(method, path, body))
 
 
 def seed(state: StateService, clock: FakeClock, machines: int = 2, shard: int = 0) -> None:
--- a/tests/test_lease_extensions.py
+++ b/tests/test_lease_extensions.py
@@ -74,7 +74,7 @@
             await node.controller_lease.step()
             state.is_down = False
             await _request_extensions(node)
-        assert node.lease_extensions.is_isolated
+        assert node.isolation.is_isolated
         clock.time += node.settings.lease_extension_grant_s * 1.1
         await _request_extensions(node)
         assert not peers[0].lease_extensions.is_granted_to_peer(0)
@@ -88,7 +88,7 @@
         node = await start_placed_task(state, clock, nodes)
         peers = await _boot_peers(state, clock, nodes)
         state.is_down = True
-        while not node.lease_extensions.is_isolated and clock.now() < 2000:
+        while not node.isolation.is_isolated and clock.now() < 2000:
             await _fail_to_renew(clock, node, peers)
             failing_since = node.lease_extensions._failing_since
             assert failing_since is not None
@@ -97,7 +97,7 @@
                 > node.settings.max_lease_extension_s + node.settings.lease_extension_grant_s * 1.1
             ):
                 break
-        assert not node.lease_extensions.is_isolated
+        assert not node.isolation.is_isolated
         # once node no longer responds to workers, its extensions don't block acquisitions
         assert not peers[0].lease_extensions.is_granted_to_peer(0)
 
@@ -121,7 +121,7 @@
         clock.time += 0.1
         await _request_extensions(node)
         await _request_extensions(node)
-        assert not node.lease_extensions.is_isolated
+        assert not node.isolation.is_isolated
 
     run_scenario(scenario)
 
