--- a/crossmill/cluster/partition_keepalive.py
+++ b/crossmill/cluster/partition_keepalive.py
@@ -7,7 +7,9 @@
 controller has no authority. `PartitionProtocol` keeps the classes of this module up to date.
 """
 
+import logging
 from collections.abc import Iterable
+from enum import Enum
 
 from ..net.clock import Clock
 from ..settings import Settings
@@ -19,6 +21,8 @@
 from .shard_acquisition import last_token_of_block
 from .state_access import StateAccess
 
+log = logging.getLogger(__name__)
+
 # number of entries above which expired ones are removed
 MAX_PENDING_CANCELLATIONS = 1000
 
@@ -111,6 +115,21 @@
         return lease_id if is_announced and self._controller_lease.is_held() else None
 
 
+class KeepaliveEnd(Enum):
+    """Why a worker is not kept alive, or not any more; the values are logged."""
+
+    OTHER_ZONE = "other-zone"
+    # the last valid sync with the state service is too old
+    OLD_SYNC = "old-sync"
+    # this controller has attested to the owner that it does not respond to the machine
+    ATTESTED = "attested"
+    # the worker has seen a token that is not the known owner's
+    NEWER_TOKEN = "newer-token"
+    NOT_PARTITIONED = "not-partitioned"
+    # the worker has sent no heartbeat for the duration of its lease
+    NO_HEARTBEAT = "no-heartbeat"
+
+
 class PartitionKeepalive:
     """Responder to the workers of this controller's zone while the zone is partitioned.
 
@@ -132,6 +151,8 @@
         self._partition = partition
         self._state_sync = state_sync
         self._started_at = clock.now()
+        # IDs of the machines whose workers are being kept alive, as logged
+        self._kept_alive: set[str] = set()
         # last keepalive times, by machine ID
         self._kept_alive_at: dict[str, float] = {}
         # times before which keepalives are suspended after an attestation, by machine ID
@@ -140,20 +161,39 @@
 
     def keep_alive(self, machine: Machine, heartbeat: WorkerHeartbeat) -> bool:
         """Return whether the worker may be kept alive now; if so, record that it is."""
-        if not self._may_keep_alive(machine, heartbeat):
+        refusal = self._refusal(machine, heartbeat)
+        if refusal is not None:
+            self._log_end(machine.id, refusal)
             return False
+        if machine.id not in self._kept_alive:
+            self._kept_alive.add(machine.id)
+            log.info("worker kept alive machine=%s token=%d", machine.id, heartbeat.token)
         self._kept_alive_at[machine.id] = self._clock.now()
         return True
 
-    def _may_keep_alive(self, machine: Machine, heartbeat: WorkerHeartbeat) -> bool:
-        if machine.zone != self._settings.zone or not self._is_sync_recent():
-            return False
+    def _refusal(self, machine: Machine, heartbeat: WorkerHeartbeat) -> KeepaliveEnd | None:
+        """Return why the worker may not be kept alive now; None if it may."""
+        if machine.zone != self._settings.zone:
+            return KeepaliveEnd.OTHER_ZONE
+        if not self._is_sync_recent():
+            return KeepaliveEnd.OLD_SYNC
         if self._clock.now() < self._suspended_until.get(machine.id, 0.0):
-            return False
+            return KeepaliveEnd.ATTESTED
         if heartbeat.token > self._highest_known_token(machine):
             # another controller has begun to act for the machine and can reach it
-            return False
-        return self._partition.is_partitioned()
+            return KeepaliveEnd.NEWER_TOKEN
+        return None if self._partition.is_partitioned() else KeepaliveEnd.NOT_PARTITIONED
+
+    def log_silent_workers(self) -> None:
+        """Log the end of the keepalive of each worker that sends no heartbeats here any more."""
+        oldest = self._clock.now() - self._settings.worker_lease_s
+        for machine_id in [m for m in self._kept_alive if self._kept_alive_at[m] < oldest]:
+            self._log_end(machine_id, KeepaliveEnd.NO_HEARTBEAT)
+
+    def _log_end(self, machine_id: str, reason: KeepaliveEnd) -> None:
+        if machine_id in self._kept_alive:
+            self._kept_alive.discard(machine_id)
+            log.info("worker keepalive ended machine=%s reason=%s", machine_id, reason.value)
 
     def _is_sync_recent(self) -> bool:
         synced_at = self._state_sync.sent_at
--- a/crossmill/cluster/partition_protocol.py
+++ b/crossmill/cluster/partition_protocol.py
@@ -67,6 +67,7 @@
         """
         self.expiry_proof.observe_absences()
         self.expiry_proof.drop_expired()
+        self.keepalive.log_silent_workers()
         async with curio.TaskGroup() as group:
             if self._controller_lease.is_failing:
                 self.partition_detector.record_renewal_failure()
