Start: subprocess and multiprocessing.util are no longer loaded

tests/test_startup.py bounds the modules that a start loads at 270. Curio needs both only for worker processes, which a controller does not have.

--- a/crossmill/lazy_imports.py
+++ b/crossmill/lazy_imports.py
@@ -12,9 +12,10 @@
 from types import ModuleType
 from typing import Any
 
-# Curio uses these for other event loops, for worker processes and for their authentication.
+# Curio uses these for other event loops, for worker processes and for their authentication. With
+# `multiprocessing.util`, `subprocess` is not loaded either.
 # `zoneinfo`, which orjson imports, uses `sysconfig` to find time zone files.
-DEFERRED_MODULES = ("asyncio", "hmac", "sysconfig", "tempfile")
+DEFERRED_MODULES = ("asyncio", "hmac", "multiprocessing.util", "sysconfig", "tempfile")
 # the environment variable of `zoneinfo`'s search path, and an empty value: if the variable is set,
 # even to an empty path, `zoneinfo` does not use `sysconfig`
 EMPTY_TIME_ZONE_PATH = ("PYTHONTZPATH", "")
