Heartbeats: a controller whose lease can't be renewed names no owner that may be gone

Change: while its lease can't be renewed, a controller names the recorded owner only if it has responded since, and otherwise the other controllers in turn (workers/owner_search.py).

--- a/crossmill/cluster/partition_keepalive.py
+++ b/crossmill/cluster/partition_keepalive.py
@@ -65,18 +65,28 @@
         """Record that the controller's lease can be renewed."""
         self._lease_failing_since = None
 
+    @property
+    def is_lease_failing(self) -> bool:
+        """Whether renewals of the controller's lease are failing."""
+        return self._controller_lease.is_failing
+
     def is_partitioned(self) -> bool:
         """Return whether neither the state service nor any other zone's controller responds.
 
         Responses count from when renewals of the lease were first observed to fail. This may be
         now, before the other zones' controllers have been probed.
         """
-        if not self._controller_lease.is_failing:
-            return False
+        others = self._peers.labels_outside_zone
+        return self.is_lease_failing and bool(others) and self._are_silent(others)
+
+    def is_silent(self, label: str) -> bool:
+        """Return whether renewals fail and the controller has not responded since they began to."""
+        return self.is_lease_failing and self._are_silent([label])
+
+    def _are_silent(self, labels: list[str]) -> bool:
         if self._lease_failing_since is None:
             self._lease_failing_since = self._clock.now()
-        others = self._peers.labels_outside_zone
-        return bool(others) and self._peers.has_no_response_from(others, self._lease_failing_since)
+        return self._peers.has_no_response_from(labels, self._lease_failing_since)
 
 
 class StateSync:
--- a/crossmill/workers/heartbeat_handler.py
+++ b/crossmill/workers/heartbeat_handler.py
@@ -31,6 +31,7 @@
 )
 from .attempt_outcomes import StopReason
 from .lease_expiry import WorkerLeaseExpiry
+from .owner_search import OwnerSearch
 from .reconciliation import (
     Reconciler,
     is_stop_of_ended_job,
@@ -100,6 +101,8 @@
         self._cluster = cluster
         self._membership = membership
         self._keepalive = partition_protocol.keepalive
+        self._partition = partition_protocol.partition_detector
+        self._owner_search = OwnerSearch(settings, membership.owner_selection)
         self._views: dict[str, WorkerView] = {}
         self.read_task_status = cached_task_status_reader(settings.max_cached_task_statuses)
         self.reconciler = Reconciler(settings, clock, cluster)
@@ -246,10 +249,7 @@
     ) -> HeartbeatResponse:
         """Keep a worker of a partitioned zone alive, or redirect it to its owner."""
         if not self._keepalive.keep_alive(machine, heartbeat):
-            shard_owner = self._cluster.shard_owners.get(machine.shard)
-            if shard_owner is None or shard_owner.owner == self._settings.label:
-                return self._redirect()
-            return self._redirect(shard_owner.owner)
+            return self._redirect_without_ownership(machine)
         # This response renews the worker's lease. The view must record it, because an owner that
         # keeps a worker alive in a partitioned zone may regain its authority under the same lease.
         view = self._views.get(machine.id)
@@ -258,6 +258,16 @@
         stops = stops_of_ended_jobs(heartbeat.tasks, self._keepalive.has_ended)
         return _accept(heartbeat.token, stops, self._keepalive.has_ended)
 
+    def _redirect_without_ownership(self, machine: Machine) -> HeartbeatResponse:
+        """Redirect a worker to its recorded owner, or to look for it if the record may be old."""
+        record = self._cluster.shard_owners.get(machine.shard)
+        owner = None if record is None or record.owner == self._settings.label else record.owner
+        if not self._partition.is_lease_failing:
+            return self._redirect(owner)
+        if owner is None or self._partition.is_silent(owner):
+            owner = self._owner_search.next_target(machine.id)
+        return self._redirect(owner)
+
     def _respond_to_newer_token(
         self, machine: Machine, heartbeat: WorkerHeartbeat
     ) -> HeartbeatResponse:
