Keepalive: workers of a controller that is cut off alone find their new owner

What callers saw: a controller lost the state service and its peers, but neither workers nor users.

Cause: the cut controller took its zone for partitioned and kept the worker alive.

Change: requests to /healthz and of users come from the region and do not arrive in a partitioned zone (cluster/region_contact.py). While they arrive, a worker without an owner here is first sent to look for one, and kept alive only once it has had no answer for a third of its lease, so it survives where there is no owner. Answers are only withheld, so no rule rests on the sign.

No test of the keepalive in a partitioned zone is changed.

--- a/crossmill/app.py
+++ b/crossmill/app.py
@@ -19,6 +19,7 @@
 from .cluster.ownership import OwnedShards
 from .cluster.partition_protocol import PartitionProtocol
 from .cluster.peer_links import PeerLinks
+from .cluster.region_contact import RegionContact
 from .cluster.state_access import StateAccess
 from .fleet.cloud import Cloud
 from .fleet.forecast import DemandForecast
@@ -108,7 +109,10 @@
         state = StateAccess(self.cluster, self.watcher, self.writer, self.controller_lease)
         self.membership = Membership(settings, clock, state, shards, self.lease_extensions)
         self.feature_level = FeatureLevel(settings, clock, state, self.membership)
-        self.partition_protocol = PartitionProtocol(settings, clock, state, peers)
+        self.region_contact = RegionContact(settings, clock)
+        self.partition_protocol = PartitionProtocol(
+            settings, clock, state, peers, self.region_contact
+        )
 
     def _build_recovery(self, recovery: "RecoverySettings") -> "RecoveryApi":
         """Create the recovery subsystem.
@@ -186,7 +190,9 @@
 
     def _build_servers(self, work_available: curio.Event) -> None:
         settings = self.settings
-        public = PublicRoutes(self.heartbeats, self.jobs, self.availability, work_available.set)
+        public = PublicRoutes(
+            self.heartbeats, self.jobs, self.availability, self.region_contact, work_available.set
+        )
         recovery_handler = None if self.recovery is None else self.recovery.handle
         peers = PeerRoutes(self.lease_extensions, self.partition_protocol, recovery_handler)
         self.server = Server(
--- a/crossmill/cluster/partition_keepalive.py
+++ b/crossmill/cluster/partition_keepalive.py
@@ -18,6 +18,7 @@
 from .controller_lease import ControllerLease
 from .model import ACTIVE, Machine
 from .peer_links import PeerLinks
+from .region_contact import RegionContact
 from .shard_acquisition import last_token_of_block
 from .state_access import StateAccess
 
@@ -50,10 +51,17 @@
 class PartitionDetector:
     """Detector of a partition of this controller's zone from the state service and other zones."""
 
-    def __init__(self, clock: Clock, controller_lease: ControllerLease, peers: PeerLinks) -> None:
+    def __init__(
+        self,
+        clock: Clock,
+        controller_lease: ControllerLease,
+        peers: PeerLinks,
+        region_contact: RegionContact,
+    ) -> None:
         self._clock = clock
         self._controller_lease = controller_lease
         self._peers = peers
+        self._region_contact = region_contact
         self._lease_failing_since: float | None = None
 
     def record_renewal_failure(self) -> None:
@@ -88,6 +96,13 @@
             self._lease_failing_since = self._clock.now()
         return self._peers.has_no_response_from(labels, self._lease_failing_since)
 
+    def is_reached_by_region(self) -> bool:
+        """Return whether users or the load balancer reach this controller.
+
+        Then its zone is not partitioned, even if it reaches nobody itself.
+        """
+        return self._region_contact.is_recent()
+
 
 class StateSync:
     """The last sync with the state service during which this controller's record existed."""
@@ -136,6 +151,8 @@
     # the worker has seen a token that is not the known owner's
     NEWER_TOKEN = "newer-token"
     NOT_PARTITIONED = "not-partitioned"
+    # users reach this controller, so another one may own the machine: the worker is to look for it
+    OWNER_SEARCH = "owner-search"
     # the worker has sent no heartbeat for the duration of its lease
     NO_HEARTBEAT = "no-heartbeat"
 
@@ -165,6 +182,8 @@
         self._kept_alive: set[str] = set()
         # last keepalive times, by machine ID
         self._kept_alive_at: dict[str, float] = {}
+        # times at which workers were first told to look for their owner, by machine ID
+        self._sent_away_at: dict[str, float] = {}
         # times before which keepalives are suspended after an attestation, by machine ID
         self._suspended_until: dict[str, float] = {}
         self.pending_cancellations = PendingCancellations(settings, clock)
@@ -192,7 +211,22 @@
         if heartbeat.token > self._highest_known_token(machine):
             # another controller has begun to act for the machine and can reach it
             return KeepaliveEnd.NEWER_TOKEN
-        return None if self._partition.is_partitioned() else KeepaliveEnd.NOT_PARTITIONED
+        if not self._partition.is_partitioned():
+            return KeepaliveEnd.NOT_PARTITIONED
+        return KeepaliveEnd.OWNER_SEARCH if self._must_search_owner(machine) else None
+
+    def _must_search_owner(self, machine: Machine) -> bool:
+        """Return whether the worker must look for its owner at other controllers first.
+
+        If this controller is cut off alone, another one acquires the machine's shard and waits for
+        the worker. A worker that finds no owner is kept alive when it returns.
+        """
+        if not self._partition.is_reached_by_region():
+            return False
+        now = self._clock.now()
+        sent_away_at = self._sent_away_at.setdefault(machine.id, now)
+        kept_alive_at = self._kept_alive_at.get(machine.id, sent_away_at)
+        return now - max(sent_away_at, kept_alive_at) < self._settings.owner_search_s
 
     def log_silent_workers(self) -> None:
         """Log the end of the keepalive of each worker that sends no heartbeats here any more."""
--- a/crossmill/cluster/partition_protocol.py
+++ b/crossmill/cluster/partition_protocol.py
@@ -17,6 +17,7 @@
 from .lease_expiry_proof import LeaseExpiryProof
 from .partition_keepalive import PartitionDetector, PartitionKeepalive, StateSync
 from .peer_links import PeerLinks
+from .region_contact import RegionContact
 from .state_access import StateAccess
 
 
@@ -29,11 +30,14 @@
         clock: Clock,
         state: StateAccess,
         peers: PeerLinks,
+        region_contact: RegionContact,
     ) -> None:
         self._settings = settings
         self._controller_lease = state.controller_lease
         self.peers = peers
-        self.partition_detector = PartitionDetector(clock, state.controller_lease, self.peers)
+        self.partition_detector = PartitionDetector(
+            clock, state.controller_lease, self.peers, region_contact
+        )
         self.state_sync = StateSync(settings, clock, state)
         self.keepalive = PartitionKeepalive(
             settings, clock, state.cluster, self.partition_detector, self.state_sync
--- a/crossmill/routes.py
+++ b/crossmill/routes.py
@@ -8,6 +8,7 @@
 
 from .cluster.lease_extensions import LeaseExtensions
 from .cluster.partition_protocol import PartitionProtocol
+from .cluster.region_contact import RegionContact
 from .jobs.api import JobApi
 from .jobs.availability import UserAvailability
 from .net.server import Handler, Request, Response
@@ -30,11 +31,13 @@
         heartbeats: HeartbeatHandler,
         jobs: JobApi,
         availability: UserAvailability,
+        region_contact: RegionContact,
         on_outcome: Callable[[], Awaitable[None]],
     ) -> None:
         self._heartbeats = heartbeats
         self._jobs = jobs
         self._availability = availability
+        self._region_contact = region_contact
         # called when a heartbeat reports that an attempt has ended
         self._on_outcome = on_outcome
 
@@ -45,8 +48,10 @@
                 return Response(405)
             return await self._heartbeat(request)
         if request.path == users.JOBS_PATH or request.path.startswith(users.JOBS_PATH + "/"):
+            self._region_contact.record_request()
             return await self._jobs.handle(request)
         if request.path == HEALTH_PATH:
+            self._region_contact.record_request()
             return Response(200 if self._availability.may_receive_users() else 503)
         return Response(404, users.error_body("no such path"))
 
--- a/crossmill/settings/timing.py
+++ b/crossmill/settings/timing.py
@@ -7,6 +7,8 @@
 
 # PROTOCOL: a job counts as forgotten if every poll for it fails for this long
 MAX_UNANSWERED_POLLS_S = 90.0
+# PROTOCOL: the load balancer probes every controller about once a second
+PROBE_INTERVAL_S = 1.0
 
 
 class TimingSettings(DeploymentSettings):
@@ -59,6 +61,27 @@
         """
         return 3 * self.worker_lease_s
 
+    @property
+    def owner_search_s(self) -> float:
+        """The time for which a worker without an owner is sent to look for one before it is helped.
+
+        It looks at the other controllers in this time, and returns well within its lease.
+        """
+        return self.worker_lease_s / 3
+
+    @property
+    def region_contact_window_s(self) -> float:
+        """The time within which two requests of users or the load balancer must have arrived.
+
+        The load balancer's probes are the rarest ones. One of them may be lost.
+        """
+        return 4 * PROBE_INTERVAL_S
+
+    @property
+    def region_contact_distance_s(self) -> float:
+        """The minimum time between two such requests; held back ones arrive together."""
+        return PROBE_INTERVAL_S / 2
+
     @property
     def cancellation_note_ttl_s(self) -> float:
         """The time for which a peer's note of a job's cancellation is valid without repetition."""
--- a/tests/stepped_controller.py
+++ b/tests/stepped_controller.py
@@ -21,6 +21,7 @@
 from crossmill.cluster.partition_protocol import PartitionProtocol
 from crossmill.cluster.peer_links import PeerLinks
 from crossmill.cluster.records import encode_job
+from crossmill.cluster.region_contact import RegionContact
 from crossmill.cluster.state_access import StateAccess
 from crossmill.fleet.cloud import Cloud, stored_catalog
 from crossmill.fleet.forecast import DemandForecast
@@ -139,7 +140,10 @@
         access = StateAccess(self.cluster, self.watcher, self.writer, self.controller_lease)
         self.membership = Membership(s, clock, access, shards, self.lease_extensions)
         self.feature_level = FeatureLevel(s, clock, access, self.membership)
-        self.partition_protocol = PartitionProtocol(s, clock, access, peer_links)
+        self.region_contact = RegionContact(s, clock)
+        self.partition_protocol = PartitionProtocol(
+            s, clock, access, peer_links, self.region_contact
+        )
         self.heartbeats = HeartbeatHandler(
             s,
             clock,
@@ -186,7 +190,11 @@
             self.availability,
         )
         self.public_routes = PublicRoutes(
-            self.heartbeats, self.jobs, self.availability, curio.Event().set
+            self.heartbeats,
+            self.jobs,
+            self.availability,
+            self.region_contact,
+            curio.Event().set,
         )
         self.record_repair = RecordRepair(
             s, clock, self.cluster, self.membership, self.client, self.writer
--- a/tests/test_cut_controllers.py
+++ b/tests/test_cut_controllers.py
@@ -12,6 +12,7 @@
 
 from .builders import ZONES
 from .fault_injection import every_request
+from .simulated_links import TransactionFault
 from .simulated_load_balancer import LoadBalancer
 from .simulated_region import Region, simulate
 
@@ -110,13 +111,61 @@
     tasks.check_undisturbed()
 
 
+@CUTS
+@pytest.mark.parametrize("label", Region.LABELS)
+def test_workers_of_a_controller_that_is_cut_off_alone_report_to_their_new_owner(
+    cut: Cut, label: str
+) -> None:
+    """Guards against healthy machines returned as silent (review/8, issue 73)."""
+
+    async def scenario(tasks: TasksOfOneController) -> None:
+        cut(tasks.region, label)
+        await _check_new_owner(tasks)
+
+    _simulate_tasks(label, scenario)
+
+
+@CUTS
+@pytest.mark.parametrize("label", Region.LABELS)
+def test_workers_of_a_cut_controller_whose_zone_has_all_others_report_to_their_new_owner(
+    cut: Cut, label: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    for other in Region.LABELS:
+        monkeypatch.setitem(ZONES, other, "south")
+
+    async def scenario(tasks: TasksOfOneController) -> None:
+        cut(tasks.region, label)
+        await _check_new_owner(tasks)
+
+    _simulate_tasks(label, scenario)
+
+
+@CUTS
+@pytest.mark.parametrize(
+    ("label", "other"),
+    [("node-0", "node-1"), ("node-1", "node-0"), ("node-1", "node-2"), ("node-2", "node-0")],
+)
+def test_workers_of_two_controllers_that_are_each_cut_off_report_to_the_third(
+    cut: Cut, label: str, other: str
+) -> None:
+    async def scenario(tasks: TasksOfOneController) -> None:
+        cut(tasks.region, label)
+        cut(tasks.region, other)
+        await _check_new_owner(tasks)
+
+    _simulate_tasks(label, scenario)
+
+
 @CUTS
 @pytest.mark.parametrize(
     ("label", "other", "zone"),
     [
         ("node-0", None, "south"),
         ("node-1", None, "north"),
+        ("node-0", "node-1", "south"),
+        ("node-0", "node-2", "south"),
         ("node-1", "node-2", "north"),
+        ("node-2", "node-0", "north"),
     ],
 )
 def test_workers_of_another_zone_than_their_cut_owner_find_the_new_one(
@@ -131,3 +180,64 @@
         await _check_new_owner(tasks)
 
     _simulate_tasks(label, scenario, zone)
+
+
+@pytest.mark.parametrize("label", ["node-1", "node-2"])
+def test_workers_of_two_controllers_of_a_zone_that_are_cut_off_together_report_to_the_third(
+    label: str,
+) -> None:
+    async def scenario(tasks: TasksOfOneController) -> None:
+        region = tasks.region
+        region.cut_from_state.update(("node-1", "node-2"))
+        region.cut_peer_pairs.update(frozenset((x, "node-0")) for x in ("node-1", "node-2"))
+        await _check_new_owner(tasks)
+
+    _simulate_tasks(label, scenario)
+
+
+@pytest.mark.parametrize("label", Region.LABELS)
+def test_workers_are_kept_alive_while_the_state_service_answers_too_late(label: str) -> None:
+    """Guards against workers without any owner: the renewals are carried out, nobody takes over."""
+
+    async def scenario(tasks: TasksOfOneController) -> None:
+        region = tasks.region
+        region.cut_from_peers.add(label)
+        region.transaction_fault = lambda source, method, path: (
+            TransactionFault(0.0, executes_immediately=False) if source == label else None
+        )
+        await curio.sleep(SHORT_CUT_S)
+        assert tasks.new_owner() is None
+        tasks.check_undisturbed()
+
+    _simulate_tasks(label, scenario)
+
+
+def test_workers_are_kept_alive_in_an_outage_while_all_other_controllers_are_down() -> None:
+    async def scenario(tasks: TasksOfOneController) -> None:
+        region = tasks.region
+        region.state.is_down = True
+        for label in ("node-1", "node-2"):
+            await region.kill(label)
+        await curio.sleep(SHORT_CUT_S)
+        tasks.check_undisturbed()
+
+    _simulate_tasks("node-0", scenario)
+
+
+@pytest.mark.parametrize("label", Region.LABELS)
+def test_workers_of_a_partitioned_zone_are_kept_alive_behind_a_load_balancer(label: str) -> None:
+    """Guards against probes from before a partition that count as a sign after it began."""
+
+    async def scenario(tasks: TasksOfOneController) -> None:
+        region = tasks.region
+        inside = {x for x in region.LABELS if ZONES[x] == tasks.zone}
+        region.cut_from_state.update(inside)
+        region.cut_peer_pairs.update(
+            frozenset((x, y)) for x in inside for y in region.LABELS if y not in inside
+        )
+        region.can_reach = lambda worker, x: x in inside
+        tasks.balancer.can_reach = lambda x: x not in inside
+        await curio.sleep(SHORT_CUT_S)
+        tasks.check_undisturbed()
+
+    _simulate_tasks(label, scenario)
