Maintenance: a machine with planned attempts is given up only once nobody can keep its worker alive

What callers saw (simulated): a controller is cut off alone and no load balancer probes it either, so it keeps its workers alive for as long as it may. The new owner returned a machine with healthy tasks as silent after one worker lease.

Change: with planned attempts the wait is as long as a controller of the zone may keep the worker alive.

--- a/crossmill/jobs/machine_maintenance.py
+++ b/crossmill/jobs/machine_maintenance.py
@@ -87,12 +87,7 @@
         for machine in machines:
             if machine.retirement_reason:
                 continue
-            timeout_s = self._settings.worker_lease_expiry_s
-            if machine.zone in unreachable_zones:
-                # if many machines send no heartbeats, the cause is a network partition or a fault
-                # of this controller, not of the machines. In a partitioned zone, a peer may keep
-                # the workers alive
-                timeout_s += self._settings.partition_keepalive_s
+            timeout_s = self._silence_timeout_s(machine, unreachable_zones)
             value = None
             if now - ownership.acquired_at >= timeout_s:
                 value = self._retired(machine, now, timeout_s, spare)
@@ -102,6 +97,19 @@
                 intents.append(self._intent(shard, ownership, machine, value))
         return intents
 
+    def _silence_timeout_s(self, machine: Machine, unreachable_zones: set[str]) -> float:
+        """Return the time without a heartbeat after which the machine is given up.
+
+        If many machines send no heartbeats, the cause is a network partition or a fault of this
+        controller, not of the machines. In a partitioned zone, a peer may keep the workers alive,
+        and so may one that is cut off alone. Planned attempts are a sign of that: once it is proved
+        that nobody keeps the worker alive, they count as ended.
+        """
+        timeout_s = self._settings.worker_lease_expiry_s
+        if machine.zone in unreachable_zones or machine.attempts:
+            timeout_s += self._settings.partition_keepalive_s
+        return timeout_s
+
     def _retired(
         self, machine: Machine, now: float, timeout_s: float, spare: set[str]
     ) -> dict[str, Any] | None:
--- a/tests/test_cut_controllers.py
+++ b/tests/test_cut_controllers.py
@@ -212,6 +212,23 @@
     _simulate_tasks(label, scenario)
 
 
+@CUTS
+@pytest.mark.parametrize("label", Region.LABELS)
+def test_a_machine_whose_worker_a_cut_controller_keeps_alive_is_not_returned(
+    cut: Cut, label: str
+) -> None:
+    """Guards against a new owner that is less patient than the old one, which nobody probes."""
+
+    async def scenario(tasks: TasksOfOneController) -> None:
+        cut(tasks.region, label)
+        tasks.balancer.can_reach = lambda x: x != label
+        await curio.sleep(LONG_CUT_S)
+        assert tasks.new_owner() is not None
+        tasks.check_undisturbed()
+
+    _simulate_tasks(label, scenario)
+
+
 def test_workers_are_kept_alive_in_an_outage_while_all_other_controllers_are_down() -> None:
     async def scenario(tasks: TasksOfOneController) -> None:
         region = tasks.region
