Multihost: an agent is not sent to an owner that old records name

What callers saw (simulated): two controllers are cut off, each alone, and an agent is sent back and forth between them by records as old as the cut; its replica is started again, though the third controller owns the pool.

Change: the owner is named only by records that were current within one controller lease. Otherwise the agent tries the next controller.

test_agents_of_two_controllers_that_are_each_cut_off_find_the_third: one of two cases failed before, both pass now.

--- a/crossmill/multihost/pool_ownership.py
+++ b/crossmill/multihost/pool_ownership.py
@@ -4,24 +4,26 @@
 """
 
 from collections.abc import Callable
+from typing import TYPE_CHECKING
 
-from ..cluster.cluster_state import ClusterState
-from ..cluster.membership import Membership, shard_intent
+from ..cluster.membership import shard_intent
 from ..cluster.ownership import ShardOwnership
 from ..state.writer import WriteIntent, WriteRank
 from ..wire.state import Txn
 
+if TYPE_CHECKING:
+    from .context import ControllerContext
+
 
 class PoolOwnership:
     """Reports the authority with which this controller may act for the pool."""
 
-    def __init__(
-        self, membership: Membership, cluster: ClusterState, shard: int, own_label: str
-    ) -> None:
-        self._membership = membership
-        self._cluster = cluster
+    def __init__(self, controller: "ControllerContext", shard: int) -> None:
+        self._membership = controller.membership
+        self._cluster = controller.cluster
+        self._watcher = controller.watcher
+        self._settings = controller.settings
         self.shard = shard
-        self._own_label = own_label
 
     def on_lost(self, listener: Callable[[], None]) -> None:
         """Register a listener that is called whenever this controller loses the pool."""
@@ -53,9 +55,15 @@
         return None if shard_owner is None else shard_owner.owner
 
     def other_owner(self) -> str | None:
-        """Return the label of the pool's owner; None if it is this controller or unknown."""
+        """Return the label of the pool's owner; None if it is this controller or unknown.
+
+        With old records the owner is unknown: two controllers that are cut off would send an agent
+        to each other, and it would never try the third.
+        """
+        if not self._watcher.is_current_within(self._settings.controller_lease_ttl_s):
+            return None
         owner = self.owner()
-        return None if owner == self._own_label else owner
+        return None if owner == self._settings.label else owner
 
     def write_intent(self, ownership: ShardOwnership, rank: WriteRank, txn: Txn) -> WriteIntent:
         """Return a write intent that fails once another controller owns the pool."""
--- a/crossmill/multihost/service.py
+++ b/crossmill/multihost/service.py
@@ -43,12 +43,7 @@
         self.settings = settings
         self.pool = PoolState(controller.cluster.mirror)
         self.agents = Agents(process)
-        ownership = PoolOwnership(
-            controller.membership,
-            controller.cluster,
-            settings.pool_shard,
-            controller.settings.label,
-        )
+        ownership = PoolOwnership(controller, settings.pool_shard)
         self.writer = PoolWriter(ownership, controller.writer, self.pool)
         context = PoolContext(
             settings=settings,
--- a/tests/test_multihost_partitions.py
+++ b/tests/test_multihost_partitions.py
@@ -1,5 +1,6 @@
 """Partitions between a replica's front member and the other members or the controllers."""
 
+import curio
 import pytest
 
 from .multihost_agents import Agent
@@ -40,3 +41,25 @@
         )
 
     assert time_to_repair(fault) <= REPAIR_BOUND_S
+
+
+@pytest.mark.parametrize("position", [0, 1])
+def test_agents_of_two_controllers_that_are_each_cut_off_find_the_third(position: int) -> None:
+    """Guards against two cut controllers that send an agent to each other, by old records."""
+
+    async def scenario(region: MultihostRegion) -> None:
+        await region.begin_pool(6)
+        await region.declare("chat", image_gb=LOAD_S)
+        await region.until_serving("chat/0")
+        generation = region.generation("chat/0")
+        owner = region.owner()
+        others = [label for label in region.LABELS if label != owner]
+        region.isolate(owner)
+        region.isolate(others[position])
+        third = others[1 - position]
+        await region.wait_until(lambda: region.owners().get(0) == third, 2 * region.worker_lease_s)
+        await curio.sleep(2 * region.worker_lease_s)
+        assert region.generation("chat/0") == generation, "the replica was started again"
+        assert len(region.serving("chat/0")) == 1
+
+    simulate_multihost(scenario)
