Heartbeats: the choice of redirects has its own module, and so has the detection of partitions

WorkerRedirects decides to whom a worker is sent; the handler answers. PartitionDetector leaves partition_keepalive.py and joins RegionContact. The cuts that two test files share are in tests/fault_injection.py.

--- a/crossmill/app.py
+++ b/crossmill/app.py
@@ -17,9 +17,9 @@
 from .cluster.lease_extensions import LeaseExtensions
 from .cluster.membership import Membership
 from .cluster.ownership import OwnedShards
+from .cluster.partition_detector import RegionContact
 from .cluster.partition_protocol import PartitionProtocol
 from .cluster.peer_links import PeerLinks
-from .cluster.region_contact import RegionContact
 from .cluster.state_access import StateAccess
 from .fleet.cloud import Cloud
 from .fleet.forecast import DemandForecast
--- a/crossmill/cluster/partition_keepalive.py
+++ b/crossmill/cluster/partition_keepalive.py
@@ -15,10 +15,8 @@
 from ..settings import Settings
 from ..wire.workers import WorkerHeartbeat
 from .cluster_state import ClusterState
-from .controller_lease import ControllerLease
 from .model import ACTIVE, Machine
-from .peer_links import PeerLinks
-from .region_contact import RegionContact
+from .partition_detector import PartitionDetector
 from .shard_acquisition import last_token_of_block
 from .state_access import StateAccess
 
@@ -48,62 +46,6 @@
             self._announced_at = {job: at for job, at in self._announced_at.items() if at > oldest}
 
 
-class PartitionDetector:
-    """Detector of a partition of this controller's zone from the state service and other zones."""
-
-    def __init__(
-        self,
-        clock: Clock,
-        controller_lease: ControllerLease,
-        peers: PeerLinks,
-        region_contact: RegionContact,
-    ) -> None:
-        self._clock = clock
-        self._controller_lease = controller_lease
-        self._peers = peers
-        self._region_contact = region_contact
-        self._lease_failing_since: float | None = None
-
-    def record_renewal_failure(self) -> None:
-        """Record that renewals of the controller's lease are failing."""
-        if self._lease_failing_since is None:
-            self._lease_failing_since = self._clock.now()
-
-    def record_renewal(self) -> None:
-        """Record that the controller's lease can be renewed."""
-        self._lease_failing_since = None
-
-    @property
-    def is_lease_failing(self) -> bool:
-        """Whether renewals of the controller's lease are failing."""
-        return self._controller_lease.is_failing
-
-    def is_partitioned(self) -> bool:
-        """Return whether neither the state service nor any other zone's controller responds.
-
-        Responses count from when renewals of the lease were first observed to fail. This may be
-        now, before the other zones' controllers have been probed.
-        """
-        others = self._peers.labels_outside_zone
-        return self.is_lease_failing and bool(others) and self._are_silent(others)
-
-    def is_silent(self, label: str) -> bool:
-        """Return whether renewals fail and the controller has not responded since they began to."""
-        return self.is_lease_failing and self._are_silent([label])
-
-    def _are_silent(self, labels: list[str]) -> bool:
-        if self._lease_failing_since is None:
-            self._lease_failing_since = self._clock.now()
-        return self._peers.has_no_response_from(labels, self._lease_failing_since)
-
-    def is_reached_by_region(self) -> bool:
-        """Return whether users or the load balancer reach this controller.
-
-        Then its zone is not partitioned, even if it reaches nobody itself.
-        """
-        return self._region_contact.is_recent()
-
-
 class StateSync:
     """The last sync with the state service during which this controller's record existed."""
 
--- a/crossmill/cluster/partition_protocol.py
+++ b/crossmill/cluster/partition_protocol.py
@@ -15,9 +15,9 @@
 from ..wire.checks import MalformedMessageError
 from .cancellation_announcement import CancellationAnnouncement
 from .lease_expiry_proof import LeaseExpiryProof
-from .partition_keepalive import PartitionDetector, PartitionKeepalive, StateSync
+from .partition_detector import PartitionDetector, RegionContact
+from .partition_keepalive import PartitionKeepalive, StateSync
 from .peer_links import PeerLinks
-from .region_contact import RegionContact
 from .state_access import StateAccess
 
 
--- a/crossmill/routes.py
+++ b/crossmill/routes.py
@@ -7,8 +7,8 @@
 from collections.abc import Awaitable, Callable
 
 from .cluster.lease_extensions import LeaseExtensions
+from .cluster.partition_detector import RegionContact
 from .cluster.partition_protocol import PartitionProtocol
-from .cluster.region_contact import RegionContact
 from .jobs.api import JobApi
 from .jobs.availability import UserAvailability
 from .net.server import Handler, Request, Response
--- a/crossmill/workers/heartbeat_handler.py
+++ b/crossmill/workers/heartbeat_handler.py
@@ -31,13 +31,13 @@
 )
 from .attempt_outcomes import StopReason
 from .lease_expiry import WorkerLeaseExpiry
-from .owner_search import OwnerSearch
 from .reconciliation import (
     Reconciler,
     is_stop_of_ended_job,
     limit_commands,
     stops_of_ended_jobs,
 )
+from .redirects import WorkerRedirects
 from .views import HeartbeatVerdict, WorkerView
 
 # only the type checker needs the protocol, so the program does not load it at start
@@ -76,6 +76,11 @@
     return HeartbeatResponse(HttpStatus.OK, token, tuple(limit_commands(commands, has_ended)))
 
 
+def _redirect(controller: str | None) -> HeartbeatResponse:
+    """Return a redirect; without a controller, the worker tries them one after the other."""
+    return HeartbeatResponse(HttpStatus.MISDIRECTED_REQUEST, redirect=controller)
+
+
 class HeartbeatHandler:
     """Responds to heartbeats and keeps the views of the workers that sent them.
 
@@ -101,8 +106,9 @@
         self._cluster = cluster
         self._membership = membership
         self._keepalive = partition_protocol.keepalive
-        self._partition = partition_protocol.partition_detector
-        self._owner_search = OwnerSearch(settings, membership.owner_selection)
+        self._redirects = WorkerRedirects(
+            settings, cluster, membership.owner_selection, partition_protocol.partition_detector
+        )
         self._views: dict[str, WorkerView] = {}
         self.read_task_status = cached_task_status_reader(settings.max_cached_task_statuses)
         self.reconciler = Reconciler(settings, clock, cluster)
@@ -156,10 +162,10 @@
         self._membership.reachability.record_heartbeat()
         machine = self._cluster.machines.get(heartbeat.machine)
         if machine is None:
-            return self._redirect()
+            return _redirect(self._redirects.for_unknown_owner())
         authority = self._membership.heartbeat_authority(machine.shard)
         if self.is_transferring(machine.id):
-            return self._redirect()
+            return _redirect(self._redirects.for_unknown_owner())
         if authority is None:
             return self._respond_without_ownership(machine, heartbeat)
         return self._respond_as_owner(machine, heartbeat, authority)
@@ -236,20 +242,12 @@
         """Return the token under which the owner of a machine's shard commands the machine now."""
         return view.command_token(self.first_token(machine, ownership))
 
-    def _redirect(self, owner: str | None = None) -> HeartbeatResponse:
-        """Redirect a worker to its machine's owner, or to another reachable controller.
-
-        Without a redirect, the worker tries the controllers one after the other.
-        """
-        redirect = owner or self._membership.owner_selection.redirect_target()
-        return HeartbeatResponse(HttpStatus.MISDIRECTED_REQUEST, redirect=redirect)
-
     def _respond_without_ownership(
         self, machine: Machine, heartbeat: WorkerHeartbeat
     ) -> HeartbeatResponse:
         """Keep a worker of a partitioned zone alive, or redirect it to its owner."""
         if not self._keepalive.keep_alive(machine, heartbeat):
-            return self._redirect_without_ownership(machine)
+            return _redirect(self._redirects.for_machine(machine))
         # This response renews the worker's lease. The view must record it, because an owner that
         # keeps a worker alive in a partitioned zone may regain its authority under the same lease.
         view = self._views.get(machine.id)
@@ -258,16 +256,6 @@
         stops = stops_of_ended_jobs(heartbeat.tasks, self._keepalive.has_ended)
         return _accept(heartbeat.token, stops, self._keepalive.has_ended)
 
-    def _redirect_without_ownership(self, machine: Machine) -> HeartbeatResponse:
-        """Redirect a worker to its recorded owner, or to look for it if the record may be old."""
-        record = self._cluster.shard_owners.get(machine.shard)
-        owner = None if record is None or record.owner == self._settings.label else record.owner
-        if not self._partition.is_lease_failing:
-            return self._redirect(owner)
-        if owner is None or self._partition.is_silent(owner):
-            owner = self._owner_search.next_target(machine.id)
-        return self._redirect(owner)
-
     def _respond_to_newer_token(
         self, machine: Machine, heartbeat: WorkerHeartbeat
     ) -> HeartbeatResponse:
@@ -276,10 +264,10 @@
         The worker would discard a response under the lower token, and its lease would expire.
         """
         self._membership.request_higher_token(machine.shard, heartbeat.token)
-        alternative = self._membership.owner_selection.redirect_target()
+        alternative = self._redirects.for_unknown_owner()
         if alternative is None:
             return HeartbeatResponse(HttpStatus.SERVICE_UNAVAILABLE)
-        return HeartbeatResponse(HttpStatus.MISDIRECTED_REQUEST, redirect=alternative)
+        return _redirect(alternative)
 
     def _has_job_ended(self, job_id: str) -> bool:
         job = self._cluster.jobs.get(job_id)
--- a/tests/fault_injection.py
+++ b/tests/fault_injection.py
@@ -28,6 +28,17 @@
     return True
 
 
+def cut_off(region: Region, label: str) -> None:
+    """Cut a controller from the state service, which stays silent, and from its peers."""
+    region.isolate(label)
+
+
+def cut_off_with_refusals(region: Region, label: str) -> None:
+    """Cut a controller from its peers while the state service refuses all its requests."""
+    region.refused_requests[label] = every_request
+    region.cut_from_peers.add(label)
+
+
 def all_but_leases(method: str, path: str) -> bool:
     """Return whether the request is not for a lease: no key can be read or written."""
     return not path.startswith("/holds")
--- a/tests/stepped_controller.py
+++ b/tests/stepped_controller.py
@@ -18,10 +18,10 @@
 from crossmill.cluster.lease_extensions import LeaseExtensions
 from crossmill.cluster.membership import Membership
 from crossmill.cluster.ownership import OwnedShards
+from crossmill.cluster.partition_detector import RegionContact
 from crossmill.cluster.partition_protocol import PartitionProtocol
 from crossmill.cluster.peer_links import PeerLinks
 from crossmill.cluster.records import encode_job
-from crossmill.cluster.region_contact import RegionContact
 from crossmill.cluster.state_access import StateAccess
 from crossmill.fleet.cloud import Cloud, stored_catalog
 from crossmill.fleet.forecast import DemandForecast
--- a/tests/test_cut_controllers.py
+++ b/tests/test_cut_controllers.py
@@ -11,7 +11,7 @@
 from crossmill.cluster import keys
 
 from .builders import ZONES
-from .fault_injection import every_request
+from .fault_injection import cut_off, cut_off_with_refusals
 from .simulated_links import TransactionFault
 from .simulated_load_balancer import LoadBalancer
 from .simulated_region import Region, simulate
@@ -28,18 +28,7 @@
 Cut = Callable[[Region, str], None]
 
 
-def _cut_silently(region: Region, label: str) -> None:
-    """Cut a controller from the state service, which stays silent, and from its peers."""
-    region.isolate(label)
-
-
-def _cut_with_refusals(region: Region, label: str) -> None:
-    """Cut a controller from its peers while the state service refuses all its requests."""
-    region.refused_requests[label] = every_request
-    region.cut_from_peers.add(label)
-
-
-CUTS = pytest.mark.parametrize("cut", [_cut_silently, _cut_with_refusals])
+CUTS = pytest.mark.parametrize("cut", [cut_off, cut_off_with_refusals])
 
 
 class TasksOfOneController:
--- a/tests/test_region_contact.py
+++ b/tests/test_region_contact.py
@@ -3,7 +3,7 @@
 import curio
 import pytest
 
-from crossmill.cluster.region_contact import RegionContact
+from crossmill.cluster.partition_detector import RegionContact
 from crossmill.net.server import Request
 
 from .builders import make_settings
--- a/tests/test_user_availability.py
+++ b/tests/test_user_availability.py
@@ -8,7 +8,7 @@
 
 from crossmill.settings import timing
 
-from .fault_injection import all_but_leases, every_request
+from .fault_injection import all_but_leases, cut_off, cut_off_with_refusals, every_request
 from .recovery_region import recovery_settings, simulate_recovery
 from .simulated_load_balancer import SLOW_START_S, LoadBalancer, PollingUser
 from .simulated_region import Region, simulate
@@ -24,18 +24,7 @@
 Cut = Callable[[Region, str], None]
 
 
-def _cut_silently(region: Region, label: str) -> None:
-    """Cut a controller from the state service, which stays silent, and from its peers."""
-    region.isolate(label)
-
-
-def _cut_with_refusals(region: Region, label: str) -> None:
-    """Cut a controller from its peers while the state service refuses all its requests."""
-    region.refused_requests[label] = every_request
-    region.cut_from_peers.add(label)
-
-
-CUTS = pytest.mark.parametrize("cut", [_cut_silently, _cut_with_refusals])
+CUTS = pytest.mark.parametrize("cut", [cut_off, cut_off_with_refusals])
 
 
 class UsersBehindLoadBalancer:
